--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,83 @@
+import jsdoc from 'eslint-plugin-jsdoc';
+import tseslint from 'typescript-eslint';
+
+/** Packages a package may not import from: imports point downwards only. */
+const forbiddenImports = {
+  contracts: ['core', 'stand-ins', 'daemon', 'cli'],
+  core: ['stand-ins', 'daemon', 'cli'],
+  'stand-ins': ['daemon', 'cli'],
+  daemon: ['cli'],
+  cli: ['stand-ins', 'daemon'],
+};
+
+const layering = Object.entries(forbiddenImports).map(([name, forbidden]) => ({
+  files: [`packages/${name}/src/**/*.ts`],
+  rules: {
+    'no-restricted-imports': [
+      'error',
+      {
+        patterns: forbidden.map((other) => ({
+          group: [`@endivegate/${other}`, `@endivegate/${other}/*`],
+          message: `${name} must not depend on ${other}.`,
+        })),
+      },
+    ],
+  },
+}));
+
+export default tseslint.config(
+  {
+    ignores: [
+      '**/dist/**',
+      '**/generated/**',
+      'bench/out/**',
+      '**/*.mjs',
+      'mocha.setup.ts',
+      '**/*.cjs',
+    ],
+  },
+  ...tseslint.configs.strictTypeChecked,
+  ...tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: {
+        projectService: true,
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    plugins: { jsdoc },
+    rules: {
+      '@typescript-eslint/restrict-template-expressions': [
+        'error',
+        { allowNumber: true, allowBoolean: true },
+      ],
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
+      'jsdoc/require-jsdoc': [
+        'error',
+        {
+          publicOnly: true,
+          require: { FunctionDeclaration: true, ClassDeclaration: true },
+          contexts: [
+            'ExportNamedDeclaration > TSInterfaceDeclaration',
+            'ExportNamedDeclaration > TSTypeAliasDeclaration',
+            'ExportNamedDeclaration > VariableDeclaration',
+          ],
+        },
+      ],
+      eqeqeq: 'error',
+      'no-param-reassign': 'error',
+    },
+  },
+  {
+    files: ['**/test.ts', 'bench/**/*.ts'],
+    rules: {
+      'jsdoc/require-jsdoc': 'off',
+      '@typescript-eslint/no-unused-expressions': 'off',
+      '@typescript-eslint/no-non-null-assertion': 'off',
+    },
+  },
+  ...layering,
+);
--- /dev/null
+++ b/mocha.setup.ts
@@ -0,0 +1,4 @@
+import * as chai from 'chai';
+import { jestSnapshotPlugin } from 'mocha-chai-jest-snapshot';
+
+chai.use(jestSnapshotPlugin());
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * The operators' command line.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/packages/contracts/src/addresses/index.ts
@@ -0,0 +1,37 @@
+import { z } from 'zod';
+
+/** Where an entry instance can be reached, and where it stands. */
+export const entryAddressSchema = z.strictObject({
+  entryId: z.string().min(1),
+  /** Start of the process, larger for a later process of the same entry id. */
+  incarnation: z.number().int().nonnegative(),
+  region: z.string().min(1),
+  dataCentre: z.string().min(1),
+  host: z.string().min(1),
+  httpPort: z.number().int().min(0).max(65_535),
+  peerPort: z.number().int().min(0).max(65_535),
+});
+
+/** Where an entry instance can be reached, and where it stands. */
+export type EntryAddress = z.infer<typeof entryAddressSchema>;
+
+/** A back end: a model engine or a plain service. */
+export const targetSchema = z.strictObject({
+  targetId: z.string().min(1),
+  targetKind: z.enum(['engine', 'service']),
+  url: z.url(),
+  region: z.string().min(1),
+  dataCentre: z.string().min(1),
+  /** Models an engine serves, or the one service name of a plain service. */
+  serves: z.array(z.string().min(1)),
+  /** KV cache memory of an engine, in tokens; 0 for a plain service. */
+  kvCapacityTokens: z.number().int().nonnegative(),
+  /** Whether the target refuses an order with an old fencing number. */
+  checksFencing: z.boolean(),
+  /** Whether a plain service answers a look-up by idempotency key. */
+  hasKeyLookup: z.boolean(),
+  leaving: z.boolean(),
+});
+
+/** A back end: a model engine or a plain service. */
+export type Target = z.infer<typeof targetSchema>;
--- /dev/null
+++ b/packages/contracts/src/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Schemas and types of everything that crosses a process boundary.
+ *
+ * @packageDocumentation
+ */
+export * from './addresses/index.ts';
+export * from './lengthClass/index.ts';
+export * from './ports/index.ts';
+export * from './ran/index.ts';
+export * from './tableRow/index.ts';
--- /dev/null
+++ b/packages/contracts/src/ports/service/index.ts
@@ -0,0 +1,43 @@
+import type * as TE from 'fp-ts/TaskEither';
+import type { Target } from '../../addresses/index.ts';
+import type { TargetError } from '../engine/index.ts';
+
+/** A call to a plain service, passed through unchanged. */
+export interface ServiceCall {
+  readonly attemptId: string;
+  readonly method: string;
+  /** Path and query below the service's root. */
+  readonly path: string;
+  readonly contentType: string | undefined;
+  readonly body: Uint8Array;
+  readonly idempotencyKey: string | undefined;
+  readonly timeoutMs: number;
+}
+
+/** A plain service's whole answer. */
+export interface ServiceAnswer {
+  readonly attemptId: string;
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Uint8Array;
+}
+
+/** What a plain service tells about an idempotency key. */
+export type KeyLookup =
+  | { readonly type: 'absent' }
+  | { readonly type: 'running' }
+  | { readonly type: 'done'; readonly answer: ServiceAnswer };
+
+/** Calls to plain services. */
+export interface ServicePort {
+  readonly call: (
+    target: Target,
+    call: ServiceCall,
+  ) => TE.TaskEither<TargetError, ServiceAnswer>;
+  /** Only for targets with `hasKeyLookup`. */
+  readonly lookUpKey: (
+    target: Target,
+    idempotencyKey: string,
+    timeoutMs: number,
+  ) => TE.TaskEither<TargetError, KeyLookup>;
+}
--- /dev/null
+++ b/packages/contracts/src/ran/index.ts
@@ -0,0 +1,13 @@
+import { z } from 'zod';
+
+/**
+ * Whether a request ran on a target.
+ *
+ * - `no`: no byte reached a target, or the target refused before it started.
+ * - `yes`: the target started the request.
+ * - `unknown`: the request may have started, and nothing settles the doubt.
+ */
+export const ranSchema = z.enum(['no', 'yes', 'unknown']);
+
+/** Whether a request ran on a target. */
+export type Ran = z.infer<typeof ranSchema>;
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * The daemon: adapters that turn sockets and timers into events and run effects.
+ *
+ * @packageDocumentation
+ */
+export {};
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Small fakes of the systems around an entry, for tests and trials.
+ *
+ * @packageDocumentation
+ */
+export {};
