--- a/packages/core/src/events/index.ts
+++ b/packages/core/src/events/index.ts
@@ -34,3 +34,25 @@
     /** The entry was told to stop. */
     | { readonly type: 'leaving.requested' }
   );
+
+/** Types of the shared events. */
+const SHARED_EVENT_TYPES: ReadonlySet<string> = new Set<SharedEvent['type']>([
+  'entry.started',
+  'clock.ticked',
+  'table.installed',
+  'members.changed',
+  'targets.changed',
+  'leaving.requested',
+]);
+
+/**
+ * Tells whether an event is sent to every slice.
+ *
+ * @param event - Any event.
+ * @returns Whether it is a shared event.
+ */
+export function isSharedEvent(event: {
+  readonly type: string;
+}): event is SharedEvent {
+  return SHARED_EVENT_TYPES.has(event.type);
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,7 +3,10 @@
  *
  * @packageDocumentation
  */
+export * from './clock/index.ts';
 export * from './events/index.ts';
 export * from './reduce/index.ts';
 export * from './request/index.ts';
+export * from './slice/index.ts';
 export * from './step/index.ts';
+export * from './targets/index.ts';
