Name the events in the life of a request

Cause: suspects, routing, requests and the daemon hand a request to each other. Change: shared request and attempt events with their senders. Conclusion: the slices meet only in these events.

--- a/packages/core/src/events/index.ts
+++ b/packages/core/src/events/index.ts
@@ -1,4 +1,12 @@
-import type { EntryAddress, Target, TableRow } from '@endivegate/contracts';
+import type {
+  AttemptReport,
+  EntryAddress,
+  Ran,
+  TableRow,
+  Target,
+  TargetError,
+} from '@endivegate/contracts';
+import type { RequestInfo } from '../request/index.ts';
 
 /** Fields of every event. Times are those of the entry's monotonic clock. */
 export interface EventBase {
@@ -7,9 +15,129 @@
   readonly random: number;
 }
 
+/** Why a request was refused without having run. */
+export type RefusalReason =
+  /** A limit of the table is used up. */
+  | 'limited'
+  /** The queue of the request's row is full. */
+  | 'queueFull'
+  /** The predicted finish misses the deadline. */
+  | 'tooLate'
+  /** The deadline passed before anything was sent. */
+  | 'deadline'
+  /** No target serves the model or service now. */
+  | 'noTarget'
+  /** Every target refused, or the retry budget is used up. */
+  | 'targetsRefused'
+  /** The request was in flight at repeated target crashes. */
+  | 'suspect'
+  /** The entry is leaving. */
+  | 'leaving'
+  /** The store is down and the call needs a claim. */
+  | 'storeDown'
+  /** The idempotency key was used with another body. */
+  | 'keyReused'
+  /** The caller went away. */
+  | 'callerGone';
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  { readonly type: 'done' } | { readonly type: 'cancelled' } | TargetError;
+
+/** What the caller is told at the end of a request. */
+export type RequestEnd =
+  | { readonly type: 'answered' }
+  | {
+      readonly type: 'refused';
+      readonly reason: RefusalReason;
+      readonly retryAfterMs: number | undefined;
+    }
+  | { readonly type: 'timedOut' }
+  | { readonly type: 'failed'; readonly reason: string }
+  /** A call that may not be repeated has an unsettled outcome. */
+  | { readonly type: 'inDoubt' };
+
+/**
+ * Events in the life of a request, in their usual order.
+ *
+ * `received` (daemon) → `arrived` (suspects) → `dispatched` (routing) →
+ * `attempt.started` (requests) → `attempt.*` (daemon) → `retryWanted` or
+ * `ended` (requests). `refused` ends a request that did not run; its sender
+ * is the slice that refuses.
+ */
+export type RequestEvent =
+  | { readonly type: 'request.received'; readonly request: RequestInfo }
+  | { readonly type: 'request.arrived'; readonly request: RequestInfo }
+  | {
+      readonly type: 'request.dispatched';
+      readonly requestId: string;
+      readonly targetId: string;
+      /** Set when KV memory is reserved on several engines beforehand. */
+      readonly reservationId: string | undefined;
+    }
+  | {
+      readonly type: 'request.refused';
+      readonly requestId: string;
+      readonly reason: RefusalReason;
+      readonly retryAfterMs: number | undefined;
+    }
+  /** The last attempt did not answer and another one is allowed. */
+  | {
+      readonly type: 'request.retryWanted';
+      readonly requestId: string;
+      readonly excludedTargetIds: readonly string[];
+      /** Whether no other suspect may run on the target at the same time. */
+      readonly isolated: boolean;
+    }
+  | { readonly type: 'request.callerGone'; readonly requestId: string }
+  | {
+      readonly type: 'request.ended';
+      readonly requestId: string;
+      readonly ran: Ran;
+      readonly end: RequestEnd;
+    }
+  | {
+      readonly type: 'attempt.started';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly targetId: string;
+    }
+  | {
+      readonly type: 'attempt.firstToken';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly targetId: string;
+    }
+  /** No item came from the target for the silence threshold. */
+  | {
+      readonly type: 'attempt.silent';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly outputTokens: number;
+    }
+  /** Reply to an ask about a silent attempt. */
+  | {
+      readonly type: 'attempt.reported';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly report: AttemptReport | TargetError;
+    }
+  | {
+      readonly type: 'attempt.ended';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly targetId: string;
+      readonly end: AttemptEnd;
+      /** Tokens handed on to the caller by this attempt and those it resumed. */
+      readonly outputTokens: number;
+      /** Whether any byte of the request left this process. */
+      readonly sent: boolean;
+    };
+
 /** Events that several slices of the state read. */
 export type SharedEvent = EventBase &
   (
+    | RequestEvent
     | { readonly type: 'entry.started'; readonly self: EntryAddress }
     /** A regular pulse, ten a second. */
     | { readonly type: 'clock.ticked' }
@@ -35,7 +163,10 @@
     | { readonly type: 'leaving.requested' }
   );
 
-/** Types of the shared events. */
+/** Prefixes of the shared events that belong to a request or an attempt. */
+const SHARED_EVENT_PREFIXES = ['request.', 'attempt.'];
+
+/** Types of the other shared events. */
 const SHARED_EVENT_TYPES: ReadonlySet<string> = new Set<SharedEvent['type']>([
   'entry.started',
   'clock.ticked',
@@ -54,5 +185,8 @@
 export function isSharedEvent(event: {
   readonly type: string;
 }): event is SharedEvent {
-  return SHARED_EVENT_TYPES.has(event.type);
+  return (
+    SHARED_EVENT_TYPES.has(event.type) ||
+    SHARED_EVENT_PREFIXES.some((prefix) => event.type.startsWith(prefix))
+  );
 }
--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -85,7 +85,7 @@
   const step = options.slice.reduce(before, options.event);
   if (step.state === before && step.effects.length === 0) return done;
   return {
-    state: { ...done.state, [options.name]: step.state } as RootState,
+    state: { ...done.state, [options.name]: step.state },
     effects: [...done.effects, ...step.effects],
   };
 }
--- a/packages/daemon/src/runtime/index.ts
+++ b/packages/daemon/src/runtime/index.ts
@@ -53,7 +53,7 @@
 
   const runtime: Runtime = {
     dispatch: (event) => {
-      queue.push({ ...event, atMs: nowMs(), random: random() } as RootEvent);
+      queue.push({ ...event, atMs: nowMs(), random: random() });
       drain();
     },
     state: () => state,
