Model one engine in virtual time

Cause: routing trials and the HTTP engine stand-in need the same engine, with batching, prefill cost and bounded memory, and no clock of its own. Conclusion: the model serves both a server on a real clock and a replay on a virtual one.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -3,4 +3,5 @@
  *
  * @packageDocumentation
  */
-export {};
+export * from './createEngineModel/index.ts';
+export * from './createRandom/index.ts';
