Parse settings with every finding and its place

Cause: operators need all mistakes of a file at once, with line and column. Conclusion: table files can use the same parser.

--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -4,7 +4,11 @@
  * @packageDocumentation
  */
 export * from './addresses/index.ts';
+export * from './formatFindings/index.ts';
+export * from './httpBodies/index.ts';
 export * from './lengthClass/index.ts';
+export * from './parseJsonc/index.ts';
 export * from './ports/index.ts';
 export * from './ran/index.ts';
+export * from './settings/index.ts';
 export * from './tableRow/index.ts';
