Route requests to the least busy target, resolve rows and pick homes

Cause: a request had no way from arrival to a target. Change: routing slice (least in flight, first version), row resolution with cell inheritance, home sets by weighted rendezvous hashing over js-xxhash (xxhash-wasm loads asynchronously, so pure code cannot use it).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,9 +4,16 @@
  * @packageDocumentation
  */
 export * from './clock/index.ts';
+export * from './countHomes/index.ts';
 export * from './events/index.ts';
+export * from './indexRows/index.ts';
+export * from './orderHomes/index.ts';
+export * from './pickHomes/index.ts';
 export * from './reduce/index.ts';
 export * from './request/index.ts';
+export * from './resolveRow/index.ts';
+export * from './routing/index.ts';
+export * from './scoreRendezvous/index.ts';
 export * from './slice/index.ts';
 export * from './step/index.ts';
 export * from './targets/index.ts';
--- /dev/null
+++ b/packages/core/src/routing/test.ts
@@ -0,0 +1,118 @@
+import type { Target } from '@endivegate/contracts';
+import { expect } from 'chai';
+import { initialRootState, reduce, type RootState } from '../reduce/index.ts';
+import type { SharedEvent } from '../events/index.ts';
+import type { RequestInfo } from '../request/index.ts';
+import { routingSlice, type RoutingState } from './index.ts';
+
+const target = (targetId: string, cells: Partial<Target> = {}): Target => ({
+  targetId,
+  targetKind: 'engine',
+  url: 'http://127.0.0.1:1',
+  region: 'r',
+  dataCentre: 'dc',
+  serves: ['m'],
+  kvCapacityTokens: 100_000,
+  checksFencing: true,
+  hasKeyLookup: false,
+  leaving: false,
+  ...cells,
+});
+
+const request = (requestId: string, service = 'm'): RequestInfo => ({
+  requestId,
+  workspace: 'w',
+  service,
+  kind: 'chat',
+  promptTokens: 1_000,
+  maxOutputTokens: 100,
+  lengthClass: 'short',
+  arrivedAtMs: 0,
+  deadlineAtMs: 60_000,
+  priority: 5,
+  fingerprint: requestId,
+  prefixHashes: [],
+  idempotencyKey: undefined,
+  repeatable: true,
+});
+
+const stamp = { atMs: 1, random: 0.5 };
+const targetsChanged: SharedEvent = {
+  ...stamp,
+  type: 'targets.changed',
+  targets: [
+    target('e1'),
+    target('e2'),
+    target('e3', { leaving: true }),
+    target('e4', { serves: ['other'] }),
+    target('s1', { targetKind: 'service', serves: ['ledger'] }),
+  ],
+};
+
+const run = (events: readonly SharedEvent[]) =>
+  events.reduce<{ state: RoutingState; raised: unknown[] }>(
+    (done, event) => {
+      const step = routingSlice.reduce(done.state, event);
+      return { state: step.state, raised: [...done.raised, ...step.effects] };
+    },
+    { state: routingSlice.initial, raised: [] },
+  );
+
+const arrived = (id: string, service?: string): SharedEvent => ({
+  ...stamp,
+  type: 'request.arrived',
+  request: request(id, service),
+});
+
+describe('routing', () => {
+  it('spreads requests over serving targets and refuses without one', () => {
+    const { raised } = run([
+      targetsChanged,
+      arrived('r1'),
+      arrived('r2'),
+      arrived('r3', 'ledger'),
+      arrived('r4', 'unknown'),
+    ]);
+    expect(raised).toMatchSnapshot();
+  });
+
+  it('keeps excluded targets out of a retry and refuses when none is left', () => {
+    const retryWanted = (
+      excludedTargetIds: readonly string[],
+    ): SharedEvent => ({
+      ...stamp,
+      type: 'request.retryWanted',
+      requestId: 'r1',
+      excludedTargetIds,
+      isolated: false,
+    });
+    const { raised, state } = run([
+      targetsChanged,
+      arrived('r1'),
+      retryWanted(['e1']),
+      retryWanted(['e1', 'e2']),
+    ]);
+    expect(raised).toMatchSnapshot();
+    expect(state.requests.size).to.equal(0);
+  });
+
+  it('forgets a request that ended', () => {
+    const { state } = run([
+      targetsChanged,
+      arrived('r1'),
+      {
+        ...stamp,
+        type: 'request.ended',
+        requestId: 'r1',
+        ran: 'yes',
+        end: { type: 'answered' },
+      },
+    ]);
+    expect(state.requests.size).to.equal(0);
+  });
+
+  it('takes part in the reducer', () => {
+    const state: RootState = reduce(initialRootState, targetsChanged).state;
+    expect(state.routing.targets).to.have.length(5);
+  });
+});
