--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -12,3 +12,4 @@
 export * from './ran/index.ts';
 export * from './settings/index.ts';
 export * from './tableRow/index.ts';
+export * from './wire/index.ts';
