Lead each request to exactly one end

Cause: nothing decided between an arrival and the caller's answer. Change: slices `suspects` (lets every request in for now) and `requests` (attempts, asks about cut or silent ones, resumption, retries, deadlines) over a bucketed persistent map. `request.ended` now comes once for every received request, refused ones included. `RequestInfo.streamed` (optional) tells whether tokens already reached the caller; a buffered answer may restart. Conclusion: the daemon's attempt runner can be built on the effects.

--- a/packages/core/src/events/index.ts
+++ b/packages/core/src/events/index.ts
@@ -62,8 +62,8 @@
  *
  * `received` (daemon) → `arrived` (suspects) → `dispatched` (routing) →
  * `attempt.started` (requests) → `attempt.*` (daemon) → `retryWanted` or
- * `ended` (requests). `refused` ends a request that did not run; its sender
- * is the slice that refuses.
+ * `ended` (requests). `refused` is raised by the slice that refuses. `ended`
+ * comes exactly once for each received request, refused ones included.
  */
 export type RequestEvent =
   | { readonly type: 'request.received'; readonly request: RequestInfo }
@@ -108,7 +108,10 @@
       readonly attemptId: string;
       readonly targetId: string;
     }
-  /** No item came from the target for the silence threshold. */
+  /**
+   * No item came from the target for the silence threshold. Comes again after
+   * each further threshold without an item.
+   */
   | {
       readonly type: 'attempt.silent';
       readonly requestId: string;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,10 +3,13 @@
  *
  * @packageDocumentation
  */
+export * from './bucketMap/index.ts';
 export * from './clock/index.ts';
 export * from './events/index.ts';
 export * from './reduce/index.ts';
 export * from './request/index.ts';
+export * from './requests/index.ts';
 export * from './slice/index.ts';
 export * from './step/index.ts';
+export * from './suspects/index.ts';
 export * from './targets/index.ts';
--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -2,12 +2,16 @@
 import type { RaiseEffect, Slice } from '../slice/index.ts';
 import type { Step } from '../step/index.ts';
 import { clockSlice } from '../clock/index.ts';
+import { requestsSlice } from '../requests/index.ts';
+import { suspectsSlice } from '../suspects/index.ts';
 import { targetsSlice } from '../targets/index.ts';
 
 /** Registered slices by name; the name prefixes the slice's event types. */
 const slices = {
   clock: clockSlice,
   targets: targetsSlice,
+  requests: requestsSlice,
+  suspects: suspectsSlice,
 };
 
 type Slices = typeof slices;
--- a/packages/core/src/request/index.ts
+++ b/packages/core/src/request/index.ts
@@ -21,4 +21,6 @@
   readonly idempotencyKey: string | undefined;
   /** Whether it may be sent again after an attempt of unknown outcome. */
   readonly repeatable: boolean;
+  /** Whether tokens go to the caller as they come; default true. */
+  readonly streamed?: boolean;
 }
--- /dev/null
+++ b/packages/core/src/requests/_lib/retry.ts
@@ -0,0 +1,150 @@
+import type { Ran } from '@endivegate/contracts';
+import type { EventBase, RequestEnd } from '../../events/index.ts';
+import { close, keep } from './close.ts';
+import { combineRan } from './ran.ts';
+import type { OpenRequest, RequestsState, RequestsStep } from './types.ts';
+
+/** Attempts of one request, those that a target refused included. */
+export const MAX_ATTEMPTS = 8;
+
+/** Attempts of one request that a target may have run. */
+export const MAX_LOST_ATTEMPTS = 3;
+
+/** Wait before the second retry of a request; doubled for each one after. */
+export const RETRY_BACKOFF_MS = 100;
+
+/** Longest wait before a retry. */
+export const MAX_RETRY_BACKOFF_MS = 2_000;
+
+/** Why the open attempt of a request gave no whole answer. */
+export interface AttemptFailure {
+  readonly event: EventBase;
+  readonly ran: Ran;
+  readonly reason: string;
+}
+
+/**
+ * Asks for another attempt, or ends the request when none is allowed.
+ *
+ * A request is sent again only when its last attempt did not run, or when it
+ * may be repeated and no token of it has reached the caller.
+ *
+ * @param state - State of the slice.
+ * @param request - The request whose attempt failed; the attempt is dropped.
+ * @param failure - What is known of the failed attempt.
+ * @returns The step that asks for a target or tells the caller.
+ */
+export function retryOrEnd(
+  state: RequestsState,
+  request: OpenRequest,
+  failure: AttemptFailure,
+): RequestsStep {
+  const failed = withoutAttempt(request, failure.ran);
+  const end = reasonNotToRetry(request, failure);
+  if (end !== undefined) {
+    return close(state, failed, {
+      event: failure.event,
+      ran: failed.ran,
+      end,
+    });
+  }
+  const delayMs = backoffMs(failed.lostAttempts, failure.event.random);
+  const waiting = { ...failed, retryAtMs: failure.event.atMs + delayMs };
+  return delayMs === 0
+    ? wantRetry(state, waiting, failure.event)
+    : { state: keep(state, waiting), effects: [] };
+}
+
+/**
+ * Asks routing for a target for the next attempt.
+ *
+ * @param state - State of the slice.
+ * @param request - A request without an open attempt.
+ * @param event - The event that causes it.
+ * @returns The step that raises `request.retryWanted`.
+ */
+export function wantRetry(
+  state: RequestsState,
+  request: OpenRequest,
+  event: EventBase,
+): RequestsStep {
+  return {
+    state: keep(state, { ...request, retryAtMs: undefined }),
+    effects: [
+      {
+        type: 'raise',
+        event: {
+          type: 'request.retryWanted',
+          atMs: event.atMs,
+          random: event.random,
+          requestId: request.info.requestId,
+          excludedTargetIds: request.excludedTargetIds,
+          isolated: request.lostAttempts > 0,
+        },
+      },
+    ],
+  };
+}
+
+function withoutAttempt(request: OpenRequest, ran: Ran): OpenRequest {
+  const targetId = request.attempt?.targetId;
+  return {
+    ...request,
+    attempt: undefined,
+    outputTokens: 0,
+    ran: combineRan(request.ran, ran),
+    lostAttempts: request.lostAttempts + (ran === 'no' ? 0 : 1),
+    excludedTargetIds:
+      targetId === undefined || request.excludedTargetIds.includes(targetId)
+        ? request.excludedTargetIds
+        : [...request.excludedTargetIds, targetId],
+  };
+}
+
+function reasonNotToRetry(
+  request: OpenRequest,
+  failure: AttemptFailure,
+): RequestEnd | undefined {
+  const lostAttempts = request.lostAttempts + (failure.ran === 'no' ? 0 : 1);
+  if (failure.ran === 'no') {
+    return request.attempts < MAX_ATTEMPTS
+      ? undefined
+      : endOfUnanswered(request, failure);
+  }
+  const mayRepeat =
+    request.info.repeatable &&
+    !(isStreamed(request) && request.outputTokens > 0) &&
+    lostAttempts < MAX_LOST_ATTEMPTS &&
+    request.attempts < MAX_ATTEMPTS;
+  return mayRepeat ? undefined : endOfUnanswered(request, failure);
+}
+
+function endOfUnanswered(
+  request: OpenRequest,
+  failure: AttemptFailure,
+): RequestEnd {
+  const ran = combineRan(request.ran, failure.ran);
+  if (ran === 'no') {
+    return {
+      type: 'refused',
+      reason: 'targetsRefused',
+      retryAfterMs: MAX_RETRY_BACKOFF_MS,
+    };
+  }
+  return ran === 'unknown' && !request.info.repeatable
+    ? { type: 'inDoubt' }
+    : { type: 'failed', reason: failure.reason };
+}
+
+function isStreamed(request: OpenRequest): boolean {
+  return request.info.streamed ?? true;
+}
+
+function backoffMs(lostAttempts: number, random: number): number {
+  if (lostAttempts < 2) return 0;
+  const limitMs = Math.min(
+    MAX_RETRY_BACKOFF_MS,
+    RETRY_BACKOFF_MS * 2 ** (lostAttempts - 2),
+  );
+  return limitMs * (0.5 + random / 2);
+}
