--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -4,6 +4,7 @@
 import { clockSlice } from '../clock/index.ts';
 import { requestsSlice } from '../requests/index.ts';
 import { suspectsSlice } from '../suspects/index.ts';
+import { routingSlice } from '../routing/index.ts';
 import { targetsSlice } from '../targets/index.ts';
 
 /** Registered slices by name; the name prefixes the slice's event types. */
@@ -12,6 +13,7 @@
   targets: targetsSlice,
   requests: requestsSlice,
   suspects: suspectsSlice,
+  routing: routingSlice,
 };
 
 type Slices = typeof slices;
