--- /dev/null
+++ b/packages/daemon/src/peers/peerOptions.ts
@@ -0,0 +1,21 @@
+import type { ChannelOptions } from '@grpc/grpc-js';
+
+/**
+ * Keepalive of connections between entries. A connection that went silent is
+ * found within the interval plus the time-out while calls are open on it.
+ */
+export const PEER_KEEPALIVE_OPTIONS: ChannelOptions = {
+  'grpc.keepalive_time_ms': 5_000,
+  'grpc.keepalive_timeout_ms': 2_000,
+  'grpc.keepalive_permit_without_calls': 0,
+};
+
+/** Channel options: one address, no discovery, no retries by the library. */
+export const PEER_CHANNEL_OPTIONS: ChannelOptions = {
+  ...PEER_KEEPALIVE_OPTIONS,
+  'grpc.enable_retries': 0,
+  'grpc.service_config_disable_resolution': 1,
+  'grpc.initial_reconnect_backoff_ms': 200,
+  'grpc.max_reconnect_backoff_ms': 2_000,
+  'grpc.client_idle_timeout_ms': 60_000,
+};
