--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * from './clock/index.ts';
 export * from './countHomes/index.ts';
+export * from './createReduce/index.ts';
 export * from './events/index.ts';
 export * from './indexRows/index.ts';
 export * from './orderHomes/index.ts';
