--- a/packages/core/src/createReduce/index.ts
+++ b/packages/core/src/createReduce/index.ts
@@ -100,10 +100,7 @@
   },
 ): Step<SlicesState, AnyEvent> {
   const before = done.state[options.name];
-  const step = options.slice.reduce(
-    before,
-    options.event as AnyEvent | SharedEvent,
-  );
+  const step = options.slice.reduce(before, options.event);
   if (step.state === before && step.effects.length === 0) return done;
   return {
     state: { ...done.state, [options.name]: step.state },
