--- a/packages/core/src/createReduce/index.ts
+++ b/packages/core/src/createReduce/index.ts
@@ -1,4 +1,4 @@
-import { isSharedEvent, type SharedEvent } from '../events/index.ts';
+import { isSharedEvent } from '../events/index.ts';
 import type { RaiseEffect, Slice } from '../slice/index.ts';
 import type { Reducer, Step } from '../step/index.ts';
 
