Keep the operators' table and bring newer numbers into force

Cause: entries had no table; a number must come into force whole, never go back, and be had from peers while the store is down. Change: contracts for manifest, roots, chunks and changes; content-addressed splitting and joining; the table slice with paced loads and watches; the handler that reads from the store or peers. table.installed carries the wanted models as an optional field.

--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -7,4 +7,5 @@
 export * from './lengthClass/index.ts';
 export * from './ports/index.ts';
 export * from './ran/index.ts';
+export * from './table/index.ts';
 export * from './tableRow/index.ts';
--- a/packages/core/src/events/index.ts
+++ b/packages/core/src/events/index.ts
@@ -5,6 +5,7 @@
   TableRow,
   Target,
   TargetError,
+  WantedModel,
 } from '@endivegate/contracts';
 import type { RequestInfo } from '../request/index.ts';
 
@@ -146,6 +147,8 @@
         readonly type: 'table.installed';
         readonly number: number;
         readonly rows: readonly TableRow[];
+        /** Models as the operators want them served. */
+        readonly models?: readonly WantedModel[];
       }
     /** The agreed view of live entries changed. */
     | {
--- /dev/null
+++ b/packages/core/src/pickTableWatchers/index.ts
@@ -0,0 +1,50 @@
+import { createHash } from 'node:crypto';
+import type { EntryAddress } from '@endivegate/contracts';
+
+/** Options of {@link pickTableWatchers}. */
+export interface PickTableWatchersOptions {
+  /** Entries of each data centre that hold a watch on the store. */
+  readonly watchersPerDataCentre?: number;
+}
+
+const DEFAULTS: Required<PickTableWatchersOptions> = {
+  watchersPerDataCentre: 2,
+};
+
+/**
+ * Picks the entries that watch the table's manifest, a few per data centre.
+ *
+ * Rendezvous hashing over the live entries: every entry that knows the same
+ * members picks the same watchers, and a member's coming or going moves at
+ * most one watch.
+ *
+ * @param live - Live entries.
+ * @param options - How many to pick.
+ * @returns Ids of the watching entries.
+ *
+ * @example
+ * pickTableWatchers(live).includes(selfId);
+ */
+export function pickTableWatchers(
+  live: readonly EntryAddress[],
+  options: PickTableWatchersOptions = {},
+): readonly string[] {
+  const { watchersPerDataCentre } = { ...DEFAULTS, ...options };
+  const dataCentres = [...new Set(live.map(dataCentreKey))];
+  return dataCentres.flatMap((key) =>
+    live
+      .filter((entry) => dataCentreKey(entry) === key)
+      .map(({ entryId }) => ({ entryId, score: scoreOf(entryId) }))
+      .sort((a, b) => (a.score < b.score ? 1 : -1))
+      .slice(0, watchersPerDataCentre)
+      .map(({ entryId }) => entryId),
+  );
+}
+
+function dataCentreKey(entry: EntryAddress): string {
+  return `${entry.region}/${entry.dataCentre}`;
+}
+
+function scoreOf(entryId: string): string {
+  return createHash('sha256').update(`table-watch/${entryId}`).digest('hex');
+}
--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -2,11 +2,13 @@
 import type { RaiseEffect, Slice } from '../slice/index.ts';
 import type { Step } from '../step/index.ts';
 import { clockSlice } from '../clock/index.ts';
+import { tableSlice } from '../table/index.ts';
 import { targetsSlice } from '../targets/index.ts';
 
 /** Registered slices by name; the name prefixes the slice's event types. */
 const slices = {
   clock: clockSlice,
+  table: tableSlice,
   targets: targetsSlice,
 };
 
--- /dev/null
+++ b/packages/daemon/src/table/index.ts
@@ -0,0 +1,127 @@
+import type { TaskEither } from 'fp-ts/TaskEither';
+import { TABLE_MANIFEST_KEY, type PlatformPort } from '@endivegate/contracts';
+import type { TableEffect, TableValue } from '@endivegate/core';
+import * as E from 'fp-ts/Either';
+import type { EffectHandler, Runtime } from '../runtime/index.ts';
+import { createTableCache } from './_lib/createTableCache.ts';
+import { loadTable, type TableHead } from './_lib/loadTable.ts';
+import { peerSource, storeSource } from './_lib/sources.ts';
+
+export type { TableHead } from './_lib/loadTable.ts';
+
+/** Time a watch waits at the store for a change. */
+export const TABLE_WATCH_WAIT_MS = 25_000;
+
+/** Time after which a watch whose answer does not come is given up. */
+export const TABLE_WATCH_TIMEOUT_MS = 30_000;
+
+/** Why a peer gave no answer. */
+export interface TablePeerError {
+  readonly type: 'peerFailed';
+  readonly reason: string;
+}
+
+/** Calls to the table of another entry. */
+export interface TablePeerPort {
+  /** Number in force at a peer, and its root; undefined when it has none. */
+  readonly fetchHead: (
+    entryId: string,
+  ) => TaskEither<TablePeerError, TableHead | undefined>;
+  /** Immutable values by key; those that the peer lacks are left out. */
+  readonly fetchValues: (
+    entryId: string,
+    keys: readonly string[],
+  ) => TaskEither<TablePeerError, readonly TableValue[]>;
+}
+
+/** Options of {@link createTableHandler}. */
+export interface CreateTableHandlerOptions {
+  readonly platform: PlatformPort;
+  readonly peers: TablePeerPort;
+  /** Tells the other entries the number in force here. */
+  readonly announce: (number: number) => void;
+}
+
+/** The handler of the table's effects, and what it serves to peers. */
+export interface TableHandler {
+  readonly handle: EffectHandler;
+  /** Answers a peer's `fetchHead`. */
+  readonly head: () => TableHead | undefined;
+  /** Answers a peer's `fetchValues`. */
+  readonly values: (keys: readonly string[]) => readonly TableValue[];
+}
+
+/**
+ * Creates the handler that loads, watches and serves the table.
+ *
+ * @param options - The platform, the peers and the announcement.
+ * @returns The handler and the answers to peers.
+ */
+export function createTableHandler(
+  options: CreateTableHandlerOptions,
+): TableHandler {
+  const cache = createTableCache();
+  let revision = 0;
+
+  const load = async (
+    effect: Extract<TableEffect, { type: 'table.load' }>,
+    runtime: Runtime,
+  ): Promise<void> => {
+    const store = storeSource(options.platform);
+    const peers = effect.peerIds.map((id) => peerSource(options.peers, id));
+    const sources = effect.storeFirst ? [store, ...peers] : [...peers, store];
+    const outcome = await loadTable(sources, {
+      currentNumber: effect.currentNumber,
+      wantedNumber: effect.wantedNumber,
+      cached: cache.get,
+    });
+    if (outcome.type === 'loaded') {
+      cache.install(outcome.head, outcome.values);
+      runtime.dispatch({
+        type: 'table.loaded',
+        number: outcome.head.number,
+        document: outcome.document,
+      });
+      return;
+    }
+    runtime.dispatch(
+      outcome.type === 'nothingNew'
+        ? { type: 'table.loadedNothingNew', number: outcome.number }
+        : { type: 'table.loadFailed' },
+    );
+  };
+
+  const watch = async (runtime: Runtime): Promise<void> => {
+    const batch = await options.platform.watch(
+      {
+        prefix: TABLE_MANIFEST_KEY,
+        afterRevision: revision,
+        waitMs: TABLE_WATCH_WAIT_MS,
+      },
+      { purpose: 'table', timeoutMs: TABLE_WATCH_TIMEOUT_MS },
+    )();
+    if (E.isRight(batch)) revision = batch.right.revision;
+    runtime.dispatch({
+      type: 'table.watchEnded',
+      outcome: E.isLeft(batch)
+        ? 'failed'
+        : batch.right.changes.length > 0
+          ? 'changed'
+          : 'idle',
+    });
+  };
+
+  return {
+    handle: (effect, runtime) => {
+      if (effect.type === 'table.load') void load(effect, runtime);
+      if (effect.type === 'table.watch') void watch(runtime);
+      if (effect.type === 'table.announce') options.announce(effect.number);
+    },
+    head: cache.head,
+    values: (keys) =>
+      keys.flatMap((key) => {
+        const value = cache.get(key);
+        return value === undefined ? [] : [{ key, value }];
+      }),
+  };
+}
