--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -3,6 +3,7 @@
 import type { Step } from '../step/index.ts';
 import { clockSlice } from '../clock/index.ts';
 import { tableSlice } from '../table/index.ts';
+import { routingSlice } from '../routing/index.ts';
 import { targetsSlice } from '../targets/index.ts';
 
 /** Registered slices by name; the name prefixes the slice's event types. */
@@ -10,6 +11,7 @@
   clock: clockSlice,
   table: tableSlice,
   targets: targetsSlice,
+  routing: routingSlice,
 };
 
 type Slices = typeof slices;
