--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -9,12 +9,14 @@
 import { clockSlice } from '../clock/index.ts';
 import { requestsSlice } from '../requests/index.ts';
 import { suspectsSlice } from '../suspects/index.ts';
+import { tableSlice } from '../table/index.ts';
 import { routingSlice } from '../routing/index.ts';
 import { targetsSlice } from '../targets/index.ts';
 
 /** Registered slices by name; the name prefixes the slice's event types. */
 const slices = {
   clock: clockSlice,
+  table: tableSlice,
   targets: targetsSlice,
   requests: requestsSlice,
   suspects: suspectsSlice,
