--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 export * from './bucketMap/index.ts';
+export * from './checkHistory/index.ts';
 export * from './clock/index.ts';
 export * from './countHomes/index.ts';
 export * from './createReduce/index.ts';
