--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -10,6 +10,7 @@
 export * from './parseJsonc/index.ts';
 export * from './ports/index.ts';
 export * from './ran/index.ts';
+export * from './table/index.ts';
 export * from './settings/index.ts';
 export * from './tableRow/index.ts';
 export * from './wire/index.ts';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,17 +3,30 @@
  *
  * @packageDocumentation
  */
+export * from './bucketMap/index.ts';
+export * from './checkHistory/index.ts';
 export * from './clock/index.ts';
 export * from './countHomes/index.ts';
+export * from './createReduce/index.ts';
 export * from './events/index.ts';
 export * from './indexRows/index.ts';
 export * from './orderHomes/index.ts';
 export * from './pickHomes/index.ts';
 export * from './reduce/index.ts';
 export * from './request/index.ts';
+export * from './requests/index.ts';
 export * from './resolveRow/index.ts';
 export * from './routing/index.ts';
 export * from './scoreRendezvous/index.ts';
 export * from './slice/index.ts';
 export * from './step/index.ts';
+export * from './suspects/index.ts';
 export * from './targets/index.ts';
+export * from './findWorkspace/index.ts';
+export * from './joinTable/index.ts';
+export * from './pickTableSources/index.ts';
+export * from './pickTableWatchers/index.ts';
+export * from './retryDelay/index.ts';
+export * from './splitTable/index.ts';
+export * from './table/index.ts';
+export * from './tableRecords/index.ts';
