Import fp-ts by the paths that Node's ES module loader resolves

Cause: the built packages failed to load under plain node with ERR_UNSUPPORTED_DIR_IMPORT for 'fp-ts/Either'; tsx resolves it, so the tests did not show it. Change: imports name 'fp-ts/lib/Name.js'; a lint rule refuses the others. Conclusion: the linter keeps it so.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,16 +10,25 @@
   cli: ['stand-ins', 'daemon'],
 };
 
+/** Node's ES module loader resolves only these paths of fp-ts. */
+const fpTsPaths = {
+  regex: '^fp-ts/(?!lib/[A-Za-z]+\\.js$)',
+  message: "Import from 'fp-ts/lib/Name.js'.",
+};
+
 const layering = Object.entries(forbiddenImports).map(([name, forbidden]) => ({
   files: [`packages/${name}/src/**/*.ts`],
   rules: {
     'no-restricted-imports': [
       'error',
       {
-        patterns: forbidden.map((other) => ({
-          group: [`@endivegate/${other}`, `@endivegate/${other}/*`],
-          message: `${name} must not depend on ${other}.`,
-        })),
+        patterns: [
+          fpTsPaths,
+          ...forbidden.map((other) => ({
+            group: [`@endivegate/${other}`, `@endivegate/${other}/*`],
+            message: `${name} must not depend on ${other}.`,
+          })),
+        ],
       },
     ],
   },
--- a/packages/contracts/src/ports/engine/index.ts
+++ b/packages/contracts/src/ports/engine/index.ts
@@ -1,4 +1,4 @@
-import type * as TE from 'fp-ts/TaskEither';
+import type * as TE from 'fp-ts/lib/TaskEither.js';
 import type { Target } from '../../addresses/index.ts';
 
 /** Why a call to a target did not give a whole answer of its own. */
--- a/packages/contracts/src/ports/platform/index.ts
+++ b/packages/contracts/src/ports/platform/index.ts
@@ -1,4 +1,4 @@
-import type * as TE from 'fp-ts/TaskEither';
+import type * as TE from 'fp-ts/lib/TaskEither.js';
 import type { EntryAddress, Target } from '../../addresses/index.ts';
 
 /** Why a call to the platform did not succeed. */
--- a/packages/contracts/src/ports/service/index.ts
+++ b/packages/contracts/src/ports/service/index.ts
@@ -1,4 +1,4 @@
-import type * as TE from 'fp-ts/TaskEither';
+import type * as TE from 'fp-ts/lib/TaskEither.js';
 import type { Target } from '../../addresses/index.ts';
 import type { TargetError } from '../engine/index.ts';
 
--- a/packages/core/src/checkHistory/_lib/indexHistory.ts
+++ b/packages/core/src/checkHistory/_lib/indexHistory.ts
@@ -1,4 +1,4 @@
-import * as NEA from 'fp-ts/NonEmptyArray';
+import * as NEA from 'fp-ts/lib/NonEmptyArray.js';
 import type { HistoryEvent, HistoryEventOf, IndexedHistory } from './types.ts';
 
 /**
--- a/packages/daemon/src/peers/createPeerClient/index.ts
+++ b/packages/daemon/src/peers/createPeerClient/index.ts
@@ -17,9 +17,9 @@
   type TableChunk,
   type TimelineRecord,
 } from '@endivegate/contracts/peers';
-import * as E from 'fp-ts/Either';
-import { pipe } from 'fp-ts/function';
-import * as TE from 'fp-ts/TaskEither';
+import * as E from 'fp-ts/lib/Either.js';
+import { pipe } from 'fp-ts/lib/function.js';
+import * as TE from 'fp-ts/lib/TaskEither.js';
 import type { z } from 'zod';
 import { toPeerError, type PeerError } from '../peerError.ts';
 import { PEER_CHANNEL_OPTIONS } from '../peerOptions.ts';
--- a/packages/daemon/src/table/_lib/loadTable.ts
+++ b/packages/daemon/src/table/_lib/loadTable.ts
@@ -1,5 +1,5 @@
-import * as E from 'fp-ts/Either';
-import type { TaskEither } from 'fp-ts/TaskEither';
+import * as E from 'fp-ts/lib/Either.js';
+import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
 import type { TableDocument } from '@endivegate/contracts';
 import {
   isIntactTableValue,
--- a/packages/daemon/src/table/index.ts
+++ b/packages/daemon/src/table/index.ts
@@ -1,7 +1,7 @@
-import type { TaskEither } from 'fp-ts/TaskEither';
+import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
 import { TABLE_MANIFEST_KEY, type PlatformPort } from '@endivegate/contracts';
 import type { TableEffect, TableValue } from '@endivegate/core';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import type { EffectHandler, Runtime } from '../runtime/index.ts';
 import { createTableCache } from './_lib/createTableCache.ts';
 import { loadTable, type TableHead } from './_lib/loadTable.ts';
--- a/packages/daemon/src/table/test.ts
+++ b/packages/daemon/src/table/test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import * as TE from 'fp-ts/TaskEither';
+import * as TE from 'fp-ts/lib/TaskEither.js';
 import {
   TABLE_MANIFEST_KEY,
   type EntryAddress,
--- a/packages/stand-ins/src/createEngineModel/_lib/createBatch.ts
+++ b/packages/stand-ins/src/createEngineModel/_lib/createBatch.ts
@@ -1,5 +1,5 @@
 import type { AttemptReport, TargetError } from '@endivegate/contracts';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import type { PrefixCache } from './createPrefixCache.ts';
 import type { Reservations } from './createReservations.ts';
 import type { LoadSample } from './createLoadHistory.ts';
--- a/packages/stand-ins/src/createEngineModel/_lib/createReservations.ts
+++ b/packages/stand-ins/src/createEngineModel/_lib/createReservations.ts
@@ -1,5 +1,5 @@
 import type { Reservation, TargetError } from '@endivegate/contracts';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 
 /** A reservation as an engine keeps it. */
 interface HeldReservation {
--- a/packages/stand-ins/src/createEngineModel/index.ts
+++ b/packages/stand-ins/src/createEngineModel/index.ts
@@ -5,7 +5,7 @@
   Reservation,
   TargetError,
 } from '@endivegate/contracts';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import { createRandom } from '../createRandom/index.ts';
 import { createBatch } from './_lib/createBatch.ts';
 import { createCacheFeed } from './_lib/createCacheFeed.ts';
