Serve callers over HTTP and run attempts on targets

Cause: nothing took a request from a caller to a target and back. Change: the callers' server (chat, completions, services, models, entries, health, metrics), sinks with back-pressure for streamed and whole answers, the attempt runner over the engine and service ports with one silence timer a connection, the read side of the state, metrics, logs, the daemon's command line. Raised events stay in a step's effects so that they can be recorded.

--- a/packages/contracts/src/tableRow/index.ts
+++ b/packages/contracts/src/tableRow/index.ts
@@ -39,4 +39,6 @@
 export type TableRowKey = Pick<TableRow, 'workspace' | 'service' | 'kind'>;
 
 /** All value cells of a request's row, after inheritance and defaults. */
-export type EffectiveRow = Required<TableCells>;
+export type EffectiveRow = {
+  readonly [K in keyof TableCells]-?: NonNullable<TableCells[K]>;
+};
--- a/packages/core/src/createReduce/index.ts
+++ b/packages/core/src/createReduce/index.ts
@@ -19,7 +19,8 @@
  * Composes slices into one reducer over all events.
  *
  * A slice receives the shared events and those that its name prefixes. Events
- * that a step raises are reduced before the step ends.
+ * that a step raises are reduced before the step ends; they stay among its
+ * effects, each before the effects that it led to, so that they can be recorded.
  *
  * @param slicesByName - The slices, in the order in which they see an event.
  * @returns The reducer; its effects are those of all slices, in order.
@@ -61,7 +62,7 @@
     const raised = reduceAll(done.state, effect.event);
     return {
       state: raised.state,
-      effects: [...done.effects, ...raised.effects],
+      effects: [...done.effects, effect, ...raised.effects],
     };
   }
 
--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -4,7 +4,7 @@
   type SlicesByName,
 } from '../createReduce/index.ts';
 import type { SharedEvent } from '../events/index.ts';
-import type { Slice } from '../slice/index.ts';
+import type { RaiseEffect, Slice } from '../slice/index.ts';
 import type { Reducer } from '../step/index.ts';
 import { clockSlice } from '../clock/index.ts';
 import { requestsSlice } from '../requests/index.ts';
@@ -39,10 +39,9 @@
 export type RootEvent =
   SharedEvent | { [K in SliceName]: Parts<Slices[K]>['event'] }[SliceName];
 
-/** Every effect the daemon runs. */
-export type RootEffect = {
-  [K in SliceName]: Parts<Slices[K]>['effect'];
-}[SliceName];
+/** Every effect of an entry; raised events are already reduced. */
+export type RootEffect =
+  RaiseEffect | { [K in SliceName]: Parts<Slices[K]>['effect'] }[SliceName];
 
 const slicesByName = slices as unknown as SlicesByName;
 
--- /dev/null
+++ b/packages/daemon/src/createAttemptRunner/index.ts
@@ -0,0 +1,302 @@
+import type {
+  EnginePort,
+  EngineStream,
+  ServicePort,
+  Target,
+  TargetError,
+} from '@endivegate/contracts';
+import type { AttemptEnd, RootEffect } from '@endivegate/core';
+import * as E from 'fp-ts/lib/Either.js';
+import type { Metrics } from '../createMetrics/index.ts';
+import type { OpenRequest, OpenRequests } from '../openRequests/index.ts';
+import type { EffectHandler, Runtime } from '../runtime/index.ts';
+import type { EffectOf } from './_lib/effects.ts';
+import { readStream, type StreamOutcome } from './_lib/readStream.ts';
+import { type SilenceWatch, watchSilence } from './_lib/watchSilence.ts';
+
+/** Options of {@link createAttemptRunner}. */
+export interface CreateAttemptRunnerOptions {
+  readonly engines: EnginePort;
+  readonly services: ServicePort;
+  readonly openRequests: OpenRequests;
+  readonly metrics: Metrics;
+  readonly findTarget: (targetId: string) => Target | undefined;
+  /** Time without an item from which a stream counts as silent. */
+  readonly silenceTimeoutMs?: number;
+}
+
+const DEFAULT_SILENCE_TIMEOUT_MS = 2_000;
+
+/** One attempt with all that its I/O needs. */
+interface Attempt {
+  readonly requestId: string;
+  readonly attemptId: string;
+  readonly target: Target;
+  readonly open: OpenRequest;
+}
+
+/** One connection of an attempt; a resumed attempt has several in turn. */
+interface Connection {
+  readonly runtime: Runtime;
+  readonly controller: AbortController;
+  readonly silence: SilenceWatch;
+}
+
+/** What an attempt came to. */
+interface AttemptOutcome {
+  readonly end: AttemptEnd;
+  readonly sent: boolean;
+}
+
+/**
+ * Creates the handler that runs the effects of the requests slice.
+ *
+ * Every send and resume ends in exactly one `attempt.ended` event, unless
+ * another connection of the same attempt took its place.
+ *
+ * @param options - Ports and the open requests.
+ * @returns The handler.
+ */
+export function createAttemptRunner(
+  options: CreateAttemptRunnerOptions,
+): EffectHandler {
+  const silenceTimeoutMs =
+    options.silenceTimeoutMs ?? DEFAULT_SILENCE_TIMEOUT_MS;
+
+  function findAttempt(effect: {
+    readonly requestId: string;
+    readonly attemptId: string;
+    readonly targetId: string;
+  }): Attempt | undefined {
+    const open = options.openRequests.find(effect.requestId);
+    const target = options.findTarget(effect.targetId);
+    if (open === undefined || target === undefined) return undefined;
+    const { requestId, attemptId } = effect;
+    return { requestId, attemptId, target, open };
+  }
+
+  function send(effect: EffectOf<'requests.send'>, runtime: Runtime): void {
+    const attempt = findAttempt(effect);
+    if (attempt === undefined) {
+      endWithoutTarget(effect, runtime);
+      return;
+    }
+    const connection = openConnection(attempt, runtime);
+    const outcome =
+      attempt.open.work.type === 'prompt'
+        ? submitPrompt(attempt, effect, connection)
+        : callService(attempt, effect);
+    void outcome.then((result) => {
+      endAttempt(attempt, result, connection);
+    });
+  }
+
+  function openConnection(attempt: Attempt, runtime: Runtime): Connection {
+    const { requestId, attemptId, open } = attempt;
+    const isPrompt = open.work.type === 'prompt';
+    const silence = watchSilence({
+      timeoutMs: silenceTimeoutMs,
+      onSilence: () => {
+        if (!isPrompt) return;
+        const { outputTokens } = open;
+        runtime.dispatch({
+          type: 'attempt.silent',
+          requestId,
+          attemptId,
+          outputTokens,
+        });
+      },
+    });
+    return { runtime, controller: replaceController(attempt), silence };
+  }
+
+  function resume(effect: EffectOf<'requests.resume'>, runtime: Runtime): void {
+    const attempt = findAttempt(effect);
+    if (attempt === undefined) return;
+    const connection = openConnection(attempt, runtime);
+    const resumed = options.engines.resume(
+      attempt.target,
+      attempt.attemptId,
+      attempt.open.outputTokens,
+      connection.controller.signal,
+    );
+    void resumed()
+      .then((stream) => consume(attempt, stream, connection))
+      .then((result) => {
+        endAttempt(attempt, result, connection);
+      });
+  }
+
+  async function submitPrompt(
+    attempt: Attempt,
+    effect: EffectOf<'requests.send'>,
+    connection: Connection,
+  ): Promise<AttemptOutcome> {
+    const { info, work } = attempt.open;
+    const stream = await options.engines.submit(
+      attempt.target,
+      {
+        attemptId: attempt.attemptId,
+        model: info.service,
+        prompt: work.type === 'prompt' ? work.prompt : '',
+        promptTokens: info.promptTokens,
+        maxOutputTokens: info.maxOutputTokens,
+        priority: info.priority,
+        timeoutMs: effect.timeoutMs,
+        reservationId: effect.reservationId,
+        prefixHashes: info.prefixHashes,
+      },
+      connection.controller.signal,
+    )();
+    return consume(attempt, stream, connection);
+  }
+
+  async function consume(
+    attempt: Attempt,
+    stream: E.Either<TargetError, EngineStream>,
+    connection: Connection,
+  ): Promise<AttemptOutcome> {
+    if (E.isLeft(stream)) return outcomeOfError(stream.left);
+    const { requestId, attemptId, open } = attempt;
+    const outcome: StreamOutcome = await readStream({
+      stream: stream.right,
+      open,
+      signal: connection.controller.signal,
+      silence: connection.silence,
+      onFirstToken: () => {
+        const { targetId } = attempt.target;
+        connection.runtime.dispatch({
+          type: 'attempt.firstToken',
+          requestId,
+          attemptId,
+          targetId,
+        });
+      },
+      onDropped: (reason) => {
+        options.metrics.droppedAnswerItems.inc({ reason });
+      },
+    });
+    return { end: outcome, sent: true };
+  }
+
+  async function callService(
+    attempt: Attempt,
+    effect: EffectOf<'requests.send'>,
+  ): Promise<AttemptOutcome> {
+    const { info, work } = attempt.open;
+    if (work.type !== 'call') {
+      return outcomeOfError({ type: 'notSent', reason: 'not a call' });
+    }
+    const answer = await options.services.call(attempt.target, {
+      attemptId: attempt.attemptId,
+      method: work.method,
+      path: work.path,
+      contentType: work.contentType,
+      body: work.body,
+      idempotencyKey: info.idempotencyKey,
+      timeoutMs: effect.timeoutMs,
+    })();
+    if (E.isLeft(answer)) return outcomeOfError(answer.left);
+    attempt.open.answer = answer.right;
+    return { end: { type: 'done' }, sent: true };
+  }
+
+  function endAttempt(
+    attempt: Attempt,
+    result: AttemptOutcome,
+    connection: Connection,
+  ): void {
+    connection.silence.stop();
+    const { requestId, attemptId, open, target } = attempt;
+    if (open.attempts.get(attemptId) !== connection.controller) return;
+    open.attempts.delete(attemptId);
+    options.metrics.attemptsEnded.inc({ end: result.end.type });
+    connection.runtime.dispatch({
+      type: 'attempt.ended',
+      requestId,
+      attemptId,
+      targetId: target.targetId,
+      end: result.end,
+      outputTokens: open.outputTokens,
+      sent: result.sent,
+    });
+  }
+
+  function ask(effect: EffectOf<'requests.ask'>, runtime: Runtime): void {
+    const attempt = findAttempt(effect);
+    if (attempt === undefined) return;
+    const { requestId, attemptId, target } = attempt;
+    void options.engines
+      .ask(target, attemptId, effect.timeoutMs)()
+      .then((reply) => {
+        const report = E.isLeft(reply) ? reply.left : reply.right;
+        runtime.dispatch({
+          type: 'attempt.reported',
+          requestId,
+          attemptId,
+          report,
+        });
+      });
+  }
+
+  function cancel(effect: EffectOf<'requests.cancel'>): void {
+    const open = options.openRequests.find(effect.requestId);
+    open?.attempts.get(effect.attemptId)?.abort();
+    open?.attempts.delete(effect.attemptId);
+    const target = options.findTarget(effect.targetId);
+    if (target?.targetKind !== 'engine') return;
+    void options.engines.cancel(target, effect.attemptId)();
+  }
+
+  return (effect: RootEffect, runtime) => {
+    switch (effect.type) {
+      case 'requests.send':
+        send(effect, runtime);
+        return;
+      case 'requests.resume':
+        resume(effect, runtime);
+        return;
+      case 'requests.ask':
+        ask(effect, runtime);
+        return;
+      case 'requests.cancel':
+        cancel(effect);
+        return;
+      case 'requests.finish':
+        options.openRequests.finish(effect.requestId, effect);
+        return;
+      default:
+    }
+  };
+}
+
+/** Makes room for a new connection of an attempt, dropping the one before. */
+function replaceController(attempt: Attempt): AbortController {
+  const controller = new AbortController();
+  const before = attempt.open.attempts.get(attempt.attemptId);
+  attempt.open.attempts.set(attempt.attemptId, controller);
+  before?.abort();
+  return controller;
+}
+
+function outcomeOfError(error: TargetError): AttemptOutcome {
+  return {
+    end: error,
+    sent: error.type !== 'notSent',
+  };
+}
+
+function endWithoutTarget(
+  effect: EffectOf<'requests.send'>,
+  runtime: Runtime,
+): void {
+  runtime.dispatch({
+    type: 'attempt.ended',
+    requestId: effect.requestId,
+    attemptId: effect.attemptId,
+    targetId: effect.targetId,
+    end: { type: 'notSent', reason: 'target is not listed any more' },
+    outputTokens: 0,
+    sent: false,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/createCallersServer/_lib/authenticate.ts
@@ -0,0 +1,30 @@
+import type { FastifyReply, FastifyRequest } from 'fastify';
+import type { CallersContext } from './context.ts';
+import { sendInputError } from './errors.ts';
+
+const BEARER = /^Bearer ([\x21-\x7e]{1,256})$/;
+
+/**
+ * Returns the workspace of a request, or answers 401.
+ *
+ * @param context - The entry.
+ * @param request - The request with its authorization header.
+ * @param reply - The reply that a refusal is sent on.
+ * @returns The workspace, or `undefined` when the reply was sent.
+ */
+export function authenticate(
+  context: CallersContext,
+  request: FastifyRequest,
+  reply: FastifyReply,
+): string | undefined {
+  const token = BEARER.exec(request.headers.authorization ?? '')?.[1];
+  const workspace =
+    token === undefined ? undefined : context.findWorkspace(token);
+  if (workspace !== undefined) return workspace;
+  void sendInputError(reply, request.id, {
+    status: 401,
+    code: 'invalid_token',
+    message: 'Send the token of a workspace as "Authorization: Bearer TOKEN".',
+  });
+  return undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/createCallersServer/_lib/describeEnd.ts
@@ -0,0 +1,121 @@
+import type { RefusalReason, RequestEnd } from '@endivegate/core';
+
+/** How an end other than an answer is told to a caller. */
+export interface EndDescription {
+  readonly status: number;
+  /** Error type in the OpenAI shape. */
+  readonly type: string;
+  readonly code: string;
+  readonly message: string;
+  readonly retryAfterMs: number | undefined;
+}
+
+type Described = Omit<EndDescription, 'retryAfterMs'>;
+
+const REFUSALS: Readonly<Record<RefusalReason, Described>> = {
+  limited: {
+    status: 429,
+    type: 'rate_limit_error',
+    code: 'limited',
+    message: 'A limit of this workspace, service and kind is used up.',
+  },
+  queueFull: {
+    status: 429,
+    type: 'rate_limit_error',
+    code: 'queue_full',
+    message: 'The queue of this workspace, service and kind is full.',
+  },
+  tooLate: {
+    status: 503,
+    type: 'overloaded_error',
+    code: 'too_late',
+    message: 'The request could not be finished before its deadline.',
+  },
+  deadline: {
+    status: 504,
+    type: 'timeout_error',
+    code: 'deadline',
+    message: 'The deadline passed before the request was sent.',
+  },
+  noTarget: {
+    status: 503,
+    type: 'overloaded_error',
+    code: 'no_target',
+    message: 'No target serves this model or service now.',
+  },
+  targetsRefused: {
+    status: 503,
+    type: 'overloaded_error',
+    code: 'targets_refused',
+    message: 'Every target that could be tried refused the request.',
+  },
+  suspect: {
+    status: 422,
+    type: 'invalid_request_error',
+    code: 'suspect_request',
+    message: 'Targets crashed while running this request; it is refused.',
+  },
+  leaving: {
+    status: 503,
+    type: 'overloaded_error',
+    code: 'entry_leaving',
+    message: 'This entry is leaving; ask for entries and use another.',
+  },
+  storeDown: {
+    status: 503,
+    type: 'overloaded_error',
+    code: 'store_down',
+    message: 'The call needs a claim and the store cannot be reached.',
+  },
+  keyReused: {
+    status: 422,
+    type: 'invalid_request_error',
+    code: 'idempotency_key_reused',
+    message: 'The idempotency key was used with another body.',
+  },
+  callerGone: {
+    status: 499,
+    type: 'invalid_request_error',
+    code: 'caller_gone',
+    message: 'The caller closed the connection.',
+  },
+};
+
+/**
+ * Describes an end other than an answer.
+ *
+ * @param end - How the request ended.
+ * @returns Status, code and message for the caller.
+ */
+export function describeEnd(
+  end: Exclude<RequestEnd, { readonly type: 'answered' }>,
+): EndDescription {
+  switch (end.type) {
+    case 'refused':
+      return { ...REFUSALS[end.reason], retryAfterMs: end.retryAfterMs };
+    case 'timedOut':
+      return failure(504, 'timed_out', 'The deadline passed.');
+    case 'failed':
+      return failure(502, 'target_failed', end.reason);
+    case 'inDoubt':
+      return failure(
+        502,
+        'in_doubt',
+        'Whether the call ran is not settled; ask again with the same key.',
+      );
+  }
+}
+
+function failure(
+  status: number,
+  code: string,
+  message: string,
+): EndDescription {
+  return {
+    status,
+    type: status === 504 ? 'timeout_error' : 'api_error',
+    code,
+    message,
+    retryAfterMs: undefined,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/createCallersServer/index.ts
@@ -0,0 +1,84 @@
+import fastify, { type FastifyError, type FastifyInstance } from 'fastify';
+import type { CallersContext } from './_lib/context.ts';
+import { type InputError, sendInputError } from './_lib/errors.ts';
+import { registerInfoRoutes } from './routes/info.ts';
+import { registerPromptRoutes } from './routes/prompts.ts';
+import { registerServiceRoutes } from './routes/services.ts';
+
+export type { CallersContext } from './_lib/context.ts';
+
+/** Limits on what a caller may send. */
+export interface CreateCallersServerOptions {
+  readonly maxBodyBytes?: number;
+  readonly maxHeaderBytes?: number;
+  /** Time a caller has to send its whole request. */
+  readonly receiveTimeoutMs?: number;
+}
+
+const DEFAULTS: Required<CreateCallersServerOptions> = {
+  maxBodyBytes: 16 * 1024 * 1024,
+  maxHeaderBytes: 16_384,
+  receiveTimeoutMs: 30_000,
+};
+
+/**
+ * Creates the HTTP server that callers use; it is not listening yet.
+ *
+ * @param context - The entry behind the server.
+ * @param options - Limits on input.
+ * @returns The server.
+ */
+export function createCallersServer(
+  context: CallersContext,
+  options: CreateCallersServerOptions = {},
+): FastifyInstance {
+  const limits = { ...DEFAULTS, ...options };
+  const server = fastify({
+    bodyLimit: limits.maxBodyBytes,
+    requestTimeout: limits.receiveTimeoutMs,
+    http: { maxHeaderSize: limits.maxHeaderBytes },
+    genReqId: context.newRequestId,
+    forceCloseConnections: 'idle',
+  });
+  server.setErrorHandler<FastifyError>((error, request, reply) =>
+    sendInputError(reply, request.id, inputErrorOf(error)),
+  );
+  server.setNotFoundHandler((request, reply) =>
+    sendInputError(reply, request.id, {
+      status: 404,
+      code: 'unknown_route',
+      message: 'There is no such route.',
+    }),
+  );
+  registerInfoRoutes(server, context);
+  registerPromptRoutes(server, context);
+  registerServiceRoutes(server, context);
+  return server;
+}
+
+const INPUT_ERRORS: Readonly<Record<string, InputError>> = {
+  FST_ERR_CTP_BODY_TOO_LARGE: {
+    status: 413,
+    code: 'body_too_large',
+    message: 'The body is larger than this entry takes.',
+  },
+  FST_ERR_CTP_INVALID_MEDIA_TYPE: {
+    status: 415,
+    code: 'unsupported_media_type',
+    message: 'Send the body as application/json.',
+  },
+};
+
+function inputErrorOf(error: FastifyError): InputError {
+  const known = INPUT_ERRORS[error.code];
+  if (known) return known;
+  const status = error.statusCode ?? 500;
+  if (status < 500) {
+    return { status, code: 'invalid_request', message: error.message };
+  }
+  return {
+    status: 500,
+    code: 'internal_error',
+    message: 'The entry failed to handle the request before it was sent.',
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/loadSettings/index.ts
@@ -0,0 +1,73 @@
+import { readFile } from 'node:fs/promises';
+import {
+  type Finding,
+  parseJsonc,
+  type SecretSource,
+  type Settings,
+  settingsSchema,
+} from '@endivegate/contracts';
+import * as E from 'fp-ts/lib/Either.js';
+
+/** Settings with the secrets that they name. */
+export interface LoadedSettings {
+  readonly settings: Settings;
+  readonly operatorToken: string;
+}
+
+/** Options of {@link loadSettings}. */
+export interface LoadSettingsOptions {
+  readonly environment?: Readonly<Record<string, string | undefined>>;
+}
+
+/**
+ * Reads, checks and completes the settings of an entry.
+ *
+ * @param file - Path of the settings, JSON with comments.
+ * @param options - Environment that secrets may come from.
+ * @returns The settings with their secrets, or every finding.
+ */
+export async function loadSettings(
+  file: string,
+  options: LoadSettingsOptions = {},
+): Promise<E.Either<readonly Finding[], LoadedSettings>> {
+  const environment = options.environment ?? process.env;
+  const text = await readText(file);
+  if (E.isLeft(text)) return E.left([fileFinding(file, text.left)]);
+  const settings = parseJsonc(text.right, settingsSchema, { file });
+  if (E.isLeft(settings)) return settings;
+  const token = await readSecret(settings.right.operators.token, environment);
+  if (E.isLeft(token)) {
+    return E.left([
+      { ...fileFinding(file, token.left), path: 'operators.token' },
+    ]);
+  }
+  return E.right({ settings: settings.right, operatorToken: token.right });
+}
+
+async function readSecret(
+  source: SecretSource,
+  environment: Readonly<Record<string, string | undefined>>,
+): Promise<E.Either<string, string>> {
+  if ('env' in source) {
+    const value = environment[source.env];
+    return value === undefined || value === ''
+      ? E.left(`environment variable ${source.env} is not set`)
+      : E.right(value);
+  }
+  const text = await readText(source.file);
+  if (E.isLeft(text)) return text;
+  const secret = text.right.trim();
+  return secret === '' ? E.left(`${source.file} is empty`) : E.right(secret);
+}
+
+async function readText(file: string): Promise<E.Either<string, string>> {
+  try {
+    return E.right(await readFile(file, 'utf8'));
+  } catch (error) {
+    return E.left(error instanceof Error ? error.message : 'cannot be read');
+  }
+}
+
+function fileFinding(file: string, message: string): Finding {
+  return { file, line: 1, column: 1, path: '', message };
+}
--- /dev/null
+++ b/packages/daemon/src/parseCommand/index.ts
@@ -0,0 +1,125 @@
+import { parseArgs } from 'node:util';
+import * as E from 'fp-ts/lib/Either.js';
+
+/** What the command line asks for. */
+export type Command =
+  | { readonly type: 'help' }
+  | { readonly type: 'version' }
+  | {
+      readonly type: 'serve';
+      readonly settingsFile: string;
+    }
+  | {
+      readonly type: 'check';
+      readonly settingsFile: string;
+      readonly isJson: boolean;
+    }
+  | {
+      readonly type: 'dev';
+      readonly port: number;
+      readonly operatorsPort: number;
+    };
+
+/** Ports of `endivegate dev` unless the command line names others. */
+export const DEV_PORTS = { callers: 8_080, operators: 8_081 } as const;
+
+/** Text of `endivegate --help`. */
+export const HELP = `Usage: endivegate COMMAND [OPTIONS]
+
+Commands:
+  serve --settings FILE          run one entry
+  check --settings FILE [--json] check a settings file and print every finding
+  dev [--port N] [--operators-port N]
+                                 run one entry with in-process stand-ins
+
+Options:
+  -h, --help                     print this text
+  --version                      print the version
+
+Exit codes:
+  0  stopped as asked, or nothing found
+  1  findings in a checked file, or the entry could not start
+  2  wrong command line
+  3  streams were cut because the time to drain ran out
+`;
+
+/**
+ * Parses the command line of the daemon.
+ *
+ * @param args - Arguments after the program's name.
+ * @returns The command, or what is wrong with the arguments.
+ *
+ * @example
+ * parseCommand(['serve', '--settings', 'entry.jsonc']);
+ */
+export function parseCommand(
+  args: readonly string[],
+): E.Either<string, Command> {
+  const parsed = E.tryCatch(
+    () => parseOptions(args),
+    (error) => (error instanceof Error ? error.message : String(error)),
+  );
+  if (E.isLeft(parsed)) return parsed;
+  const { values, positionals } = parsed.right;
+  if (values.help) return E.right({ type: 'help' });
+  if (values.version) return E.right({ type: 'version' });
+  if (positionals.length !== 1) return E.left('name one command');
+  switch (positionals[0]) {
+    case 'serve':
+      return withSettings(values.settings, (settingsFile) => ({
+        type: 'serve',
+        settingsFile,
+      }));
+    case 'check':
+      return withSettings(values.settings, (settingsFile) => ({
+        type: 'check',
+        settingsFile,
+        isJson: values.json,
+      }));
+    case 'dev':
+      return devCommand(values.port, values['operators-port']);
+    default:
+      return E.left(`unknown command "${positionals[0] ?? ''}"`);
+  }
+}
+
+function parseOptions(args: readonly string[]) {
+  return parseArgs({
+    args: [...args],
+    allowPositionals: true,
+    options: {
+      help: { type: 'boolean', short: 'h', default: false },
+      version: { type: 'boolean', default: false },
+      json: { type: 'boolean', default: false },
+      settings: { type: 'string' },
+      port: { type: 'string', default: String(DEV_PORTS.callers) },
+      'operators-port': {
+        type: 'string',
+        default: String(DEV_PORTS.operators),
+      },
+    },
+  });
+}
+
+function withSettings(
+  file: string | undefined,
+  build: (file: string) => Command,
+): E.Either<string, Command> {
+  return file === undefined
+    ? E.left('--settings FILE is missing')
+    : E.right(build(file));
+}
+
+function devCommand(
+  portText: string,
+  operatorsPortText: string,
+): E.Either<string, Command> {
+  const port = Number(portText);
+  const operatorsPort = Number(operatorsPortText);
+  const isValid = [port, operatorsPort].every(
+    (value) => Number.isInteger(value) && value >= 0 && value <= 65_535,
+  );
+  return isValid
+    ? E.right({ type: 'dev', port, operatorsPort })
+    : E.left('a port is a whole number from 0 to 65535');
+}
--- a/packages/daemon/src/runtime/index.ts
+++ b/packages/daemon/src/runtime/index.ts
@@ -32,7 +32,10 @@
   readonly handlers: Readonly<Record<string, EffectHandler>>;
   readonly nowMs?: () => number;
   readonly random?: () => number;
+  /** Called for each event, raised ones included, in their order. */
   readonly onEvent?: (event: RootEvent) => void;
+  /** Called when a handler throws; the loop goes on. */
+  readonly onEffectError?: (slice: string, error: unknown) => void;
 }
 
 /**
@@ -77,10 +80,22 @@
     const step = reduce(state, event);
     state = step.state;
     step.effects.forEach((effect) => {
+      if (effect.type === 'raise') {
+        options.onEvent?.(effect.event);
+        return;
+      }
       const prefix = effect.type.slice(0, effect.type.indexOf('.'));
-      options.handlers[prefix]?.(effect, runtime);
+      runEffect(prefix, effect);
     });
   }
 
+  function runEffect(slice: string, effect: RootEffect): void {
+    try {
+      options.handlers[slice]?.(effect, runtime);
+    } catch (error) {
+      options.onEffectError?.(slice, error);
+    }
+  }
+
   return runtime;
 }
