Keep the members of the fleet by probes and bounded gossip

Cause: entries must know who lives, leaves or is dead without a store, at a cost that does not grow with the fleet. Change: core slice membership: one probe a second, two rounds of indirect probes through other data centres, suspicion with refutation by revision, leaving as a flag of its own, farewell, repair of lost updates, retry of dead members, a byte budget for gossip; raises members.changed (now with suspected).

--- a/packages/core/src/events/index.ts
+++ b/packages/core/src/events/index.ts
@@ -152,6 +152,8 @@
         readonly type: 'members.changed';
         readonly live: readonly EntryAddress[];
         readonly leaving: readonly EntryAddress[];
+        /** Did not answer lately; neither live nor known dead. */
+        readonly suspected?: readonly EntryAddress[];
         readonly dead: readonly EntryAddress[];
       }
     /** The list of targets changed. */
@@ -161,6 +163,8 @@
       }
     /** The entry was told to stop. */
     | { readonly type: 'leaving.requested' }
+    /** Nothing is left to do before the process exits. */
+    | { readonly type: 'leaving.finished' }
   );
 
 /** Prefixes of the shared events that belong to a request or an attempt. */
@@ -174,6 +178,7 @@
   'members.changed',
   'targets.changed',
   'leaving.requested',
+  'leaving.finished',
 ]);
 
 /**
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,9 +3,11 @@
  *
  * @packageDocumentation
  */
+export * from './chainSteps/index.ts';
 export * from './clock/index.ts';
 export * from './countHomes/index.ts';
 export * from './events/index.ts';
+export * from './membership/index.ts';
 export * from './indexRows/index.ts';
 export * from './orderHomes/index.ts';
 export * from './pickHomes/index.ts';
--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -2,6 +2,7 @@
 import type { RaiseEffect, Slice } from '../slice/index.ts';
 import type { Step } from '../step/index.ts';
 import { clockSlice } from '../clock/index.ts';
+import { membershipSlice } from '../membership/index.ts';
 import { routingSlice } from '../routing/index.ts';
 import { targetsSlice } from '../targets/index.ts';
 
@@ -9,6 +10,7 @@
 const slices = {
   clock: clockSlice,
   targets: targetsSlice,
+  membership: membershipSlice,
   routing: routingSlice,
 };
 
