--- a/packages/core/src/events/index.ts
+++ b/packages/core/src/events/index.ts
@@ -5,6 +5,7 @@
   TableRow,
   Target,
   TargetError,
+  WantedModel,
 } from '@endivegate/contracts';
 import type { RequestInfo } from '../request/index.ts';
 
@@ -62,8 +63,8 @@
  *
  * `received` (daemon) → `arrived` (suspects) → `dispatched` (routing) →
  * `attempt.started` (requests) → `attempt.*` (daemon) → `retryWanted` or
- * `ended` (requests). `refused` ends a request that did not run; its sender
- * is the slice that refuses.
+ * `ended` (requests). `refused` is raised by the slice that refuses. `ended`
+ * comes exactly once for each received request, refused ones included.
  */
 export type RequestEvent =
   | { readonly type: 'request.received'; readonly request: RequestInfo }
@@ -108,7 +109,10 @@
       readonly attemptId: string;
       readonly targetId: string;
     }
-  /** No item came from the target for the silence threshold. */
+  /**
+   * No item came from the target for the silence threshold. Comes again after
+   * each further threshold without an item.
+   */
   | {
       readonly type: 'attempt.silent';
       readonly requestId: string;
@@ -146,6 +150,8 @@
         readonly type: 'table.installed';
         readonly number: number;
         readonly rows: readonly TableRow[];
+        /** Models as the operators want them served. */
+        readonly models?: readonly WantedModel[];
       }
     /** The agreed view of live entries changed. */
     | {
