--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * from './chainSteps/index.ts';
 export * from './bucketMap/index.ts';
+export * from './checkHistory/index.ts';
 export * from './clock/index.ts';
 export * from './countHomes/index.ts';
 export * from './createReduce/index.ts';
