--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -7,6 +7,7 @@
 import type { RaiseEffect, Slice } from '../slice/index.ts';
 import type { Reducer } from '../step/index.ts';
 import { clockSlice } from '../clock/index.ts';
+import { membershipSlice } from '../membership/index.ts';
 import { requestsSlice } from '../requests/index.ts';
 import { suspectsSlice } from '../suspects/index.ts';
 import { tableSlice } from '../table/index.ts';
@@ -18,6 +19,7 @@
   clock: clockSlice,
   table: tableSlice,
   targets: targetsSlice,
+  membership: membershipSlice,
   requests: requestsSlice,
   suspects: suspectsSlice,
   routing: routingSlice,
