--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,12 +3,14 @@
  *
  * @packageDocumentation
  */
+export * from './chainSteps/index.ts';
 export * from './bucketMap/index.ts';
 export * from './checkHistory/index.ts';
 export * from './clock/index.ts';
 export * from './countHomes/index.ts';
 export * from './createReduce/index.ts';
 export * from './events/index.ts';
+export * from './membership/index.ts';
 export * from './indexRows/index.ts';
 export * from './orderHomes/index.ts';
 export * from './pickHomes/index.ts';
