--- a/packages/daemon/src/adapters/createEngineHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createEngineHttpPort/index.ts
@@ -10,9 +10,9 @@
   type Target,
   type TargetError,
 } from '@endivegate/contracts';
-import * as E from 'fp-ts/Either';
-import * as TE from 'fp-ts/TaskEither';
-import { pipe } from 'fp-ts/function';
+import * as E from 'fp-ts/lib/Either.js';
+import * as TE from 'fp-ts/lib/TaskEither.js';
+import { pipe } from 'fp-ts/lib/function.js';
 import { Agent, Client, request, type Dispatcher } from 'undici';
 import type { z } from 'zod';
 import { toTargetError } from '../_lib/classifyError.ts';
--- a/packages/daemon/src/adapters/createEngineHttpPort/test.ts
+++ b/packages/daemon/src/adapters/createEngineHttpPort/test.ts
@@ -12,7 +12,7 @@
   type StartEngineStandInOptions,
 } from '@endivegate/stand-ins';
 import { expect } from 'chai';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import { createServer, type Server } from 'node:net';
 import { once } from 'node:events';
 import { createEngineHttpPort, type EngineHttpPort } from './index.ts';
@@ -131,15 +131,16 @@
       engine.setFaults({ cutRate: 0, unendedRate: 0, crossedRate: 0 });
       return items.at(-1);
     };
+    // First, so that no other attempt runs whose id could be the crossed one.
     const ends = [
-      await endOf({ cutRate: 1 }, 'a'),
-      await endOf({ unendedRate: 1 }, 'b'),
-      await endOf({ crossedRate: 1 }, 'c'),
+      await endOf({ crossedRate: 1 }, 'a'),
+      await endOf({ cutRate: 1 }, 'b'),
+      await endOf({ unendedRate: 1 }, 'c'),
     ];
     expect(ends).to.deep.equal([
+      { type: 'error', error: { type: 'crossed', attemptId: 'a-other' } },
       { type: 'error', error: { type: 'cut', reason: 'UND_ERR_SOCKET' } },
       { type: 'error', error: { type: 'cut', reason: 'no end mark' } },
-      { type: 'error', error: { type: 'crossed', attemptId: 'c-other' } },
     ]);
   });
 
--- a/packages/daemon/src/adapters/createPlatformHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createPlatformHttpPort/index.ts
@@ -11,9 +11,9 @@
   type PlatformPort,
   type StoreCallOptions,
 } from '@endivegate/contracts';
-import * as E from 'fp-ts/Either';
-import * as TE from 'fp-ts/TaskEither';
-import { pipe } from 'fp-ts/function';
+import * as E from 'fp-ts/lib/Either.js';
+import * as TE from 'fp-ts/lib/TaskEither.js';
+import { pipe } from 'fp-ts/lib/function.js';
 import { Agent, request, type Dispatcher } from 'undici';
 import { z } from 'zod';
 import { isNotSent } from '../_lib/classifyError.ts';
--- a/packages/daemon/src/adapters/createPlatformHttpPort/test.ts
+++ b/packages/daemon/src/adapters/createPlatformHttpPort/test.ts
@@ -4,7 +4,7 @@
   type PlatformStandIn,
 } from '@endivegate/stand-ins';
 import { expect } from 'chai';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import { createPlatformHttpPort, type PlatformHttpPort } from './index.ts';
 
 const purpose = { purpose: 'table' } as const;
--- a/packages/daemon/src/adapters/createServiceHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createServiceHttpPort/index.ts
@@ -10,7 +10,7 @@
   type ServicePort,
   type TargetError,
 } from '@endivegate/contracts';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import { Agent, request, type Dispatcher } from 'undici';
 import { toTargetError } from '../_lib/classifyError.ts';
 import {
--- a/packages/daemon/src/adapters/createServiceHttpPort/test.ts
+++ b/packages/daemon/src/adapters/createServiceHttpPort/test.ts
@@ -5,7 +5,7 @@
   type ServiceStandIn,
 } from '@endivegate/stand-ins';
 import { expect } from 'chai';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import { createServiceHttpPort, type ServiceHttpPort } from './index.ts';
 
 function callOf(attemptId: string): ServiceCall {
--- a/packages/stand-ins/src/createPlatformModel/index.ts
+++ b/packages/stand-ins/src/createPlatformModel/index.ts
@@ -5,7 +5,7 @@
   WatchBatch,
 } from '@endivegate/contracts';
 import { MAX_VALUE_BYTES } from '@endivegate/contracts';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 
 /** A key-value store with leases, in memory, in the caller's time. */
 export interface PlatformModel {
--- a/packages/stand-ins/src/startEngineStandIn/_lib/addEngineRoutes.ts
+++ b/packages/stand-ins/src/startEngineStandIn/_lib/addEngineRoutes.ts
@@ -6,7 +6,7 @@
   type TargetError,
 } from '@endivegate/contracts';
 import type { FastifyInstance, FastifyReply } from 'fastify';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import { parseBody } from '../../_lib/parseBody.ts';
 import type { EngineModel } from '../../createEngineModel/index.ts';
 import type { EngineClock } from './createEngineClock.ts';
--- a/packages/stand-ins/src/startEngineStandIn/_lib/createOrders.ts
+++ b/packages/stand-ins/src/startEngineStandIn/_lib/createOrders.ts
@@ -3,7 +3,7 @@
   EngineOrder,
   TargetError,
 } from '@endivegate/contracts';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 
 /** Orders an engine has taken, and what it serves because of them. */
 export interface Orders {
--- a/packages/stand-ins/src/startEngineStandIn/index.ts
+++ b/packages/stand-ins/src/startEngineStandIn/index.ts
@@ -6,7 +6,7 @@
   type TargetError,
 } from '@endivegate/contracts';
 import type { FastifyReply } from 'fastify';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import {
   createEngineModel,
   ENGINE_MODEL_DEFAULTS,
--- a/packages/stand-ins/src/startPlatformStandIn/_lib/addStoreRoutes.ts
+++ b/packages/stand-ins/src/startPlatformStandIn/_lib/addStoreRoutes.ts
@@ -9,7 +9,7 @@
   type InstanceList,
 } from '@endivegate/contracts';
 import type { FastifyInstance } from 'fastify';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import { z } from 'zod';
 import type { PlatformModel } from '../../createPlatformModel/index.ts';
 import type { CallServer } from './createCallServer.ts';
--- a/packages/stand-ins/src/startPlatformStandIn/_lib/createCallServer.ts
+++ b/packages/stand-ins/src/startPlatformStandIn/_lib/createCallServer.ts
@@ -4,7 +4,7 @@
   type PlatformRefusal,
 } from '@endivegate/contracts';
 import type { FastifyReply, FastifyRequest } from 'fastify';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { z } from 'zod';
 import {
