--- a/packages/core/src/createReduce/index.ts
+++ b/packages/core/src/createReduce/index.ts
@@ -10,10 +10,14 @@
 
 type SlicesState = Readonly<Record<string, unknown>>;
 
+/** A slice whose types are not told apart. */
+export interface AnySliceShape {
+  readonly initial: unknown;
+  readonly reduce: (state: never, event: never) => Step<unknown, AnyEvent>;
+}
+
 /** Slices by name; the name prefixes the slice's own event types. */
-export type SlicesByName = Readonly<
-  Record<string, Slice<never, never, AnyEvent>>
->;
+export type SlicesByName = Readonly<Record<string, AnySliceShape>>;
 
 /**
  * Composes slices into one reducer over all events.
--- /dev/null
+++ b/packages/core/src/enginePriorityOf/test.ts
@@ -0,0 +1,12 @@
+import { lengthClassSchema } from '@endivegate/contracts';
+import { expect } from 'chai';
+import { enginePriorityOf } from './index.ts';
+
+describe('enginePriorityOf', () => {
+  it('orders by class first, by the table within a class', () => {
+    const priorities = lengthClassSchema.options.flatMap((lengthClass) =>
+      [0, 5, 9].map((priority) => enginePriorityOf({ lengthClass, priority })),
+    );
+    expect(priorities).toMatchSnapshot();
+  });
+});
--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -1,8 +1,4 @@
-import {
-  createReduce,
-  initialStateOf,
-  type SlicesByName,
-} from '../createReduce/index.ts';
+import { createReduce, initialStateOf } from '../createReduce/index.ts';
 import type { SharedEvent } from '../events/index.ts';
 import type { Slice } from '../slice/index.ts';
 import type { Reducer } from '../step/index.ts';
@@ -14,7 +10,7 @@
 import { targetsSlice } from '../targets/index.ts';
 
 /** Registered slices by name; the name prefixes the slice's event types. */
-const slices = {
+export const rootSlices = {
   clock: clockSlice,
   table: tableSlice,
   targets: targetsSlice,
@@ -23,7 +19,7 @@
   routing: routingSlice,
 };
 
-type Slices = typeof slices;
+type Slices = typeof rootSlices;
 type SliceName = keyof Slices;
 type Parts<S> =
   S extends Slice<infer State, infer Event, infer Effect>
@@ -44,10 +40,8 @@
   [K in SliceName]: Parts<Slices[K]>['effect'];
 }[SliceName];
 
-const slicesByName = slices as unknown as SlicesByName;
-
 /** State of an entry before its first event. */
-export const initialRootState = initialStateOf(slicesByName) as RootState;
+export const initialRootState = initialStateOf(rootSlices) as RootState;
 
 /**
  * Reduces one event over all slices, with the events that the step raises.
@@ -60,4 +54,4 @@
  * const { state, effects } = reduce(initialRootState, event);
  */
 export const reduce: Reducer<RootState, RootEvent, RootEffect> =
-  createReduce(slicesByName);
+  createReduce(rootSlices);
