--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,8 @@
  * @packageDocumentation
  */
 export * from './bucketMap/index.ts';
+export * from './chainSteps/index.ts';
+export * from './checkHistory/index.ts';
 export * from './clock/index.ts';
 export * from './costModel/index.ts';
 export * from './countHomes/index.ts';
@@ -13,6 +15,7 @@
 export * from './findWorkspace/index.ts';
 export * from './indexRows/index.ts';
 export * from './joinTable/index.ts';
+export * from './membership/index.ts';
 export * from './orderHomes/index.ts';
 export * from './pickHomes/index.ts';
 export * from './pickTableSources/index.ts';
--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -1,8 +1,9 @@
 import { createReduce, initialStateOf } from '../createReduce/index.ts';
 import type { SharedEvent } from '../events/index.ts';
-import type { Slice } from '../slice/index.ts';
+import type { RaiseEffect, Slice } from '../slice/index.ts';
 import type { Reducer } from '../step/index.ts';
 import { clockSlice } from '../clock/index.ts';
+import { membershipSlice } from '../membership/index.ts';
 import { requestsSlice } from '../requests/index.ts';
 import { suspectsSlice } from '../suspects/index.ts';
 import { tableSlice } from '../table/index.ts';
@@ -14,6 +15,7 @@
   clock: clockSlice,
   table: tableSlice,
   targets: targetsSlice,
+  membership: membershipSlice,
   requests: requestsSlice,
   suspects: suspectsSlice,
   routing: routingSlice,
@@ -35,10 +37,9 @@
 export type RootEvent =
   SharedEvent | { [K in SliceName]: Parts<Slices[K]>['event'] }[SliceName];
 
-/** Every effect the daemon runs. */
-export type RootEffect = {
-  [K in SliceName]: Parts<Slices[K]>['effect'];
-}[SliceName];
+/** Every effect of an entry; raised events are already reduced. */
+export type RootEffect =
+  RaiseEffect | { [K in SliceName]: Parts<Slices[K]>['effect'] }[SliceName];
 
 /** State of an entry before its first event. */
 export const initialRootState = initialStateOf(rootSlices) as RootState;
