--- /dev/null
+++ b/packages/core/src/importTableCsv/index.ts
@@ -0,0 +1,136 @@
+import { parse } from 'csv-parse/sync';
+import * as E from 'fp-ts/Either';
+import type {
+  TableDocument,
+  TableFinding,
+  TableSection,
+} from '@endivegate/contracts';
+import {
+  LIST_COLUMNS,
+  LIST_SEPARATOR,
+  RECORD_SCHEMAS,
+  tableCsvColumns,
+} from '../tableCsvColumns/index.ts';
+
+/** Options of {@link importTableCsv}. */
+export interface ImportTableCsvOptions {
+  /** Name of the file for findings. */
+  readonly file?: string;
+}
+
+interface CsvRecord {
+  readonly info: { readonly lines: number };
+  readonly record: Readonly<Record<string, string>>;
+}
+
+/**
+ * Reads a section of the table from CSV.
+ *
+ * An empty cell is an absent one. Columns may come in any order; unknown
+ * columns are findings.
+ *
+ * @param text - CSV text with a header line.
+ * @param section - Section that the records belong to.
+ * @param options - Name of the file.
+ * @returns The section's records, or all findings with line and column name.
+ *
+ * @example
+ * importTableCsv('workspace,service,kind,weight\na,*,*,2\n', 'rows');
+ */
+export function importTableCsv<Section extends TableSection>(
+  text: string,
+  section: Section,
+  options: ImportTableCsvOptions = {},
+): E.Either<readonly TableFinding[], TableDocument[Section]> {
+  const file = options.file ?? '<input>';
+  return E.chain((records: readonly CsvRecord[]) =>
+    checkRecords<Section>(records, section, file),
+  )(parseCsv(text, file));
+}
+
+function parseCsv(
+  text: string,
+  file: string,
+): E.Either<readonly TableFinding[], readonly CsvRecord[]> {
+  return E.tryCatch(
+    () =>
+      parse(text, {
+        bom: true,
+        columns: true,
+        info: true,
+        skip_empty_lines: true,
+      }) as unknown as readonly CsvRecord[],
+    (error) => [{ place: file, message: `not CSV: ${messageOf(error)}` }],
+  );
+}
+
+function checkRecords<Section extends TableSection>(
+  records: readonly CsvRecord[],
+  section: Section,
+  file: string,
+): E.Either<readonly TableFinding[], TableDocument[Section]> {
+  const known = new Set(tableCsvColumns(section));
+  const unknown = Object.keys(records[0]?.record ?? {}).filter(
+    (column) => !known.has(column),
+  );
+  const results = records.map(({ info, record }) => ({
+    line: info.lines,
+    parsed: RECORD_SCHEMAS[section].safeParse(toValues(record, known)),
+  }));
+  const findings = [
+    ...unknown.map((column) => ({
+      place: `${file}:1`,
+      message: `unknown column ${JSON.stringify(column)}`,
+    })),
+    ...results.flatMap(({ line, parsed }) =>
+      (parsed.error?.issues ?? []).map((issue) => ({
+        place: `${file}:${line} ${issue.path.map(String).join('.')}`.trim(),
+        message: issue.message,
+      })),
+    ),
+  ];
+  if (findings.length > 0) return E.left(findings);
+  const values = results.map(({ parsed }) => parsed.data);
+  return E.right(values as unknown as TableDocument[Section]);
+}
+
+function toValues(
+  record: Readonly<Record<string, string>>,
+  known: ReadonlySet<string>,
+): Record<string, unknown> {
+  return Object.fromEntries(
+    Object.entries(record)
+      .filter(([column]) => known.has(column))
+      .map(([column, cell]) => [column, toValue(column, cell)] as const)
+      .filter(([, value]) => value !== undefined),
+  );
+}
+
+/** Text columns keep their text; others hold numbers and booleans. */
+const TEXT_COLUMNS: ReadonlySet<string> = new Set([
+  'workspace',
+  'service',
+  'kind',
+  'model',
+  'version',
+]);
+
+function toValue(column: string, cell: string): unknown {
+  if (LIST_COLUMNS.has(column)) {
+    return cell === '' ? [] : cell.split(LIST_SEPARATOR).map(unescapeFormula);
+  }
+  if (cell === '') return undefined;
+  if (TEXT_COLUMNS.has(column)) return unescapeFormula(cell);
+  const lower = cell.toLowerCase();
+  if (lower === 'true' || lower === 'false') return lower === 'true';
+  const number = Number(cell);
+  return Number.isNaN(number) ? cell : number;
+}
+
+function unescapeFormula(text: string): string {
+  return /^'[=+\-@\t\r]/.test(text) ? text.slice(1) : text;
+}
+
+function messageOf(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- a/packages/core/src/tableRecords/index.ts
+++ b/packages/core/src/tableRecords/index.ts
@@ -111,3 +111,14 @@
     ...cells,
   ]);
 }
+
+/**
+ * Tells whether two cells hold the same value.
+ *
+ * @param a - Value of a cell.
+ * @param b - Value of a cell.
+ * @returns Whether they are equal.
+ */
+export function isSameCell(a: TableCellValue, b: TableCellValue): boolean {
+  return JSON.stringify(a) === JSON.stringify(b);
+}
--- /dev/null
+++ b/packages/daemon/src/table/readTable/index.ts
@@ -0,0 +1,171 @@
+import * as E from 'fp-ts/Either';
+import { pipe } from 'fp-ts/function';
+import * as O from 'fp-ts/Option';
+import * as A from 'fp-ts/ReadonlyArray';
+import * as TE from 'fp-ts/TaskEither';
+import {
+  TABLE_MANIFEST_KEY,
+  tableManifestSchema,
+  type PlatformError,
+  type PlatformPort,
+  type TableDocument,
+  type TableManifest,
+  type TableVersion,
+} from '@endivegate/contracts';
+import { joinTable, readTableRoot } from '@endivegate/core';
+
+/** Where the table is kept, with the values that need not be read again. */
+export interface TableStore {
+  readonly platform: PlatformPort;
+  readonly cached: (key: string) => string | undefined;
+  /** Time allowed for one call. */
+  readonly timeoutMs?: number;
+}
+
+/** Why a table could not be read. */
+export type ReadTableError =
+  | { readonly type: 'store'; readonly error: PlatformError }
+  /** A value is missing, or is not the one that its key names. */
+  | { readonly type: 'damaged'; readonly key: string }
+  /** The history does not keep this number. */
+  | { readonly type: 'unknownNumber'; readonly number: number };
+
+/** The manifest as read, with the version to swap it by. */
+export interface StoredManifest {
+  readonly version: number;
+  /** Undefined while no table was ever accepted. */
+  readonly manifest: TableManifest | undefined;
+}
+
+/** One number of the table. */
+export interface TableSnapshot {
+  readonly number: number;
+  readonly document: TableDocument;
+  readonly chunkKeys: readonly string[];
+}
+
+const DEFAULT_TIMEOUT_MS = 3_000;
+
+const EMPTY_SNAPSHOT: TableSnapshot = {
+  number: 0,
+  document: { rows: [], workspaces: [], models: [] },
+  chunkKeys: [],
+};
+
+/**
+ * Reads the manifest.
+ *
+ * @param store - Where the table is kept.
+ * @returns The manifest and its version, or why it could not be read.
+ */
+export function readManifest(
+  store: TableStore,
+): TE.TaskEither<ReadTableError, StoredManifest> {
+  return pipe(
+    getValue(store, TABLE_MANIFEST_KEY),
+    TE.chainEitherKW((entry) => {
+      if (entry === undefined) {
+        return E.right({ version: 0, manifest: undefined });
+      }
+      const parsed = tableManifestSchema.safeParse(parseJson(entry.value));
+      return parsed.success
+        ? E.right({ version: entry.version, manifest: parsed.data })
+        : E.left(damaged(TABLE_MANIFEST_KEY));
+    }),
+  );
+}
+
+/**
+ * Reads one kept number of the table.
+ *
+ * @param store - Where the table is kept.
+ * @param version - A number of the history; undefined gives an empty table.
+ * @returns The number's whole table, or why it could not be read.
+ */
+export function readSnapshot(
+  store: TableStore,
+  version: TableVersion | undefined,
+): TE.TaskEither<ReadTableError, TableSnapshot> {
+  if (version === undefined) return TE.right(EMPTY_SNAPSHOT);
+  return pipe(
+    readChunkKeys(store, version.rootKey),
+    TE.chain((chunkKeys) =>
+      pipe(
+        chunkKeys,
+        A.traverse(TE.ApplicativePar)((key) =>
+          pipe(
+            readImmutable(store, key),
+            TE.map((value) => [key, value] as const),
+          ),
+        ),
+        TE.chainEitherKW((values) =>
+          pipe(
+            joinTable(chunkKeys, new Map(values)),
+            E.mapLeft((error) =>
+              damaged(error.type === 'damaged' ? error.key : version.rootKey),
+            ),
+          ),
+        ),
+        TE.map((document) => ({ number: version.number, document, chunkKeys })),
+      ),
+    ),
+  );
+}
+
+/**
+ * Reads the chunk keys that a root names.
+ *
+ * @param store - Where the table is kept.
+ * @param rootKey - Key of the root.
+ * @returns The chunk keys, or why the root could not be read.
+ */
+export function readChunkKeys(
+  store: TableStore,
+  rootKey: string,
+): TE.TaskEither<ReadTableError, readonly string[]> {
+  return pipe(
+    readImmutable(store, rootKey),
+    TE.chainEitherKW((value) =>
+      pipe(
+        readTableRoot({ key: rootKey, value }),
+        E.mapLeft(() => damaged(rootKey)),
+      ),
+    ),
+  );
+}
+
+function readImmutable(
+  store: TableStore,
+  key: string,
+): TE.TaskEither<ReadTableError, string> {
+  const cached = store.cached(key);
+  if (cached !== undefined) return TE.right(cached);
+  return pipe(
+    getValue(store, key),
+    TE.chainW((entry) =>
+      entry === undefined ? TE.left(damaged(key)) : TE.right(entry.value),
+    ),
+  );
+}
+
+function getValue(
+  store: TableStore,
+  key: string,
+): TE.TaskEither<
+  ReadTableError,
+  { readonly value: string; readonly version: number } | undefined
+> {
+  const timeoutMs = store.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  return pipe(
+    store.platform.get(key, { purpose: 'table', timeoutMs }),
+    TE.mapLeft((error): ReadTableError => ({ type: 'store', error })),
+  );
+}
+
+function damaged(key: string): ReadTableError {
+  return { type: 'damaged', key };
+}
+
+function parseJson(text: string): unknown {
+  return O.toUndefined(O.tryCatch(() => JSON.parse(text) as unknown));
+}
--- /dev/null
+++ b/packages/daemon/src/table/rollBackTable/index.ts
@@ -0,0 +1,27 @@
+import { pipe } from 'fp-ts/function';
+import * as TE from 'fp-ts/TaskEither';
+import type { EditTableError, TableEdit } from '../editTable/index.ts';
+import { findVersion } from '../findVersion/index.ts';
+import { readSnapshot, type TableStore } from '../readTable/index.ts';
+
+/**
+ * Makes an edit that brings an older number's content back as a new number.
+ *
+ * @param store - Where the table is kept.
+ * @param number - Kept number whose content is wanted.
+ * @returns The change function of a {@link TableEdit}.
+ */
+export function rollBackTable(
+  store: TableStore,
+  number: number,
+): TableEdit['change'] {
+  return (_current, stored) =>
+    pipe(
+      findVersion(stored, number),
+      TE.chain((version) => readSnapshot(store, version)),
+      TE.bimap(
+        (error): EditTableError => error,
+        ({ document }) => document,
+      ),
+    );
+}
