--- a/packages/core/src/events/index.ts
+++ b/packages/core/src/events/index.ts
@@ -63,8 +63,8 @@
  *
  * `received` (daemon) → `arrived` (suspects) → `dispatched` (routing) →
  * `attempt.started` (requests) → `attempt.*` (daemon) → `retryWanted` or
- * `ended` (requests). `refused` ends a request that did not run; its sender
- * is the slice that refuses.
+ * `ended` (requests). `refused` is raised by the slice that refuses. `ended`
+ * comes exactly once for each received request, refused ones included.
  */
 export type RequestEvent =
   | { readonly type: 'request.received'; readonly request: RequestInfo }
@@ -109,7 +109,10 @@
       readonly attemptId: string;
       readonly targetId: string;
     }
-  /** No item came from the target for the silence threshold. */
+  /**
+   * No item came from the target for the silence threshold. Comes again after
+   * each further threshold without an item.
+   */
   | {
       readonly type: 'attempt.silent';
       readonly requestId: string;
@@ -155,6 +158,8 @@
         readonly type: 'members.changed';
         readonly live: readonly EntryAddress[];
         readonly leaving: readonly EntryAddress[];
+        /** Did not answer lately; neither live nor known dead. */
+        readonly suspected?: readonly EntryAddress[];
         readonly dead: readonly EntryAddress[];
       }
     /** The list of targets changed. */
@@ -164,6 +169,8 @@
       }
     /** The entry was told to stop. */
     | { readonly type: 'leaving.requested' }
+    /** Nothing is left to do before the process exits. */
+    | { readonly type: 'leaving.finished' }
   );
 
 /** Prefixes of the shared events that belong to a request or an attempt. */
@@ -177,6 +184,7 @@
   'members.changed',
   'targets.changed',
   'leaving.requested',
+  'leaving.finished',
 ]);
 
 /**
