--- a/packages/core/src/applyTableChanges/index.ts
+++ b/packages/core/src/applyTableChanges/index.ts
@@ -1,4 +1,4 @@
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import {
   RECORD_CELL,
   type TableCellValue,
--- a/packages/core/src/importTableCsv/index.ts
+++ b/packages/core/src/importTableCsv/index.ts
@@ -1,5 +1,5 @@
 import { parse } from 'csv-parse/sync';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import type {
   TableDocument,
   TableFinding,
--- a/packages/core/src/importTableCsv/test.ts
+++ b/packages/core/src/importTableCsv/test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import fc from 'fast-check';
 import { exportTableCsv } from '../exportTableCsv/index.ts';
 import { TABLE_SECTIONS } from '../tableRecords/index.ts';
--- a/packages/core/src/mergeTables/index.ts
+++ b/packages/core/src/mergeTables/index.ts
@@ -1,4 +1,4 @@
-import type * as E from 'fp-ts/Either';
+import type * as E from 'fp-ts/lib/Either.js';
 import type { TableDocument } from '@endivegate/contracts';
 import {
   applyTableChanges,
--- a/packages/core/src/mergeTables/test.ts
+++ b/packages/core/src/mergeTables/test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import fc from 'fast-check';
 import { tableDocumentSchema, type TableDocument } from '@endivegate/contracts';
 import { diffTables } from '../diffTables/index.ts';
--- a/packages/core/src/validateTable/index.ts
+++ b/packages/core/src/validateTable/index.ts
@@ -1,4 +1,4 @@
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 import { z } from 'zod';
 import {
   ANY,
--- a/packages/daemon/src/table/changeTable/index.ts
+++ b/packages/daemon/src/table/changeTable/index.ts
@@ -1,6 +1,6 @@
-import * as E from 'fp-ts/Either';
-import { pipe } from 'fp-ts/function';
-import * as TE from 'fp-ts/TaskEither';
+import * as E from 'fp-ts/lib/Either.js';
+import { pipe } from 'fp-ts/lib/function.js';
+import * as TE from 'fp-ts/lib/TaskEither.js';
 import type { TableChange } from '@endivegate/contracts';
 import { applyTableChanges } from '@endivegate/core';
 import { attributeConflicts } from '../attributeConflicts/index.ts';
--- a/packages/daemon/src/table/collectTable/index.ts
+++ b/packages/daemon/src/table/collectTable/index.ts
@@ -1,6 +1,6 @@
-import { pipe } from 'fp-ts/function';
-import * as A from 'fp-ts/ReadonlyArray';
-import * as TE from 'fp-ts/TaskEither';
+import { pipe } from 'fp-ts/lib/function.js';
+import * as A from 'fp-ts/lib/ReadonlyArray.js';
+import * as TE from 'fp-ts/lib/TaskEither.js';
 import {
   TABLE_CHUNK_PREFIX,
   TABLE_MANIFEST_KEY,
--- a/packages/daemon/src/table/findVersion/index.ts
+++ b/packages/daemon/src/table/findVersion/index.ts
@@ -1,4 +1,4 @@
-import * as TE from 'fp-ts/TaskEither';
+import * as TE from 'fp-ts/lib/TaskEither.js';
 import type { TableVersion } from '@endivegate/contracts';
 import type { ReadTableError, StoredManifest } from '../readTable/index.ts';
 
--- a/packages/daemon/src/table/readTable/index.ts
+++ b/packages/daemon/src/table/readTable/index.ts
@@ -1,8 +1,8 @@
-import * as E from 'fp-ts/Either';
-import { pipe } from 'fp-ts/function';
-import * as O from 'fp-ts/Option';
-import * as A from 'fp-ts/ReadonlyArray';
-import * as TE from 'fp-ts/TaskEither';
+import * as E from 'fp-ts/lib/Either.js';
+import { pipe } from 'fp-ts/lib/function.js';
+import * as O from 'fp-ts/lib/Option.js';
+import * as A from 'fp-ts/lib/ReadonlyArray.js';
+import * as TE from 'fp-ts/lib/TaskEither.js';
 import {
   TABLE_MANIFEST_KEY,
   tableManifestSchema,
--- a/packages/daemon/src/table/replaceTable/index.ts
+++ b/packages/daemon/src/table/replaceTable/index.ts
@@ -1,5 +1,5 @@
-import { pipe } from 'fp-ts/function';
-import * as TE from 'fp-ts/TaskEither';
+import { pipe } from 'fp-ts/lib/function.js';
+import * as TE from 'fp-ts/lib/TaskEither.js';
 import type { TableDocument } from '@endivegate/contracts';
 import { diffTables } from '@endivegate/core';
 import { changeTable } from '../changeTable/index.ts';
--- a/packages/daemon/src/table/test.fakeStore.ts
+++ b/packages/daemon/src/table/test.fakeStore.ts
@@ -1,4 +1,4 @@
-import * as TE from 'fp-ts/TaskEither';
+import * as TE from 'fp-ts/lib/TaskEither.js';
 import type {
   KeyValue,
   PlatformError,
