--- a/packages/stand-ins/src/createEngineModel/_lib/createBatch.ts
+++ b/packages/stand-ins/src/createEngineModel/_lib/createBatch.ts
@@ -179,7 +179,7 @@
 
   function admit(sequence: Sequence): void {
     const { attemptId, prefixHashes, promptTokens } = sequence.submission;
-    const cachedTokens = cache.match(prefixHashes) * settings.prefixBlockTokens;
+    const cachedTokens = cache.match(prefixHashes);
     const importedTokens = imported.get(attemptId) ?? 0;
     imported.delete(attemptId);
     // The last prompt token is always computed: it yields the first output.
--- a/packages/stand-ins/src/createEngineModel/_lib/createPrefixCache.ts
+++ b/packages/stand-ins/src/createEngineModel/_lib/createPrefixCache.ts
@@ -1,6 +1,6 @@
 /** Least recently used cache of prefix blocks. */
 export interface PrefixCache {
-  /** Returns how many leading blocks are cached, and marks them as used. */
+  /** Returns the length of the cached prefix, and marks it as used. */
   readonly match: (prefixHashes: readonly string[]) => number;
   readonly store: (prefixHashes: readonly string[]) => void;
   readonly clear: () => void;
@@ -8,10 +8,17 @@
 
 /** Options of {@link createPrefixCache}. */
 export interface CreatePrefixCacheOptions {
-  readonly capacityBlocks: number;
+  readonly capacityTokens: number;
+  /** Returns the length of the prefix that the first `hashes` hashes cover. */
+  readonly prefixTokensOf: (hashes: number) => number;
   readonly onChange: (change: 'stored' | 'evicted', hash: string) => void;
 }
 
+interface Block {
+  readonly hash: string;
+  readonly tokens: number;
+}
+
 /**
  * Creates a prefix cache that evicts the least recently used block.
  *
@@ -21,27 +28,43 @@
 export function createPrefixCache(
   options: CreatePrefixCacheOptions,
 ): PrefixCache {
-  /** Blocks in order of use, least recent first. */
-  const blocks = new Set<string>();
+  const { capacityTokens, prefixTokensOf, onChange } = options;
+  /** Tokens of each block, in order of use, least recent first. */
+  const blocks = new Map<string, number>();
+  let usedTokens = 0;
 
-  function touch(hash: string): void {
+  function touch({ hash, tokens }: Block): void {
     blocks.delete(hash);
-    blocks.add(hash);
+    blocks.set(hash, tokens);
   }
 
   function evictOldest(): void {
     const [oldest] = blocks;
     if (oldest === undefined) return;
-    blocks.delete(oldest);
-    options.onChange('evicted', oldest);
+    const [hash, tokens] = oldest;
+    blocks.delete(hash);
+    usedTokens -= tokens;
+    onChange('evicted', hash);
   }
 
-  function storeBlock(hash: string): void {
-    const isNew = !blocks.has(hash);
-    touch(hash);
+  function storeBlock(block: Block): void {
+    const isNew = !blocks.has(block.hash);
+    touch(block);
     if (!isNew) return;
-    options.onChange('stored', hash);
-    if (blocks.size > options.capacityBlocks) evictOldest();
+    usedTokens += block.tokens;
+    onChange('stored', block.hash);
+    while (usedTokens > capacityTokens) evictOldest();
+  }
+
+  function toBlocks(prefixHashes: readonly string[]): readonly Block[] {
+    return prefixHashes.map((hash, index) => ({
+      hash,
+      tokens: prefixTokensOf(index + 1) - lengthOf(index),
+    }));
+  }
+
+  function lengthOf(hashes: number): number {
+    return hashes === 0 ? 0 : prefixTokensOf(hashes);
   }
 
   return {
@@ -49,18 +72,19 @@
       const missAt = prefixHashes.findIndex((hash) => !blocks.has(hash));
       const matched =
         missAt === -1 ? prefixHashes : prefixHashes.slice(0, missAt);
-      matched.toReversed().forEach(touch);
-      return matched.length;
+      toBlocks(matched).toReversed().forEach(touch);
+      return lengthOf(matched.length);
     },
     /** Stores the longest prefix first, so that it is evicted first. */
     store: (prefixHashes) => {
-      prefixHashes
-        .slice(0, options.capacityBlocks)
-        .toReversed()
-        .forEach(storeBlock);
+      const fitting = prefixHashes.filter(
+        (_, index) => prefixTokensOf(index + 1) <= capacityTokens,
+      );
+      toBlocks(fitting).toReversed().forEach(storeBlock);
     },
     clear: () => {
       blocks.clear();
+      usedTokens = 0;
     },
   };
 }
--- a/packages/stand-ins/src/createEngineModel/_lib/options.ts
+++ b/packages/stand-ins/src/createEngineModel/_lib/options.ts
@@ -19,8 +19,8 @@
   readonly maxQueue?: number;
   /** Prefix cache memory, in tokens. */
   readonly prefixCacheTokens?: number;
-  /** Tokens that each prefix hash covers beyond the one before it. */
-  readonly prefixBlockTokens?: number;
+  /** Returns the length of the prefix that the first `hashes` hashes cover. */
+  readonly prefixTokensOf?: (hashes: number) => number;
   /** Speed at which an imported KV cache is read in. */
   readonly kvImportTokensPerSecond?: number;
   /** Age of the load that `load` reports. */
@@ -37,6 +37,9 @@
 /** All options of an engine model. */
 export type EngineModelSettings = Required<CreateEngineModelOptions>;
 
+/** Tokens that each prefix hash covers beyond the one before it. */
+const PREFIX_BLOCK_TOKENS = 1_024;
+
 /** Defaults of every option but the engine's id. */
 export const ENGINE_MODEL_DEFAULTS: Omit<EngineModelSettings, 'engineId'> = {
   kvCapacityTokens: 400_000,
@@ -48,7 +51,7 @@
   maxBatch: 64,
   maxQueue: 128,
   prefixCacheTokens: 200_000,
-  prefixBlockTokens: 1_024,
+  prefixTokensOf: (hashes) => hashes * PREFIX_BLOCK_TOKENS,
   kvImportTokensPerSecond: 400_000,
   loadLagMs: 500,
   cacheEventLagMs: 200,
--- a/packages/stand-ins/src/createEngineModel/index.ts
+++ b/packages/stand-ins/src/createEngineModel/index.ts
@@ -93,9 +93,8 @@
     random: createRandom(settings.seed),
   });
   const cache = createPrefixCache({
-    capacityBlocks: Math.floor(
-      settings.prefixCacheTokens / settings.prefixBlockTokens,
-    ),
+    capacityTokens: settings.prefixCacheTokens,
+    prefixTokensOf: settings.prefixTokensOf,
     onChange: (change, hash) => {
       feed.publish(change, hash, batch.clockMs());
     },
--- a/packages/stand-ins/src/startEngineStandIn/index.ts
+++ b/packages/stand-ins/src/startEngineStandIn/index.ts
@@ -109,6 +109,9 @@
   seed: 1,
 };
 
+/** Tokens that the first prefix hash of an entry covers. */
+const FIRST_PREFIX_TOKENS = 256;
+
 /**
  * Starts a stand-in of a model engine; docs/PROTOCOLS.md states its protocol.
  *
@@ -126,7 +129,10 @@
   const { engineId, timeScale } = settings;
   const server = createStandInServer(options);
   const random = createRandom(settings.seed + 1);
-  const model = createEngineModel(settings);
+  const model = createEngineModel({
+    prefixTokensOf: doublingPrefixTokens,
+    ...settings,
+  });
   const attempts = createAttempts();
   const timers = new Set<NodeJS.Timeout>();
   let faults: EngineFaults = { ...NO_ENGINE_FAULTS, ...options.faults };
@@ -291,6 +297,11 @@
   };
 }
 
+/** Entries hash prefixes whose lengths double, from 256 tokens on. */
+function doublingPrefixTokens(hashes: number): number {
+  return FIRST_PREFIX_TOKENS * 2 ** (hashes - 1);
+}
+
 function refused(reason: string): E.Either<TargetError, void> {
   return E.left({ type: 'refused', reason, retryAfterMs: undefined });
 }
