--- a/packages/daemon/src/membership/startMembership/test.ts
+++ b/packages/daemon/src/membership/startMembership/test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import * as TE from 'fp-ts/TaskEither';
+import * as TE from 'fp-ts/lib/TaskEither.js';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createRuntime } from '../../runtime/index.ts';
 import { startMembership } from './index.ts';
