--- /dev/null
+++ b/packages/core/src/leaving/test.ts
@@ -0,0 +1,98 @@
+import { expect } from 'chai';
+import type { SharedEvent } from '../events/index.ts';
+import { decideNewRequest } from '../decideNewRequest/index.ts';
+import { leavingSlice, type LeavingEvent, type LeavingState } from './index.ts';
+
+type Unstamped<T> = T extends unknown ? Omit<T, 'atMs' | 'random'> : never;
+type Input = Unstamped<LeavingEvent | SharedEvent>;
+
+const peer = {
+  entryId: 'b',
+  incarnation: 1,
+  region: 'north',
+  dataCentre: 'dc',
+  host: '127.0.0.1',
+  httpPort: 1,
+  peerPort: 2,
+};
+const self = { ...peer, entryId: 'a' };
+
+/** Reduces events at their times and collects the effects by type. */
+function play(inputs: readonly (readonly [number, Input])[]) {
+  return inputs.reduce<{ state: LeavingState; effects: readonly unknown[] }>(
+    (done, [atMs, input]) => {
+      const event = { ...input, atMs, random: 0 } as LeavingEvent | SharedEvent;
+      const step = leavingSlice.reduce(done.state, event);
+      return { state: step.state, effects: [...done.effects, ...step.effects] };
+    },
+    { state: leavingSlice.initial, effects: [] },
+  );
+}
+
+const received = (requestId: string): Input =>
+  ({ type: 'request.received', request: { requestId } }) as Input;
+const ended = (requestId: string): Input =>
+  ({ type: 'request.ended', requestId }) as Input;
+const started: Input = { type: 'entry.started', self };
+const members = (live: readonly (typeof peer)[]): Input => ({
+  type: 'members.changed',
+  live,
+  leaving: [],
+  dead: [],
+});
+const configured: Input = {
+  type: 'leaving.configured',
+  lingerMs: 15_000,
+  drainTimeoutMs: 60_000,
+};
+const requested: Input = { type: 'leaving.requested' };
+const ticked: Input = { type: 'clock.ticked' };
+const setUp = [
+  [0, started],
+  [0, configured],
+  [0, members([self, peer])],
+] as const;
+
+describe('leavingSlice', () => {
+  it('exits when the last request has ended and old answers have lapsed', () => {
+    const before = play([
+      ...setUp,
+      [10, received('r1')],
+      [20, requested],
+      [16_000, ticked],
+    ]);
+    expect(before.effects, 'a request is open').to.deep.equal([]);
+    const after = play([
+      ...setUp,
+      [10, received('r1')],
+      [20, requested],
+      [30, ended('r1')],
+      [14_000, ticked],
+      [15_020, ticked],
+      [15_120, ticked],
+    ]);
+    expect(after.effects).toMatchSnapshot();
+  });
+
+  it('names the requests it cuts at the drain time, or when told twice', () => {
+    const open = [...setUp, [10, received('r1')], [20, requested]] as const;
+    expect(play([...open, [60_020, ticked]]).effects).toMatchSnapshot();
+    expect(play([...open, [900, requested]]).effects).toMatchSnapshot();
+  });
+});
+
+describe('decideNewRequest', () => {
+  it('serves, relays while callers may keep an old answer, then refuses', () => {
+    const decideAt = (atMs: number, live: readonly (typeof peer)[]) =>
+      decideNewRequest(
+        play([...setUp, [0, members(live)], [20, requested], [atMs, ticked]])
+          .state,
+      );
+    expect(decideNewRequest(play(setUp).state)).to.deep.equal({
+      type: 'serve',
+    });
+    expect(decideAt(100, [peer])).to.deep.equal({ type: 'relay' });
+    expect(decideAt(100, [self])).to.have.property('type', 'refuse');
+    expect(decideAt(15_100, [peer])).to.have.property('type', 'refuse');
+  });
+});
--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -3,6 +3,7 @@
 import type { RaiseEffect, Slice } from '../slice/index.ts';
 import type { Reducer } from '../step/index.ts';
 import { clockSlice } from '../clock/index.ts';
+import { leavingSlice } from '../leaving/index.ts';
 import { membershipSlice } from '../membership/index.ts';
 import { requestsSlice } from '../requests/index.ts';
 import { suspectsSlice } from '../suspects/index.ts';
@@ -16,6 +17,7 @@
   table: tableSlice,
   targets: targetsSlice,
   membership: membershipSlice,
+  leaving: leavingSlice,
   requests: requestsSlice,
   suspects: suspectsSlice,
   routing: routingSlice,
