--- a/packages/core/src/mergeTimelines/index.ts
+++ b/packages/core/src/mergeTimelines/index.ts
@@ -40,7 +40,9 @@
   limit: number = DEFAULT_TIMELINE_LIMIT,
 ): MergedTimeline {
   const records = timelines
-    .flatMap((timeline) => (timeline.type === 'records' ? timeline.records : []))
+    .flatMap((timeline) =>
+      timeline.type === 'records' ? timeline.records : [],
+    )
     .toSorted(
       (a, b) =>
         compareTimestamps(a.timestamp, b.timestamp) ||
--- a/packages/core/src/mergeTimelines/test.ts
+++ b/packages/core/src/mergeTimelines/test.ts
@@ -9,8 +9,16 @@
 ): TimelineRecord => ({ entryId, timestamp: { wallMs, counter: 0 }, event });
 
 const records = [
-  record('a', 10, { type: 'request.received', requestId: 'r1', workspace: 'w' }),
-  record('a', 20, { type: 'request.received', requestId: 'r2', workspace: 'v' }),
+  record('a', 10, {
+    type: 'request.received',
+    requestId: 'r1',
+    workspace: 'w',
+  }),
+  record('a', 20, {
+    type: 'request.received',
+    requestId: 'r2',
+    workspace: 'v',
+  }),
   record('a', 30, { type: 'attempt.started', requestId: 'r1', targetId: 't' }),
   record('a', 40, { type: 'request.ended', requestId: 'r1' }),
 ];
@@ -35,9 +43,9 @@
       { type: 'gap', entryId: 'c', reason: 'dead' },
       { type: 'records', records: [other] },
     ]);
-    expect(merged.records.map((r) => `${r.entryId}${r.timestamp.wallMs}`)).to.deep.equal(
-      ['a10', 'a20', 'b25', 'a30', 'a40'],
-    );
+    expect(
+      merged.records.map((r) => `${r.entryId}${r.timestamp.wallMs}`),
+    ).to.deep.equal(['a10', 'a20', 'b25', 'a30', 'a40']);
     expect(merged.gaps).to.deep.equal([{ entryId: 'c', reason: 'dead' }]);
   });
 });
