--- /dev/null
+++ b/bench/_lib/percentile.ts
@@ -0,0 +1,12 @@
+/**
+ * Returns a percentile of some values.
+ *
+ * @param values - The values, in any order.
+ * @param percent - From 0 to 100.
+ * @returns The smallest value that so many percent do not exceed.
+ */
+export function percentile(values: readonly number[], percent: number): number {
+  const sorted = values.toSorted((a, b) => a - b);
+  const index = Math.ceil((percent / 100) * sorted.length) - 1;
+  return sorted[Math.max(0, index)] ?? NaN;
+}
