--- a/bench/routing/replay/_lib/createEngines.ts
+++ b/bench/routing/replay/_lib/createEngines.ts
@@ -9,7 +9,7 @@
   type EngineModel,
   type ModelSubmission,
 } from '@endivegate/stand-ins';
-import * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/lib/Either.js';
 
 type Unstamped<T> = T extends unknown ? Omit<T, 'atMs' | 'random'> : never;
 
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -76,6 +76,17 @@
           ],
         },
       ],
+      '@typescript-eslint/no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              regex: '^fp-ts/(?!lib/.+\\.js$)',
+              message: 'Plain Node resolves only fp-ts/lib/NAME.js.',
+            },
+          ],
+        },
+      ],
       eqeqeq: 'error',
       'no-param-reassign': 'error',
     },
--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -13,3 +13,4 @@
 export * from './table/index.ts';
 export * from './settings/index.ts';
 export * from './tableRow/index.ts';
+export * from './wire/index.ts';
--- /dev/null
+++ b/packages/contracts/src/wire/service/index.ts
@@ -0,0 +1,23 @@
+import { z } from 'zod';
+
+/** Header with the idempotency key of a call to a plain service. */
+export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
+
+/** Path below which a plain service answers look-ups by idempotency key. */
+export const KEY_LOOKUP_PATH = '/.keys/';
+
+/** Answer of a look-up by idempotency key. */
+export const keyLookupSchema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('absent') }),
+  z.object({ type: z.literal('running') }),
+  z.object({
+    type: z.literal('done'),
+    attemptId: z.string(),
+    status: z.number().int(),
+    contentType: z.string(),
+    bodyBase64: z.string(),
+  }),
+]);
+
+/** Answer of a look-up by idempotency key. */
+export type KeyLookupBody = z.infer<typeof keyLookupSchema>;
--- /dev/null
+++ b/packages/daemon/src/adapters/_lib/readLines.ts
@@ -0,0 +1,22 @@
+/** Longest line of an answer stream that is kept, in characters. */
+const MAX_LINE_LENGTH = 1024 * 1024;
+
+/**
+ * Splits a stream of bytes into lines.
+ *
+ * @param chunks - Bytes of UTF-8 text.
+ * @returns Complete lines; text after the last line feed is dropped.
+ * @throws RangeError for a line longer than the limit.
+ */
+export async function* readLines(
+  chunks: AsyncIterable<Uint8Array>,
+): AsyncGenerator<string> {
+  const decoder = new TextDecoder();
+  let rest = '';
+  for await (const chunk of chunks) {
+    const lines = (rest + decoder.decode(chunk, { stream: true })).split('\n');
+    rest = lines.pop() ?? '';
+    if (rest.length > MAX_LINE_LENGTH) throw new RangeError('line too long');
+    yield* lines;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/createServiceHttpPort/index.ts
@@ -0,0 +1,161 @@
+import { timeoutSignal } from '../_lib/timeoutSignal.ts';
+import {
+  ATTEMPT_ID_HEADER,
+  IDEMPOTENCY_KEY_HEADER,
+  KEY_LOOKUP_PATH,
+  keyLookupSchema,
+  type KeyLookup,
+  type KeyLookupBody,
+  type ServiceAnswer,
+  type ServiceCall,
+  type ServicePort,
+  type TargetError,
+} from '@endivegate/contracts';
+import * as E from 'fp-ts/lib/Either.js';
+import { Agent, request, type Dispatcher } from 'undici';
+import { toTargetError } from '../_lib/classifyError.ts';
+import {
+  discardBody,
+  findCrossed,
+  headerOf,
+  isRefusal,
+  parseJson,
+  readTargetError,
+} from '../_lib/targetAnswer.ts';
+
+/** Options of {@link createServiceHttpPort}. */
+export interface CreateServiceHttpPortOptions {
+  /** Time to make a connection. */
+  readonly connectTimeoutMs?: number;
+}
+
+/** Plain services over HTTP, with the connections it keeps. */
+export interface ServiceHttpPort extends ServicePort {
+  readonly close: () => Promise<void>;
+}
+
+const DEFAULTS = { connectTimeoutMs: 1_000 } as const;
+
+const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
+
+/**
+ * Creates the port to plain services over HTTP.
+ *
+ * @param options - Time-outs.
+ * @returns The port.
+ *
+ * @example
+ * const services = createServiceHttpPort();
+ * const answer = await services.call(target, call)();
+ */
+export function createServiceHttpPort(
+  options: CreateServiceHttpPortOptions = {},
+): ServiceHttpPort {
+  const settings = { ...DEFAULTS, ...options };
+  const agent = new Agent({ connect: { timeout: settings.connectTimeoutMs } });
+
+  return {
+    call: (target, call) => async () => {
+      try {
+        const response = await request(urlOf(target.url, call.path), {
+          method: call.method,
+          headers: headersOf(call),
+          body: call.body.length > 0 ? call.body : null,
+          signal: timeoutSignal(call.timeoutMs),
+          dispatcher: agent,
+        });
+        return await readAnswer(response, call.attemptId);
+      } catch (error) {
+        return E.left(toTargetError(error));
+      }
+    },
+    lookUpKey: (target, idempotencyKey, timeoutMs) => async () => {
+      try {
+        const path = `${KEY_LOOKUP_PATH}${encodeURIComponent(idempotencyKey)}`;
+        const response = await request(urlOf(target.url, path), {
+          signal: timeoutSignal(timeoutMs),
+          dispatcher: agent,
+        });
+        if (response.statusCode !== 200) {
+          return E.left(await readTargetError(response));
+        }
+        return toLookup(await response.body.text());
+      } catch (error) {
+        return E.left(toTargetError(error));
+      }
+    },
+    close: () => agent.destroy(),
+  };
+}
+
+async function readAnswer(
+  response: Dispatcher.ResponseData,
+  attemptId: string,
+): Promise<E.Either<TargetError, ServiceAnswer>> {
+  const { body, headers, statusCode } = response;
+  const crossed = findCrossed(headers, attemptId);
+  if (crossed) {
+    discardBody(body);
+    return E.left(crossed);
+  }
+  if (isRefusal(headers)) return E.left(await readTargetError(response));
+  if (!hasKnownLength(response)) {
+    discardBody(body);
+    return E.left({ type: 'cut', reason: 'answer without a length' });
+  }
+  return E.right({
+    attemptId,
+    status: statusCode,
+    contentType: headerOf(headers, 'content-type') ?? DEFAULT_CONTENT_TYPE,
+    body: await body.bytes(),
+  });
+}
+
+/** An answer that ends with its connection cannot be told from a cut one. */
+function hasKnownLength({
+  headers,
+  statusCode,
+}: Dispatcher.ResponseData): boolean {
+  return (
+    statusCode === 204 ||
+    headerOf(headers, 'content-length') !== undefined ||
+    headerOf(headers, 'transfer-encoding') !== undefined
+  );
+}
+
+function headersOf(call: ServiceCall): Record<string, string> {
+  return {
+    [ATTEMPT_ID_HEADER]: call.attemptId,
+    ...(call.contentType === undefined
+      ? {}
+      : { 'content-type': call.contentType }),
+    ...(call.idempotencyKey === undefined
+      ? {}
+      : { [IDEMPOTENCY_KEY_HEADER]: call.idempotencyKey }),
+  };
+}
+
+/** Appends a path to a service's root, and never leaves the service. */
+function urlOf(root: string, path: string): string {
+  const base = root.replace(/\/+$/, '');
+  return `${base}/${path.replace(/^\/+/, '')}`;
+}
+
+function toLookup(text: string): E.Either<TargetError, KeyLookup> {
+  const body = keyLookupSchema.safeParse(parseJson(text)).data;
+  if (!body) return E.left({ type: 'cut', reason: 'malformed answer' });
+  return E.right(body.type === 'done' ? toDone(body) : body);
+}
+
+function toDone(body: KeyLookupBody & { readonly type: 'done' }): KeyLookup {
+  const { attemptId, status, contentType, bodyBase64 } = body;
+  return {
+    type: 'done',
+    answer: {
+      attemptId,
+      status,
+      contentType,
+      body: new Uint8Array(Buffer.from(bodyBase64, 'base64')),
+    },
+  };
+}
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -16,7 +16,7 @@
 import { createMetrics, type Metrics } from '../createMetrics/index.ts';
 import { createOpenRequests } from '../openRequests/index.ts';
 import { pollInstances } from '../pollInstances/index.ts';
-import { recordMetrics } from '../recordMetrics/index.ts';
+import { recordEnd, recordMetrics } from '../recordMetrics/index.ts';
 import { createRuntime, type Runtime } from '../runtime/index.ts';
 import { createTableHandler } from '../table/index.ts';
 
@@ -41,6 +41,8 @@
   readonly callersUrl: string;
   readonly runtime: Runtime;
   readonly metrics: Metrics;
+  /** Names what keeps the entry from being ready; empty when ready. */
+  readonly unreadyReasons: () => readonly string[];
   readonly stop: () => Promise<void>;
 }
 
@@ -55,7 +57,11 @@
 export async function createEntry(options: CreateEntryOptions): Promise<Entry> {
   const { settings, ports, logger } = options;
   const metrics = createMetrics();
-  const openRequests = createOpenRequests();
+  const openRequests = createOpenRequests({
+    onFinish: ({ info }, result) => {
+      recordEnd(metrics, { info, result, nowMs: runtime.nowMs() });
+    },
+  });
   const self = addressOf(settings);
   const table = createTableHandler({
     platform: ports.platform,
@@ -136,6 +142,7 @@
     callersUrl: `http://${settings.host}:${port}`,
     runtime,
     metrics,
+    unreadyReasons: () => unreadyReasons(runtime),
     stop: async () => {
       clearInterval(ticks);
       stopPolling();
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,4 +3,4 @@
  *
  * @packageDocumentation
  */
-export {};
+export * from './adapters/index.ts';
--- a/packages/daemon/src/openRequests/index.ts
+++ b/packages/daemon/src/openRequests/index.ts
@@ -59,12 +59,21 @@
   readonly count: () => number;
 }
 
+/** Options of {@link createOpenRequests}. */
+export interface CreateOpenRequestsOptions {
+  /** Called after a request's caller was told its end. */
+  readonly onFinish?: (open: OpenRequest, result: RequestResult) => void;
+}
+
 /**
  * Creates the registry of open requests.
  *
+ * @param options - Observer of ends.
  * @returns An empty registry.
  */
-export function createOpenRequests(): OpenRequests {
+export function createOpenRequests(
+  options: CreateOpenRequestsOptions = {},
+): OpenRequests {
   const byId = new Map<string, OpenRequest>();
   return {
     add: (request) => {
@@ -86,12 +95,14 @@
       open.attempts.forEach((controller) => {
         controller.abort();
       });
-      open.sink.finish({
+      const whole: RequestResult = {
         ...result,
         finishReason: open.finishReason,
         outputTokens: open.outputTokens,
         answer: open.answer,
-      });
+      };
+      open.sink.finish(whole);
+      options.onFinish?.(open, whole);
     },
     count: () => byId.size,
   };
--- a/packages/daemon/src/recordMetrics/index.ts
+++ b/packages/daemon/src/recordMetrics/index.ts
@@ -1,6 +1,6 @@
 import type { RequestInfo, RootEvent } from '@endivegate/core';
 import type { Metrics } from '../createMetrics/index.ts';
-import type { OpenRequests } from '../openRequests/index.ts';
+import type { OpenRequests, RequestResult } from '../openRequests/index.ts';
 
 const MS_PER_SECOND = 1_000;
 
@@ -40,25 +40,30 @@
     case 'request.received':
       metrics.openRequests.set(openRequests.count());
       return;
-    case 'request.ended':
-      recordEnd(metrics, event, openRequests.find(event.requestId)?.info);
-      return;
     default:
   }
 }
 
-function recordEnd(
-  metrics: Metrics,
-  event: Extract<RootEvent, { readonly type: 'request.ended' }>,
-  info: RequestInfo | undefined,
-): void {
-  if (info === undefined) return;
-  const { end, ran } = event;
+/** Options of {@link recordEnd}. */
+export interface RecordEndOptions {
+  readonly info: RequestInfo;
+  readonly result: Pick<RequestResult, 'end' | 'ran'>;
+  readonly nowMs: number;
+}
+
+/**
+ * Records the end of a request in the entry's metrics.
+ *
+ * @param metrics - The metrics.
+ * @param options - The request, how it ended, and the time.
+ */
+export function recordEnd(metrics: Metrics, options: RecordEndOptions): void {
+  const { end, ran } = options.result;
   const outcome = end.type === 'refused' ? end.reason : end.type;
-  const labels = { length_class: info.lengthClass };
+  const labels = { length_class: options.info.lengthClass };
   metrics.requestsEnded.inc({ ...labels, outcome, ran });
   metrics.requestSeconds.observe(
     labels,
-    (event.atMs - info.arrivedAtMs) / MS_PER_SECOND,
+    (options.nowMs - options.info.arrivedAtMs) / MS_PER_SECOND,
   );
 }
--- a/packages/stand-ins/src/createEngineModel/index.ts
+++ b/packages/stand-ins/src/createEngineModel/index.ts
@@ -21,6 +21,7 @@
 import type { ModelSubmission } from './_lib/sequence.ts';
 
 export type { ModelOutput } from './_lib/modelOutput.ts';
+export { ENGINE_MODEL_DEFAULTS } from './_lib/options.ts';
 export type { CreateEngineModelOptions } from './_lib/options.ts';
 export type { ModelSubmission } from './_lib/sequence.ts';
 
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -3,5 +3,10 @@
  *
  * @packageDocumentation
  */
+export * from './answerOf/index.ts';
 export * from './createEngineModel/index.ts';
+export * from './createPlatformModel/index.ts';
 export * from './createRandom/index.ts';
+export * from './startEngineStandIn/index.ts';
+export * from './startPlatformStandIn/index.ts';
+export * from './startServiceStandIn/index.ts';
