--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,3 +4,4 @@
  * @packageDocumentation
  */
 export * from './adapters/index.ts';
+export * from './seedTable/index.ts';
--- a/packages/daemon/src/runDev/index.ts
+++ b/packages/daemon/src/runDev/index.ts
@@ -8,7 +8,7 @@
 import { createPlatformHttpPort } from '../adapters/index.ts';
 import type { Entry } from '../createEntry/index.ts';
 import { startHttpEntry, waitForExit } from '../runServe/index.ts';
-import { hashToken, seedTable } from './_lib/seedTable.ts';
+import { hashToken, seedTable } from '../seedTable/index.ts';
 
 /** Bearer token of the workspace `demo` in a trial. */
 export const DEV_WORKSPACE_TOKEN = 'demo-token';
