--- a/packages/core/src/splitTable/index.ts
+++ b/packages/core/src/splitTable/index.ts
@@ -25,6 +25,8 @@
   /** Values that the store does not hold yet; the root comes last. */
   readonly written: readonly TableValue[];
   readonly chunkKeys: readonly string[];
+  /** Every value of the table, those in the store included. */
+  readonly values: readonly TableValue[];
 }
 
 /** Options of {@link splitTable}. */
@@ -80,6 +82,7 @@
   return {
     rootKey: rootValue.key,
     chunkKeys: root.chunkKeys,
+    values: [...chunks, rootValue],
     written: [...chunks.filter(({ key }) => !known.has(key)), rootValue],
   };
 }
--- /dev/null
+++ b/packages/daemon/src/admin/_lib/replies.ts
@@ -0,0 +1,124 @@
+import type { AdminErrorBody } from '@endivegate/contracts';
+import * as E from 'fp-ts/lib/Either.js';
+import type { FastifyReply } from 'fastify';
+import type { z } from 'zod';
+import type { EditTableError } from '../../table/editTable/index.ts';
+import type { AdminFailure } from './ports.ts';
+
+type AdminError = AdminErrorBody['error'];
+
+const STATUS_OF_ERROR: Readonly<Record<AdminError['type'], number>> = {
+  unauthorized: 401,
+  invalid_request: 400,
+  not_found: 404,
+  conflict: 409,
+  invalid_table: 422,
+  store_down: 503,
+  in_doubt: 504,
+  internal: 500,
+};
+
+/**
+ * Sends an error of the operators' API.
+ *
+ * @param reply - Reply of the call.
+ * @param error - The error; its type decides the status.
+ * @returns The reply.
+ */
+export function sendError(
+  reply: FastifyReply,
+  error: AdminError,
+): FastifyReply {
+  return reply.code(STATUS_OF_ERROR[error.type]).send({ error });
+}
+
+/**
+ * Sends the result of a call, or its failure.
+ *
+ * @param reply - Reply of the call.
+ * @param result - Result or failure.
+ * @returns The reply.
+ */
+export function sendResult(
+  reply: FastifyReply,
+  result: E.Either<AdminFailure, unknown>,
+): FastifyReply {
+  if (E.isRight(result)) return reply.send(result.right ?? {});
+  const { type, reason: message } = result.left;
+  switch (type) {
+    case 'storeDown':
+      return sendError(reply, { type: 'store_down', message });
+    case 'notFound':
+      return sendError(reply, { type: 'not_found', message });
+    case 'conflict':
+      return sendError(reply, { type: 'conflict', message });
+  }
+}
+
+/**
+ * Describes why an edit was not accepted.
+ *
+ * @param error - The edit's error.
+ * @returns The error to send.
+ */
+export function describeEditError(error: EditTableError): AdminError {
+  switch (error.type) {
+    case 'conflicts':
+      return {
+        type: 'conflict',
+        message: 'Others changed the same cells; nothing was changed.',
+        conflicts: [...error.conflicts],
+      };
+    case 'invalid':
+      return {
+        type: 'invalid_table',
+        message: 'The table has findings; nothing was changed.',
+        findings: [...error.findings],
+      };
+    case 'inDoubt':
+      return {
+        type: 'in_doubt',
+        message:
+          'The store gave no reply, so the edit may have been accepted. ' +
+          `Send it again with the token ${error.editToken}; it counts once.`,
+      };
+    case 'unknownNumber':
+      return {
+        type: 'not_found',
+        message: `The history does not keep number ${error.number}.`,
+      };
+    case 'damaged':
+      return {
+        type: 'store_down',
+        message: `The store's value ${error.key} is missing or damaged; nothing was changed.`,
+      };
+    case 'store':
+      return {
+        type: 'store_down',
+        message: `The store gave ${error.error.type}; nothing was changed.`,
+      };
+  }
+}
+
+/**
+ * Checks input against a schema.
+ *
+ * @param schema - Schema of the input.
+ * @param value - Body, query or parameters.
+ * @returns The checked input, or an error with all findings.
+ */
+export function checkInput<Schema extends z.ZodType>(
+  schema: Schema,
+  value: unknown,
+): E.Either<AdminError, z.output<Schema>> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return E.right(parsed.data);
+  return E.left({
+    type: 'invalid_request',
+    message: 'The input does not have the expected form.',
+    findings: parsed.error.issues.map(({ path, message }) => ({
+      place: path.map(String).join('.'),
+      message,
+    })),
+  });
+}
--- a/packages/daemon/src/table/editTable/index.ts
+++ b/packages/daemon/src/table/editTable/index.ts
@@ -59,6 +59,8 @@
   readonly changes: readonly TableChange[];
   readonly document: TableDocument;
   readonly rootKey: string;
+  /** The table's values as written; absent when another try wrote them. */
+  readonly values?: readonly TableValue[];
 }
 
 /** Options of {@link editTable}. */
@@ -231,6 +233,7 @@
           changes: draft.changes,
           document: draft.document,
           rootKey: split.rootKey,
+          values: split.values,
         }),
     ),
   );
--- a/packages/daemon/src/table/index.ts
+++ b/packages/daemon/src/table/index.ts
@@ -3,6 +3,7 @@
 import type { TableEffect, TableValue } from '@endivegate/core';
 import * as E from 'fp-ts/lib/Either.js';
 import type { EffectHandler, Runtime } from '../runtime/index.ts';
+import type { AcceptedEdit } from './editTable/index.ts';
 import { createTableCache } from './_lib/createTableCache.ts';
 import { loadTable, type TableHead } from './_lib/loadTable.ts';
 import { peerSource, storeSource } from './_lib/sources.ts';
@@ -45,6 +46,10 @@
 /** The handler of the table's effects, and what it serves to peers. */
 export interface TableHandler {
   readonly handle: EffectHandler;
+  /** Brings an edit that was accepted here into force without reading it. */
+  readonly accept: (edit: AcceptedEdit, runtime: Runtime) => void;
+  /** Immutable value of a recent number, if this entry holds it. */
+  readonly cached: (key: string) => string | undefined;
   /** Answers a peer's `fetchHead`. */
   readonly head: () => TableHead | undefined;
   /** Answers a peer's `fetchValues`. */
@@ -117,6 +122,21 @@
       if (effect.type === 'table.watch') void watch(runtime);
       if (effect.type === 'table.announce') options.announce(effect.number);
     },
+    accept: (edit, runtime) => {
+      if (edit.values === undefined) {
+        runtime.dispatch({
+          type: 'table.numberSeen',
+          number: edit.number,
+          fromEntryId: 'store',
+        });
+        return;
+      }
+      const { number, rootKey, document } = edit;
+      const values = edit.values.map(({ key, value }) => [key, value] as const);
+      cache.install({ number, rootKey }, new Map(values));
+      runtime.dispatch({ type: 'table.loaded', number, document });
+    },
+    cached: cache.get,
     head: cache.head,
     values: (keys) =>
       keys.flatMap((key) => {
