--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -15,3 +15,4 @@
 export * from './table/index.ts';
 export * from './settings/index.ts';
 export * from './tableRow/index.ts';
+export * from './wire/index.ts';
