--- a/packages/contracts/src/adminBodies/index.ts
+++ b/packages/contracts/src/adminBodies/index.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { engineAssignmentSchema } from '../engineAssignment/index.ts';
+import { engineAssignmentSchema } from '../wire/engine/index.ts';
 import {
   tableChangeSchema,
   tableConflictSchema,
--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -5,7 +5,6 @@
  */
 export * from './addresses/index.ts';
 export * from './adminBodies/index.ts';
-export * from './engineAssignment/index.ts';
 export * from './formatFindings/index.ts';
 export * from './httpBodies/index.ts';
 export * from './lengthClass/index.ts';
--- a/packages/daemon/src/table/createTablePeers/index.ts
+++ b/packages/daemon/src/table/createTablePeers/index.ts
@@ -88,7 +88,7 @@
       return (
         head && {
           tableNumber: head.number,
-          manifest: new TextEncoder().encode(JSON.stringify(head)),
+          manifest: Buffer.from(JSON.stringify(head)),
         }
       );
     },
@@ -103,7 +103,7 @@
   for (const { key, value } of table.values(keys)) {
     yield await Promise.resolve({
       hash: key,
-      content: new TextEncoder().encode(value),
+      content: Buffer.from(value),
     });
   }
 }
