--- a/packages/daemon/src/adapters/createServiceHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createServiceHttpPort/index.ts
@@ -1,3 +1,4 @@
+import { timeoutSignal } from '../_lib/timeoutSignal.ts';
 import {
   ATTEMPT_ID_HEADER,
   IDEMPOTENCY_KEY_HEADER,
@@ -60,7 +61,7 @@
           method: call.method,
           headers: headersOf(call),
           body: call.body.length > 0 ? call.body : null,
-          signal: AbortSignal.timeout(call.timeoutMs),
+          signal: timeoutSignal(call.timeoutMs),
           dispatcher: agent,
         });
         return await readAnswer(response, call.attemptId);
@@ -72,7 +73,7 @@
       try {
         const path = `${KEY_LOOKUP_PATH}${encodeURIComponent(idempotencyKey)}`;
         const response = await request(urlOf(target.url, path), {
-          signal: AbortSignal.timeout(timeoutMs),
+          signal: timeoutSignal(timeoutMs),
           dispatcher: agent,
         });
         if (response.statusCode !== 200) {
