Route by length: lanes, fair queues, predicted first token, placing entry

Cause: least in flight sends short prompts behind prefills of minutes, and a prompt larger than one engine's memory could not run at all. Change: prompts wait in per-lane fair queues (start-time fair queueing, then slack) until an engine of their lane has room; the engine with the lowest predicted first token is chosen (own work, aged load reports, prefix affinity, learned speeds); predicted misses are refused at once. The longest prompts go through their model's placing entry, which bounds long prefills to one an engine and plans memory over several engines; memory is reserved part by part in one global order and given back whole on a refusal.

--- a/bench/routing/policies.ts
+++ b/bench/routing/policies.ts
@@ -1,4 +1,4 @@
-import { rootSlices, type RequestInfo } from '@endivegate/core';
+import { enginePriorityOf, rootSlices } from '@endivegate/core';
 import {
   chooseLeastInFlight,
   chooseRandom,
@@ -24,8 +24,8 @@
   {
     name: 'endivegate',
     slices: { requests, suspects, routing },
-    priorityOf: (request: RequestInfo) => request.priority,
-    reservesForIt: true,
+    priorityOf: enginePriorityOf,
+    reservesForIt: false,
   },
   baseline('random', chooseRandom),
   baseline('roundRobin', chooseRoundRobin),
--- a/bench/routing/replay/index.ts
+++ b/bench/routing/replay/index.ts
@@ -99,8 +99,8 @@
   let nowMs = 0;
   let order = 0;
   let open = 0;
-  const peerMessages = 0;
-  const loadReads = 0;
+  let peerMessages = 0;
+  let loadReads = 0;
 
   const after = (delayMs: number, run: () => void): void => {
     order += 1;
@@ -158,11 +158,53 @@
           engines.cancel(effect.targetId, effect.attemptId);
         });
         return;
+      case 'routing.readLoad': {
+        const { targetId } = effect;
+        loadReads += 1;
+        after(2 * NETWORK_MS, () => {
+          const load = engines.load(targetId);
+          dispatch(entry, { type: 'routing.loadRead', targetId, load });
+        });
+        return;
+      }
+      case 'routing.reserve': {
+        const { requestId, targetId } = effect;
+        after(2 * NETWORK_MS, () => {
+          const granted = engines.reserve(targetId, effect);
+          const reply = {
+            type: 'routing.reserved',
+            requestId,
+            granted,
+          } as const;
+          dispatch(entry, { ...reply, targetId });
+        });
+        return;
+      }
+      case 'routing.free':
+        after(NETWORK_MS, () => {
+          engines.free(effect.targetId, effect.reservationId);
+        });
+        return;
+      case 'routing.sendPeer':
+        sendPeer(entry, effect);
+        return;
       default:
         return;
     }
   }
 
+  function sendPeer(
+    entry: number,
+    { toEntryId, message }: RootEffect & { type: 'routing.sendPeer' },
+  ): void {
+    const to = addresses.findIndex((one) => one.entryId === toEntryId);
+    const fromEntryId = addresses[entry]!.entryId;
+    peerMessages += 1;
+    after(NETWORK_MS, () => {
+      dispatch(to, { type: 'routing.peerReceived', fromEntryId, message });
+    });
+  }
+
   function send(
     entry: number,
     effect: RootEffect & { type: 'requests.send' },
--- /dev/null
+++ b/packages/core/src/routing/_lib/queue.ts
@@ -0,0 +1,156 @@
+import { estimateDecodeMs } from '../../costModel/index.ts';
+import type { EventBase } from '../../events/index.ts';
+import type { RequestInfo } from '../../request/index.ts';
+import {
+  candidatesFor,
+  costsOf,
+  lanesOf,
+  ownWorkByTarget,
+  type OwnWork,
+} from './engines.ts';
+import { advanceVirtualTime, compareQueued } from './fairQueue.ts';
+import { predict, type Prediction } from './predict.ts';
+import { andThen, dispatchTo, refuse } from './requests.ts';
+import type { RoutedRequest, RoutingState, RoutingStep } from './types.ts';
+
+/** Wait at an engine up to which requests are sent on to it. */
+const MAX_ENGINE_WAIT_MS = { short: 200, medium: 1_500, long: 1_500 };
+
+/** Requests of one workspace and service that may wait at an entry. */
+export const MAX_WAITING_PER_FLOW = 64;
+
+/** Requests that may wait at an entry. */
+export const MAX_WAITING = 512;
+
+/** Least time after which a refused caller is asked to come back. */
+const MIN_RETRY_AFTER_MS = 500;
+
+/** Returns the queue that a prompt waits in; queues do not block each other. */
+export function laneOf(request: RequestInfo): string {
+  const group = request.lengthClass === 'short' ? 'short' : 'heavy';
+  return `${request.service}/${group}`;
+}
+
+/** Returns the requests that wait at this entry. */
+export function waitingRequests(state: RoutingState): readonly RoutedRequest[] {
+  return [...state.requests.values()].filter(
+    ({ phase }) => phase === 'waiting',
+  );
+}
+
+/** Returns the expected time from the first token to the last. */
+export function decodeMsOf(state: RoutingState, request: RequestInfo): number {
+  const key = `${request.service}/${request.lengthClass}`;
+  return estimateDecodeMs(costsOf(state, key), request.maxOutputTokens);
+}
+
+/**
+ * Sends waiting requests to engines that have room, in fair order.
+ *
+ * A request that can no longer be in time is refused at once. The first
+ * request of a lane that finds no room keeps those behind it waiting.
+ */
+export function drain(state: RoutingState, stamp: EventBase): RoutingStep {
+  const waiting = waitingRequests(state).toSorted((a, b) =>
+    compareQueued(toQueued(state, a), toQueued(state, b)),
+  );
+  const full = new Set<string>();
+  return waiting.reduce<RoutingStep>(
+    (done, routed) =>
+      andThen(done, (current) => {
+        const lane = laneOf(routed.request);
+        if (full.has(lane)) return refuseIfLate(current, stamp, routed);
+        const step = tryDispatch(current, stamp, routed);
+        if (step.effects.length === 0) full.add(lane);
+        return step;
+      }),
+    { state, effects: [] },
+  );
+}
+
+function toQueued(state: RoutingState, routed: RoutedRequest) {
+  const { deadlineAtMs } = routed.request;
+  const neededMs = routed.costMs + decodeMsOf(state, routed.request);
+  return {
+    startTag: routed.startTag,
+    latestStartAtMs: deadlineAtMs - neededMs,
+  };
+}
+
+function refuseIfLate(
+  state: RoutingState,
+  stamp: EventBase,
+  routed: RoutedRequest,
+): RoutingStep {
+  const { latestStartAtMs } = toQueued(state, routed);
+  if (latestStartAtMs >= stamp.atMs) return { state, effects: [] };
+  return refuseLate(state, stamp, routed, stamp.atMs - latestStartAtMs);
+}
+
+function refuseLate(
+  state: RoutingState,
+  stamp: EventBase,
+  { request }: RoutedRequest,
+  overdueMs: number,
+): RoutingStep {
+  return refuse(state, stamp, {
+    requestId: request.requestId,
+    reason: 'tooLate',
+    retryAfterMs: Math.max(overdueMs, MIN_RETRY_AFTER_MS),
+  });
+}
+
+/** Sends a request to the best engine, if one has room for it. */
+function tryDispatch(
+  state: RoutingState,
+  stamp: EventBase,
+  routed: RoutedRequest,
+): RoutingStep {
+  const best = bestPrediction(state, stamp.atMs, routed);
+  if (!best) {
+    return refuse(state, stamp, {
+      requestId: routed.request.requestId,
+      reason:
+        routed.excludedTargetIds.length > 0 ? 'targetsRefused' : 'noTarget',
+      retryAfterMs: MIN_RETRY_AFTER_MS,
+    });
+  }
+  const finishAtMs =
+    stamp.atMs + best.firstTokenMs + decodeMsOf(state, routed.request);
+  const overdueMs = finishAtMs - routed.request.deadlineAtMs;
+  if (overdueMs > 0) return refuseLate(state, stamp, routed, overdueMs);
+  if (!hasRoom(routed.request, best)) return { state, effects: [] };
+  const advanced = advanceVirtualTime(
+    state,
+    laneOf(routed.request),
+    routed.startTag,
+  );
+  const { cachedTokens, firstTokenMs, targetId } = best;
+  const predicted = { ...routed, cachedTokens, predictedMs: firstTokenMs };
+  return dispatchTo(advanced, stamp, predicted, targetId);
+}
+
+function hasRoom(request: RequestInfo, best: Prediction): boolean {
+  const { lengthClass } = request;
+  if (lengthClass === 'huge') return true;
+  return best.waitMs <= MAX_ENGINE_WAIT_MS[lengthClass];
+}
+
+/** Returns the target with the lowest predicted first token. */
+export function bestPrediction(
+  state: RoutingState,
+  atMs: number,
+  routed: Pick<RoutedRequest, 'request' | 'excludedTargetIds'>,
+): Prediction | undefined {
+  const { request, excludedTargetIds } = routed;
+  const lanes = lanesOf(state, request.service);
+  const work: ReadonlyMap<string, OwnWork> = ownWorkByTarget(state, atMs);
+  return candidatesFor(state, request, { excludedTargetIds, atMs })
+    .map(({ targetId }) =>
+      predict(state, request, { targetId, lanes, work, atMs }),
+    )
+    .reduce<Prediction | undefined>(
+      (best, next) => (best && best.score <= next.score ? best : next),
+      undefined,
+    );
+}
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -1,156 +1,208 @@
-import type { Target } from '@endivegate/contracts';
-import type { EventBase, RefusalReason, SharedEvent } from '../events/index.ts';
-import type { RequestInfo } from '../request/index.ts';
-import type { RaiseEffect, Slice } from '../slice/index.ts';
-import { unchanged, type Step } from '../step/index.ts';
+import { emptyBucketMap } from '../bucketMap/index.ts';
+import { indexRows } from '../indexRows/index.ts';
+import type { SharedEvent } from '../events/index.ts';
+import type { Slice } from '../slice/index.ts';
+import { admit, readmit } from './_lib/admit.ts';
+import { keepView, servingTargets, viewOf } from './_lib/engines.ts';
+import { dropIdleFlows } from './_lib/fairQueue.ts';
+import { noteAttemptEnd, noteFirstToken } from './_lib/learn.ts';
+import { deliverToSelf, handleMessage, reportDemand } from './_lib/messages.ts';
+import { placerOf } from './_lib/peers.ts';
+import { expirePlacements, place } from './_lib/placer.ts';
+import {
+  announceHeld,
+  askAgain,
+  noteReserved,
+  releaseHuge,
+  toPlacer,
+} from './_lib/placing.ts';
+import { applyCacheEvents } from './_lib/prefixes.ts';
+import { drain } from './_lib/queue.ts';
+import { andThen, forget, keep, withEffects } from './_lib/requests.ts';
+import type {
+  RoutingEffect,
+  RoutingEvent,
+  RoutingState,
+  RoutingStep,
+} from './_lib/types.ts';
 
-/** A request known to the routing slice, until it ends. */
-export interface RoutedRequest {
-  readonly request: RequestInfo;
-  /** Target of the running attempt. */
-  readonly targetId: string | undefined;
-}
-
-/** What routing knows of requests and targets. */
-export interface RoutingState {
-  readonly targets: readonly Target[];
-  readonly requests: ReadonlyMap<string, RoutedRequest>;
-}
+export { MAX_EJECTED_PART } from './_lib/engines.ts';
+export { KEEP_TURN_AFTER_MS } from './_lib/placer.ts';
+export { MAX_WAITING, MAX_WAITING_PER_FLOW } from './_lib/queue.ts';
+export type {
+  RoutedRequest,
+  RoutingEffect,
+  RoutingEvent,
+  RoutingMessage,
+  RoutingState,
+} from './_lib/types.ts';
 
-type RoutingStep = Step<RoutingState, RaiseEffect>;
+/** Engines whose load is read at each tick. */
+const LOAD_READS_PER_TICK = 1;
 
-/** Chooses the target of each request, or refuses it. */
-export const routingSlice: Slice<RoutingState, never, never> = {
-  initial: { targets: [], requests: new Map() },
-  reduce: (state, event) => {
-    switch (event.type) {
-      case 'targets.changed':
-        return unchanged({ ...state, targets: event.targets });
-      case 'request.arrived':
-        return dispatch(state, event, { request: event.request, excluded: [] });
-      case 'request.retryWanted':
-        return retry(state, event);
-      case 'attempt.ended':
-        return unchanged(withTarget(state, event.requestId, undefined));
-      case 'request.refused':
-      case 'request.ended':
-        return unchanged(withoutRequest(state, event.requestId));
-      default:
-        return unchanged(state);
-    }
+/**
+ * Chooses when and where each request runs, or refuses it.
+ *
+ * Prompts wait in fair queues until an engine of their lane has room; the
+ * longest ones go through their model's placing entry. Calls of plain services
+ * are sent at once.
+ */
+export const routingSlice: Slice<RoutingState, RoutingEvent, RoutingEffect> = {
+  initial: {
+    self: undefined,
+    live: [],
+    targets: [],
+    rows: indexRows([]),
+    requests: new Map(),
+    engines: new Map(),
+    costs: new Map(),
+    prefixes: emptyBucketMap(),
+    virtualTimes: new Map(),
+    finishTags: new Map(),
+    work: new Map(),
+    demandSentAtMs: 0,
+    lanes: new Map(),
+    fleetWork: new Map(),
+    placements: new Map(),
+    nextReservation: 1,
+    loadCursor: 0,
   },
+  reduce: (state, event) => deliverToSelf(reduceRouting(state, event), event),
 };
 
-function retry(
+function reduceRouting(
   state: RoutingState,
-  event: SharedEvent & { readonly type: 'request.retryWanted' },
+  event: RoutingEvent | SharedEvent,
 ): RoutingStep {
-  const request = state.requests.get(event.requestId)?.request;
-  if (!request) return unchanged(state);
-  return dispatch(state, event, {
-    request,
-    excluded: event.excludedTargetIds,
-  });
+  switch (event.type) {
+    case 'entry.started':
+      return withEffects({ ...state, self: event.self }, []);
+    case 'table.installed':
+      return withEffects({ ...state, rows: indexRows(event.rows) }, []);
+    case 'targets.changed':
+      return drain({ ...state, targets: event.targets }, event);
+    case 'members.changed':
+      return noteMembers(state, event);
+    case 'clock.ticked':
+      return tick(state, event);
+    case 'request.arrived':
+      return admit(state, event, event.request);
+    case 'request.retryWanted':
+      return readmit(state, event, event);
+    case 'attempt.firstToken':
+      return noteProgress(state, event);
+    case 'attempt.ended':
+      return noteAttempt(state, event);
+    case 'request.refused':
+    case 'request.ended':
+      return endRequest(state, event);
+    case 'routing.loadRead':
+      return withEffects(noteLoad(state, event), []);
+    case 'routing.cacheRead':
+      return withEffects(
+        applyCacheEvents(state, event.targetId, event.events, event.atMs),
+        [],
+      );
+    case 'routing.reserved':
+      return noteReserved(state, event, event);
+    case 'routing.peerReceived':
+      return handleMessage(state, event, event.fromEntryId, event.message);
+    default:
+      return withEffects(state, []);
+  }
 }
 
-function dispatch(
+function tick(
   state: RoutingState,
-  stamp: EventBase,
-  options: {
-    readonly request: RequestInfo;
-    readonly excluded: readonly string[];
-  },
+  event: SharedEvent & { readonly type: 'clock.ticked' },
 ): RoutingStep {
-  const { request, excluded } = options;
-  const target = leastInFlight(
-    state,
-    state.targets.filter(
-      (candidate) =>
-        isServing(candidate, request.service) &&
-        !excluded.includes(candidate.targetId),
-    ),
+  const expired = expirePlacements(dropIdleFlows(state), event, new Set());
+  const steps = [drain, askAgain, place, reportDemand, readLoads];
+  return steps.reduce<RoutingStep>(
+    (done, next) => andThen(done, (current) => next(current, event)),
+    withEffects(expired, []),
   );
-  if (!target) return refuse(state, stamp, request.requestId, 'noTarget');
-  const routed: RoutedRequest = { request, targetId: target.targetId };
-  return {
-    state: {
-      ...state,
-      requests: new Map(state.requests).set(request.requestId, routed),
-    },
-    effects: [
-      {
-        type: 'raise',
-        event: {
-          ...stampOf(stamp),
-          type: 'request.dispatched',
-          requestId: request.requestId,
-          targetId: target.targetId,
-          reservationId: undefined,
-        },
-      },
-    ],
-  };
 }
 
-function refuse(
-  state: RoutingState,
-  stamp: EventBase,
-  requestId: string,
-  reason: RefusalReason,
-): RoutingStep {
-  return {
-    state: withoutRequest(state, requestId),
-    effects: [
-      {
-        type: 'raise',
-        event: {
-          ...stampOf(stamp),
-          type: 'request.refused',
-          requestId,
-          reason,
-          retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
-        },
-      },
-    ],
-  };
+/** Reads the load of a few engines of the models in use, in turn. */
+function readLoads(state: RoutingState): RoutingStep {
+  const models = [...new Set([...state.lanes.keys(), ...state.work.keys()])];
+  const engines = models.flatMap((model) => servingTargets(state, model));
+  if (engines.length === 0) return withEffects(state, []);
+  const effects = Array.from({ length: LOAD_READS_PER_TICK }, (_, n) => ({
+    type: 'routing.readLoad' as const,
+    targetId: engines[(state.loadCursor + n) % engines.length]?.targetId ?? '',
+  }));
+  const loadCursor = state.loadCursor + LOAD_READS_PER_TICK;
+  return withEffects({ ...state, loadCursor }, effects);
 }
 
-/** Time after which a caller may ask again when no target serves. */
-const NO_TARGET_RETRY_AFTER_MS = 1_000;
-
-function isServing(target: Target, service: string): boolean {
-  return !target.leaving && target.serves.includes(service);
+function noteLoad(
+  state: RoutingState,
+  { targetId, load, atMs }: RoutingEvent & { type: 'routing.loadRead' },
+): RoutingState {
+  if (!load) return state;
+  const view = viewOf(state, targetId);
+  const loadAtMs = atMs - load.ageMs;
+  return keepView(state, targetId, { ...view, load, loadAtMs });
 }
 
-function leastInFlight(
+function noteMembers(
   state: RoutingState,
-  candidates: readonly Target[],
-): Target | undefined {
-  const busy = [...state.requests.values()].map((routed) => routed.targetId);
-  const countOf = (target: Target) =>
-    busy.filter((targetId) => targetId === target.targetId).length;
-  return candidates.toSorted((a, b) => countOf(a) - countOf(b))[0];
+  event: SharedEvent & { readonly type: 'members.changed' },
+): RoutingStep {
+  const dead = new Set(event.dead.map(({ entryId }) => entryId));
+  const models = new Set(
+    [...state.requests.values()].map(({ request }) => request.service),
+  );
+  const changed = expirePlacements({ ...state, live: event.live }, event, dead);
+  const hasNewPlacer = [...models].some(
+    (model) => placerOf(state, model) !== placerOf(changed, model),
+  );
+  return hasNewPlacer ? announceHeld(changed, event) : withEffects(changed, []);
 }
 
-function withTarget(
+function noteProgress(
   state: RoutingState,
-  requestId: string,
-  targetId: string | undefined,
-): RoutingState {
-  const routed = state.requests.get(requestId);
-  if (!routed) return state;
-  const requests = new Map(state.requests);
-  requests.set(requestId, { ...routed, targetId });
-  return { ...state, requests };
+  event: SharedEvent & { readonly type: 'attempt.firstToken' },
+): RoutingStep {
+  const { requestId } = event;
+  const request = state.requests.get(requestId)?.request;
+  const noted = drain(noteFirstToken(state, event), event);
+  if (request?.lengthClass !== 'huge') return noted;
+  const message = { type: 'placementPrefilled', requestId } as const;
+  return {
+    state: noted.state,
+    effects: [...noted.effects, toPlacer(state, request, message)],
+  };
 }
 
-function withoutRequest(state: RoutingState, requestId: string): RoutingState {
-  if (!state.requests.has(requestId)) return state;
-  const requests = new Map(state.requests);
-  requests.delete(requestId);
-  return { ...state, requests };
+function noteAttempt(
+  state: RoutingState,
+  event: SharedEvent & { readonly type: 'attempt.ended' },
+): RoutingStep {
+  const noted = noteAttemptEnd(state, event);
+  const routed = noted.requests.get(event.requestId);
+  if (!routed) return withEffects(noted, []);
+  const released = releaseHuge(noted, routed);
+  const after = released.state.requests.get(event.requestId) ?? routed;
+  const idle = keep(released.state, {
+    ...after,
+    phase: 'decoding',
+    targetId: undefined,
+  });
+  return andThen({ ...released, state: idle }, (next) => drain(next, event));
 }
 
-function stampOf({ atMs, random }: EventBase): EventBase {
-  return { atMs, random };
+function endRequest(
+  state: RoutingState,
+  event: SharedEvent & { readonly type: 'request.refused' | 'request.ended' },
+): RoutingStep {
+  const routed = state.requests.get(event.requestId);
+  if (!routed) return withEffects(state, []);
+  const released = releaseHuge(state, routed);
+  const forgotten = forget(released.state, event.requestId);
+  return andThen({ ...released, state: forgotten }, (next) =>
+    drain(next, event),
+  );
 }
