--- a/packages/stand-ins/src/createEngineModel/index.ts
+++ b/packages/stand-ins/src/createEngineModel/index.ts
@@ -21,6 +21,7 @@
 import type { ModelSubmission } from './_lib/sequence.ts';
 
 export type { ModelOutput } from './_lib/modelOutput.ts';
+export { ENGINE_MODEL_DEFAULTS } from './_lib/options.ts';
 export type { CreateEngineModelOptions } from './_lib/options.ts';
 export type { ModelSubmission } from './_lib/sequence.ts';
 
@@ -92,9 +93,8 @@
     random: createRandom(settings.seed),
   });
   const cache = createPrefixCache({
-    capacityBlocks: Math.floor(
-      settings.prefixCacheTokens / settings.prefixBlockTokens,
-    ),
+    capacityTokens: settings.prefixCacheTokens,
+    prefixTokensOf: settings.prefixTokensOf,
     onChange: (change, hash) => {
       feed.publish(change, hash, batch.clockMs());
     },
