--- a/packages/daemon/src/adapters/createEngineHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createEngineHttpPort/index.ts
@@ -1,3 +1,4 @@
+import { timeoutSignal } from '../_lib/timeoutSignal.ts';
 import {
   ATTEMPT_ID_HEADER,
   attemptReportSchema,
@@ -121,7 +122,7 @@
         const response = await request(urlOf(target, call.path), {
           ...toRequest(call),
           headers: headersOf(call),
-          signal: AbortSignal.timeout(call.timeoutMs ?? settings.callTimeoutMs),
+          signal: timeoutSignal(call.timeoutMs ?? settings.callTimeoutMs),
           dispatcher,
         });
         const isOk = response.statusCode < 300;
--- a/packages/daemon/src/adapters/createPlatformHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createPlatformHttpPort/index.ts
@@ -1,3 +1,4 @@
+import { timeoutSignal } from '../_lib/timeoutSignal.ts';
 import {
   getAnswerSchema,
   instanceListSchema,
@@ -73,7 +74,7 @@
             [PURPOSE_HEADER]: purpose,
           },
           body: JSON.stringify(body),
-          signal: AbortSignal.timeout(limitMs),
+          signal: timeoutSignal(limitMs),
           headersTimeout: limitMs,
           dispatcher: agent,
         });
