--- /dev/null
+++ b/bench/path/config.ts
@@ -0,0 +1,34 @@
+import type { InstanceList } from '@endivegate/contracts';
+import { TRIAL_MODEL } from '../_lib/trialSystem.ts';
+
+/** Settings of the one entry of the benchmark. */
+export const entrySettings = {
+  entryId: 'entry-1',
+  region: 'region-1',
+  dataCentre: 'dc-1',
+  host: '127.0.0.1',
+  callers: { port: 8_301 },
+  operators: { port: 8_311, token: { env: 'ENDIVEGATE_OPERATOR_TOKEN' } },
+  peers: { port: 8_321 },
+  platform: { url: 'http://127.0.0.1:4300' },
+  log: { level: 'warn' },
+};
+
+/** Instance list of the benchmark: one engine. */
+export const instanceList: InstanceList = {
+  entries: [],
+  targets: [
+    {
+      targetId: 'engine-1',
+      targetKind: 'engine',
+      url: 'http://127.0.0.1:4301',
+      region: 'region-1',
+      dataCentre: 'dc-1',
+      serves: [TRIAL_MODEL],
+      kvCapacityTokens: 400_000,
+      checksFencing: true,
+      hasKeyLookup: false,
+      leaving: false,
+    },
+  ],
+};
--- /dev/null
+++ b/bench/path/main.ts
@@ -0,0 +1,271 @@
+import { mkdir, writeFile } from 'node:fs/promises';
+import { cpus } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { parseArgs } from 'node:util';
+import { Agent } from 'undici';
+import {
+  callEngine,
+  callEntry,
+  type StreamedAnswer,
+} from '../_lib/callPrompt.ts';
+import { paceCalls } from '../_lib/paceCalls.ts';
+import { percentile } from '../_lib/percentile.ts';
+import { processorMs, residentMb } from '../_lib/processUsage.ts';
+import {
+  loadTable,
+  startEntry,
+  startStandIn,
+  stopAll,
+  TRIAL_MODEL,
+  WORKSPACE_TOKEN,
+} from '../_lib/trialSystem.ts';
+import type { TrialProcess } from '../_lib/startProcess.ts';
+import { untilOk } from '../_lib/untilOk.ts';
+import { entrySettings, instanceList } from './config.ts';
+
+const HELP = `Usage: npm run bench:path -- [options]
+
+Compares streamed answers through one entry with the same engine called directly.
+
+  --seconds N     Length of each step (10)
+  --rates LIST    Rates of the search for the highest one (200,400,800,1200)
+  --streams N     Open streams of the memory measurement (1000)
+  --out DIR       Directory of results (bench/out/path)
+  --help          This text
+`;
+
+const ENTRY_URL = 'http://127.0.0.1:8301';
+const ENGINE_URL = 'http://127.0.0.1:4301';
+const PLATFORM_URL = 'http://127.0.0.1:4300';
+const COMPARED_RATE = 100;
+const MAX_TOKENS = 16;
+const WARM_UP_MS = 3_000;
+const MS_PER_SECOND = 1_000;
+
+/** A rate counts as held when so many percent are whole and in time. */
+const HELD_PERCENT = 99;
+const HELD_FIRST_TOKEN_MS = 100;
+
+const dispatcher = new Agent({ connections: null, pipelining: 1 });
+let calls = 0;
+
+function nextPrompt(): string {
+  calls += 1;
+  return `Question ${calls}: ${'who is next in the rota? '.repeat(8)}`;
+}
+
+function viaEntry(maxTokens = MAX_TOKENS): Promise<StreamedAnswer> {
+  return callEntry({
+    entryUrl: ENTRY_URL,
+    token: WORKSPACE_TOKEN,
+    model: TRIAL_MODEL,
+    prompt: nextPrompt(),
+    maxTokens,
+    dispatcher,
+  });
+}
+
+function direct(): Promise<StreamedAnswer> {
+  return callEngine({
+    engineUrl: ENGINE_URL,
+    attemptId: `direct-${calls}`,
+    model: TRIAL_MODEL,
+    prompt: nextPrompt(),
+    maxTokens: MAX_TOKENS,
+    dispatcher,
+  });
+}
+
+/** Times of one way of calling, in milliseconds. */
+interface Times {
+  readonly firstTokenP50Ms: number;
+  readonly firstTokenP99Ms: number;
+  readonly totalP50Ms: number;
+  readonly totalP99Ms: number;
+  readonly wholePercent: number;
+}
+
+function timesOf(answers: readonly StreamedAnswer[]): Times {
+  const first = answers.map((answer) => answer.firstTokenMs ?? Infinity);
+  const total = answers.map((answer) => answer.totalMs);
+  const whole = answers.filter((answer) => answer.isWhole).length;
+  return {
+    firstTokenP50Ms: round(percentile(first, 50)),
+    firstTokenP99Ms: round(percentile(first, 99)),
+    totalP50Ms: round(percentile(total, 50)),
+    totalP99Ms: round(percentile(total, 99)),
+    wholePercent: round((100 * whole) / answers.length),
+  };
+}
+
+/** Calls both ways in turn, each at the compared rate. */
+async function compare(entry: TrialProcess, durationMs: number) {
+  const usedBeforeMs = await processorMs(entry.pid);
+  const answers = await paceCalls(
+    (index) => (index % 2 === 0 ? direct() : viaEntry()),
+    { callsPerSecond: 2 * COMPARED_RATE, durationMs },
+  );
+  const usedMs = (await processorMs(entry.pid)) - usedBeforeMs;
+  const direct_ = timesOf(answers.filter((_, index) => index % 2 === 0));
+  const entry_ = timesOf(answers.filter((_, index) => index % 2 === 1));
+  return {
+    callsPerSecond: COMPARED_RATE,
+    direct: direct_,
+    entry: entry_,
+    added: {
+      firstTokenP50Ms: round(entry_.firstTokenP50Ms - direct_.firstTokenP50Ms),
+      firstTokenP99Ms: round(entry_.firstTokenP99Ms - direct_.firstTokenP99Ms),
+      totalP50Ms: round(entry_.totalP50Ms - direct_.totalP50Ms),
+      totalP99Ms: round(entry_.totalP99Ms - direct_.totalP99Ms),
+    },
+    processorMsPerCall: round(usedMs / (answers.length / 2)),
+  };
+}
+
+/** Raises the rate until the entry no longer holds it. */
+async function findHighestRate(
+  entry: TrialProcess,
+  rates: readonly number[],
+  durationMs: number,
+) {
+  const steps = [];
+  for (const callsPerSecond of rates) {
+    const engineOnly = timesOf(
+      await paceCalls(direct, { callsPerSecond, durationMs }),
+    );
+    const usedBeforeMs = await processorMs(entry.pid);
+    const answers = await paceCalls(() => viaEntry(), {
+      callsPerSecond,
+      durationMs,
+    });
+    const usedMs = (await processorMs(entry.pid)) - usedBeforeMs;
+    const held = answers.filter(
+      (answer) =>
+        answer.isWhole &&
+        (answer.firstTokenMs ?? Infinity) <= HELD_FIRST_TOKEN_MS,
+    ).length;
+    const heldPercent = round((100 * held) / answers.length);
+    steps.push({
+      callsPerSecond,
+      direct: engineOnly,
+      entry: timesOf(answers),
+      ends: endsOf(answers),
+      heldPercent,
+      processorMsPerCall: round(usedMs / answers.length),
+    });
+    if (heldPercent < HELD_PERCENT) break;
+  }
+  return steps;
+}
+
+/** Opens many slow streams and reads the entry's memory. */
+async function measureMemory(entry: TrialProcess, streams: number) {
+  const idleMb = await residentMb(entry.pid);
+  const opened = Array.from({ length: streams }, () => viaEntry(96));
+  await sleep(5 * MS_PER_SECOND);
+  const openMb = await residentMb(entry.pid);
+  const answers = await Promise.all(opened);
+  return {
+    streams,
+    idleMb: round(idleMb),
+    openMb: round(openMb),
+    kbPerStream: round(((openMb - idleMb) * 1_024) / streams),
+    ends: endsOf(answers),
+  };
+}
+
+/** Runs one measurement on a fresh system. */
+async function withSystem<Result>(
+  outDir: string,
+  engineArgs: readonly string[],
+  measure: (entry: TrialProcess) => Promise<Result>,
+): Promise<Result> {
+  const settingsFile = join(outDir, 'entry-1.json');
+  const instancesFile = join(outDir, 'instances.json');
+  await mkdir(outDir, { recursive: true });
+  await writeFile(settingsFile, JSON.stringify(entrySettings));
+  await writeFile(instancesFile, JSON.stringify(instanceList));
+  const started: TrialProcess[] = [];
+  const standIn = (name: string, args: readonly string[]): void => {
+    started.push(startStandIn(name, args, { outDir }));
+  };
+  try {
+    standIn('platform', [
+      ...['platform', '--port', '4300', '--instances', instancesFile],
+    ]);
+    standIn('engine-1', [
+      ...['engine', '--port', '4301', '--model', TRIAL_MODEL],
+      ...engineArgs,
+    ]);
+    await loadTable(PLATFORM_URL, 'examples/trial/table.jsonc');
+    const entry = startEntry('entry-1', settingsFile, { outDir });
+    started.push(entry);
+    await untilOk(`${ENTRY_URL}/readyz`);
+    return await measure(entry);
+  } finally {
+    await stopAll(started);
+  }
+}
+
+/** Counts answers by what they came to. */
+function endsOf(answers: readonly StreamedAnswer[]): Record<string, number> {
+  return answers.reduce<Record<string, number>>((counts, answer) => {
+    const end = answer.isWhole ? 'whole' : (answer.errorCode ?? 'cut');
+    return { ...counts, [end]: (counts[end] ?? 0) + 1 };
+  }, {});
+}
+
+const QUICK_ENGINE = [
+  ...['--decode-step-ms', '2', '--decode-step-per-sequence-ms', '0'],
+  ...['--max-batch', '4000'],
+  ...['--prefill-tokens-per-second', '10000000'],
+];
+const SLOW_ENGINE = [
+  ...['--decode-step-ms', '200', '--decode-step-per-sequence-ms', '0'],
+  ...['--max-batch', '4000'],
+  ...['--prefill-tokens-per-second', '10000000'],
+];
+
+async function main(): Promise<void> {
+  const { values } = parseArgs({
+    options: {
+      seconds: { type: 'string', default: '10' },
+      rates: { type: 'string', default: '200,400,800,1200' },
+      streams: { type: 'string', default: '1000' },
+      out: { type: 'string', default: 'bench/out/path' },
+      help: { type: 'boolean', default: false },
+    },
+  });
+  if (values.help) {
+    process.stdout.write(HELP);
+    return;
+  }
+  const durationMs = Number(values.seconds) * MS_PER_SECOND;
+  const rates = values.rates.split(',').map(Number);
+  const timed = await withSystem(values.out, QUICK_ENGINE, async (entry) => {
+    await compare(entry, WARM_UP_MS);
+    return {
+      compared: await compare(entry, durationMs),
+      steps: await findHighestRate(entry, rates, durationMs),
+    };
+  });
+  const memory = await withSystem(values.out, SLOW_ENGINE, (entry) =>
+    measureMemory(entry, Number(values.streams)),
+  );
+  const results = { cores: cpus().length, ...timed, memory };
+  const file = join(values.out, 'results.json');
+  await writeFile(file, JSON.stringify(results, null, 2));
+  process.stdout.write(`${JSON.stringify(results, null, 2)}\n${file}\n`);
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+main()
+  .catch((error: unknown) => {
+    process.stderr.write(`${String(error)}\n`);
+    process.exitCode = 1;
+  })
+  .finally(() => void dispatcher.destroy());
--- a/packages/stand-ins/src/parseStandInCommand/index.ts
+++ b/packages/stand-ins/src/parseStandInCommand/index.ts
@@ -21,7 +21,8 @@
 Kinds:
   engine      --id NAME --model NAME [--model NAME ...] --time-scale N
               --kv-capacity-tokens N --prefill-tokens-per-second N
-              --ignores-fencing
+              --decode-step-ms N --decode-step-per-sequence-ms N
+              --max-batch N --ignores-fencing
   service     --id NAME --service NAME --latency-ms N --no-key-lookup
   platform    --instances FILE --instances-lag-ms N
               --reads-per-second N --writes-per-second N
@@ -40,6 +41,9 @@
   'time-scale',
   'kv-capacity-tokens',
   'prefill-tokens-per-second',
+  'decode-step-ms',
+  'decode-step-per-sequence-ms',
+  'max-batch',
   'latency-ms',
   'instances-lag-ms',
   'reads-per-second',
@@ -105,6 +109,9 @@
     timeScale: numberOf(values, 'time-scale'),
     kvCapacityTokens: numberOf(values, 'kv-capacity-tokens'),
     prefillTokensPerSecond: numberOf(values, 'prefill-tokens-per-second'),
+    decodeStepMs: numberOf(values, 'decode-step-ms'),
+    decodeStepPerSequenceMs: numberOf(values, 'decode-step-per-sequence-ms'),
+    maxBatch: numberOf(values, 'max-batch'),
   });
 }
 
@@ -158,6 +165,9 @@
       'time-scale': text,
       'kv-capacity-tokens': text,
       'prefill-tokens-per-second': text,
+      'decode-step-ms': text,
+      'decode-step-per-sequence-ms': text,
+      'max-batch': text,
       'latency-ms': text,
       'instances-lag-ms': text,
       'reads-per-second': text,
