--- a/packages/daemon/src/peers/createPeerClient/index.ts
+++ b/packages/daemon/src/peers/createPeerClient/index.ts
@@ -40,6 +40,11 @@
 
 /** Calls to other entries. */
 export interface PeerClient {
+  /** Waits until there is a connection; sends nothing of a call. */
+  readonly connect: (
+    peer: PeerAddress,
+    timeoutMs: number,
+  ) => TE.TaskEither<PeerError, void>;
   readonly probe: (
     peer: PeerAddress,
     timeoutMs?: number,
@@ -117,6 +122,16 @@
   });
 
   return {
+    connect: (peer, timeoutMs) => () =>
+      new Promise((resolve) => {
+        clientOf(peer).waitForReady(Date.now() + timeoutMs, (error) => {
+          resolve(
+            error
+              ? E.left({ type: 'unreachable', reason: error.message })
+              : E.right(undefined),
+          );
+        });
+      }),
     probe: (peer, timeoutMs) =>
       unary((done) =>
         clientOf(peer).probe({}, new Metadata(), within(timeoutMs), done),
--- /dev/null
+++ b/packages/daemon/src/relay/registerRelay/index.ts
@@ -0,0 +1,184 @@
+import type { EntryAddress } from '@endivegate/contracts';
+import type { RelayAnswerHead } from '@endivegate/contracts/peers';
+import type { NewRequestDecision, RefuseNewRequest } from '@endivegate/core';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import * as E from 'fp-ts/lib/Either.js';
+import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import type { PeerClient } from '../../peers/index.ts';
+import { relayRequest, type RelayError } from '../relayRequest/index.ts';
+import { RELAYED_HEADER, relayHeaders } from '../serveLocally/index.ts';
+
+/** Options of {@link registerRelay}. */
+export interface RegisterRelayOptions {
+  readonly client: Pick<PeerClient, 'openRelay' | 'connect'>;
+  /** Decides whether this entry takes a new request. */
+  readonly decide: () => NewRequestDecision;
+  /**
+   * Returns the entries to relay a request to, best first; none when this
+   * entry is to serve it.
+   */
+  readonly homesFor: (request: FastifyRequest) => readonly EntryAddress[];
+  /** Answers a request that is refused as not run. */
+  readonly refuse: (
+    reply: FastifyReply,
+    refusal: RefuseNewRequest,
+  ) => FastifyReply;
+  /** Ends an answer that broke off, as far as its caller can be told. */
+  readonly cutOff?: (response: ServerResponse, requestId: string) => void;
+  readonly timeoutMs?: number;
+}
+
+/** Largest time a relayed request may take. */
+const RELAY_TIMEOUT_MS = 900_000;
+
+/** Homes tried before the entry serves a request itself. */
+const MAX_HOMES_TRIED = 2;
+
+/**
+ * Makes a callers' server relay requests that landed on the wrong entry.
+ *
+ * A request that was relayed is served here in any case. When no home can be
+ * reached, and nothing was sent, the entry serves the request itself.
+ *
+ * @param server - The callers' server, before it listens.
+ * @param options - Where to relay to, and what to answer otherwise.
+ */
+export function registerRelay(
+  server: FastifyInstance,
+  options: RegisterRelayOptions,
+): void {
+  server.addHook('preHandler', async (request, reply) => {
+    if (request.method !== 'POST' || request.headers[RELAYED_HEADER] === '1') {
+      return;
+    }
+    const decision = options.decide();
+    if (decision.type === 'refuse') return options.refuse(reply, decision);
+    const homes = options.homesFor(request).slice(0, MAX_HOMES_TRIED);
+    const handled = await relayToFirst(homes, { request, reply, options });
+    if (handled || decision.type === 'serve') return;
+    // A leaving entry starts nothing itself.
+    return options.refuse(reply, REFUSED_BY_LEAVING);
+  });
+}
+
+const REFUSED_BY_LEAVING: RefuseNewRequest = {
+  type: 'refuse',
+  reason: 'leaving',
+  retryAfterMs: 0,
+};
+
+interface RelayContext {
+  readonly request: FastifyRequest;
+  readonly reply: FastifyReply;
+  readonly options: RegisterRelayOptions;
+}
+
+/**
+ * Tries homes in order while nothing has been sent to any of them; returns
+ * whether the request was answered.
+ */
+async function relayToFirst(
+  homes: readonly EntryAddress[],
+  context: RelayContext,
+): Promise<boolean> {
+  const [home, ...others] = homes;
+  if (!home) return false;
+  const error = await relayTo(home, context);
+  if (error === undefined) return true;
+  if (error.type === 'cut') {
+    endCut(context);
+    return true;
+  }
+  return relayToFirst(others, context);
+}
+
+/** Relays to one entry; returns why there is no whole answer. */
+async function relayTo(
+  home: EntryAddress,
+  { request, reply, options }: RelayContext,
+): Promise<RelayError | undefined> {
+  const caller = new AbortController();
+  const response = reply.raw;
+  const onClose = () => {
+    if (!response.writableFinished) caller.abort();
+  };
+  response.once('close', onClose);
+  const end = await relayRequest(
+    home,
+    {
+      head: {
+        requestId: request.id,
+        method: request.method,
+        path: request.url,
+        headers: {
+          ...relayHeaders(request.headers),
+          'x-request-id': request.id,
+        },
+        hops: 1,
+        timeoutMs: options.timeoutMs ?? RELAY_TIMEOUT_MS,
+      },
+      body: bodyBytes(request.body),
+      signal: caller.signal,
+      sink: {
+        writeHead: (head) => {
+          writeHead(reply, head);
+        },
+        writeChunk: (chunk) => writeChunk(response, chunk, caller.signal),
+      },
+    },
+    { client: options.client },
+  )();
+  response.off('close', onClose);
+  if (E.isLeft(end)) return end.left;
+  response.end();
+  return undefined;
+}
+
+function writeHead(reply: FastifyReply, head: RelayAnswerHead): void {
+  reply.hijack();
+  reply.raw.writeHead(head.status, head.headers);
+}
+
+async function writeChunk(
+  response: ServerResponse,
+  chunk: Uint8Array,
+  signal: AbortSignal,
+): Promise<void> {
+  if (!response.write(chunk)) await once(response, 'drain', { signal });
+}
+
+/** A request that may have run is not sent again from here. */
+function endCut({ request, reply, options }: RelayContext): void {
+  const response = reply.raw;
+  if (!response.headersSent) {
+    reply.hijack();
+    response.writeHead(502, {
+      'content-type': 'application/json',
+      'endivegate-ran': 'unknown',
+      'x-request-id': request.id,
+    });
+    response.end(
+      JSON.stringify({
+        error: {
+          message: 'The entry that served the request broke off.',
+          type: 'server_error',
+          code: 'relay_cut',
+          param: null,
+          ran: 'unknown',
+          request_id: request.id,
+          retry_after_ms: null,
+        },
+      }),
+    );
+    return;
+  }
+  if (options.cutOff) options.cutOff(response, request.id);
+  else response.destroy();
+}
+
+function bodyBytes(body: unknown): Uint8Array {
+  if (body === undefined || body === null) return new Uint8Array();
+  if (body instanceof Uint8Array) return body;
+  return Buffer.from(typeof body === 'string' ? body : JSON.stringify(body));
+}
--- /dev/null
+++ b/packages/daemon/src/relay/serveLocally/index.ts
@@ -0,0 +1,68 @@
+import { request } from 'undici';
+import { toRan } from '../toRan/index.ts';
+import type { RelayedAnswer, RelayedRequest } from '../serveRelay/index.ts';
+
+/** Header that marks a request as relayed, so that it is not relayed again. */
+export const RELAYED_HEADER = 'endivegate-relayed';
+
+/** Header that tells whether a request ran. */
+const RAN_HEADER = 'endivegate-ran';
+
+/** Headers that belong to one connection and are not handed on. */
+const CONNECTION_HEADERS = new Set([
+  'connection',
+  'content-length',
+  'host',
+  'keep-alive',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+]);
+
+/**
+ * Leaves out the headers that belong to one connection.
+ *
+ * @param headers - Headers as received.
+ * @returns The headers to hand on, one value each.
+ */
+export function relayHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string> {
+  return Object.fromEntries(
+    Object.entries(headers).flatMap(([name, value]) =>
+      value === undefined || CONNECTION_HEADERS.has(name)
+        ? []
+        : [[name, Array.isArray(value) ? value.join(', ') : value]],
+    ),
+  );
+}
+
+/**
+ * Creates a function that serves relayed requests through this entry's own
+ * callers' server, so that they pass the same checks as all others.
+ *
+ * @param callersUrl - Base URL of the callers' server.
+ * @returns The function, for `serveRelay`.
+ */
+export function serveLocally(
+  callersUrl: string,
+): (relayed: RelayedRequest) => Promise<RelayedAnswer> {
+  return async ({ head, body, signal }) => {
+    const answer = await request(`${callersUrl}${head.path}`, {
+      method: head.method,
+      headers: { ...head.headers, [RELAYED_HEADER]: '1' },
+      body: body.length === 0 ? null : Buffer.from(body),
+      headersTimeout: head.timeoutMs,
+      bodyTimeout: head.timeoutMs,
+      signal,
+    });
+    const headers = relayHeaders(answer.headers);
+    return {
+      head: { status: answer.statusCode, headers },
+      chunks: answer.body,
+      ran: () => toRan(headers[RAN_HEADER]),
+    };
+  };
+}
