--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -9,3 +9,4 @@
 export * from './relay/index.ts';
 export * from './runtime/index.ts';
 export * from './timeline/index.ts';
+export * from './seedTable/index.ts';
