Measure what an entry adds to a streamed answer

Cause: the target of 2 ms at p99 needs a comparison in one run with the engine called directly. Change: npm run bench:path calls the same engine in turn with and without the entry at 100/s, raises the rate until it no longer holds, and reads the entry's memory with slow streams open. Conclusion: the target is not shown to be met; a run on a quiet machine is needed.

--- a/bench/path/config.ts
+++ b/bench/path/config.ts
@@ -14,14 +14,22 @@
   log: { level: 'warn' },
 };
 
-/** Instance list of the benchmark: one engine. */
-export const instanceList: InstanceList = {
-  entries: [],
-  targets: [
-    {
-      targetId: 'engine-1',
+/** Port of the first engine; the others follow. */
+export const FIRST_ENGINE_PORT = 4_301;
+
+/**
+ * Returns the instance list of the benchmark.
+ *
+ * @param engines - How many engines run.
+ * @returns The list: no entries, and the engines.
+ */
+export function instanceListOf(engines: number): InstanceList {
+  return {
+    entries: [],
+    targets: Array.from({ length: engines }, (_, index) => ({
+      targetId: `engine-${index + 1}`,
       targetKind: 'engine',
-      url: 'http://127.0.0.1:4301',
+      url: `http://127.0.0.1:${FIRST_ENGINE_PORT + index}`,
       region: 'region-1',
       dataCentre: 'dc-1',
       serves: [TRIAL_MODEL],
@@ -29,6 +37,6 @@
       checksFencing: true,
       hasKeyLookup: false,
       leaving: false,
-    },
-  ],
-};
+    })),
+  };
+}
--- a/bench/path/main.ts
+++ b/bench/path/main.ts
@@ -22,7 +22,7 @@
 } from '../_lib/trialSystem.ts';
 import type { TrialProcess } from '../_lib/startProcess.ts';
 import { untilOk } from '../_lib/untilOk.ts';
-import { entrySettings, instanceList } from './config.ts';
+import { entrySettings, FIRST_ENGINE_PORT, instanceListOf } from './config.ts';
 
 const HELP = `Usage: npm run bench:path -- [options]
 
@@ -40,7 +40,14 @@
 const PLATFORM_URL = 'http://127.0.0.1:4300';
 const COMPARED_RATE = 100;
 const MAX_TOKENS = 16;
-const WARM_UP_MS = 3_000;
+const WARM_UP_MS = 8_000;
+
+/** Slow streams of the memory measurement are opened over this time. */
+const OPENING_MS = 5_000;
+const SETTLING_MS = 2_000;
+
+/** Output of a slow stream; at 200 ms a token all are open together. */
+const OPEN_STREAM_TOKENS = 96;
 const MS_PER_SECOND = 1_000;
 
 /** A rate counts as held when so many percent are whole and in time. */
@@ -159,15 +166,20 @@
   return steps;
 }
 
-/** Opens many slow streams and reads the entry's memory. */
+/** Opens slow streams and reads the entry's memory. */
 async function measureMemory(entry: TrialProcess, streams: number) {
   const idleMb = await residentMb(entry.pid);
-  const opened = Array.from({ length: streams }, () => viaEntry(96));
-  await sleep(5 * MS_PER_SECOND);
+  const opening = paceCalls(() => viaEntry(OPEN_STREAM_TOKENS), {
+    callsPerSecond: (streams * MS_PER_SECOND) / OPENING_MS,
+    durationMs: OPENING_MS,
+  });
+  await sleep(OPENING_MS + SETTLING_MS);
   const openMb = await residentMb(entry.pid);
-  const answers = await Promise.all(opened);
+  const answers = await opening;
   return {
     streams,
+    stillOpen: answers.filter((one) => one.totalMs > SETTLING_MS + OPENING_MS)
+      .length,
     idleMb: round(idleMb),
     openMb: round(openMb),
     kbPerStream: round(((openMb - idleMb) * 1_024) / streams),
@@ -178,14 +190,14 @@
 /** Runs one measurement on a fresh system. */
 async function withSystem<Result>(
   outDir: string,
-  engineArgs: readonly string[],
+  engines: { readonly count: number; readonly args: readonly string[] },
   measure: (entry: TrialProcess) => Promise<Result>,
 ): Promise<Result> {
   const settingsFile = join(outDir, 'entry-1.json');
   const instancesFile = join(outDir, 'instances.json');
   await mkdir(outDir, { recursive: true });
   await writeFile(settingsFile, JSON.stringify(entrySettings));
-  await writeFile(instancesFile, JSON.stringify(instanceList));
+  await writeFile(instancesFile, JSON.stringify(instanceListOf(engines.count)));
   const started: TrialProcess[] = [];
   const standIn = (name: string, args: readonly string[]): void => {
     started.push(startStandIn(name, args, { outDir }));
@@ -194,10 +206,12 @@
     standIn('platform', [
       ...['platform', '--port', '4300', '--instances', instancesFile],
     ]);
-    standIn('engine-1', [
-      ...['engine', '--port', '4301', '--model', TRIAL_MODEL],
-      ...engineArgs,
-    ]);
+    Array.from({ length: engines.count }, (_, index) => {
+      standIn(`engine-${index + 1}`, [
+        ...['engine', '--port', String(FIRST_ENGINE_PORT + index)],
+        ...['--model', TRIAL_MODEL, ...engines.args],
+      ]);
+    });
     await loadTable(PLATFORM_URL, 'examples/trial/table.jsonc');
     const entry = startEntry('entry-1', settingsFile, { outDir });
     started.push(entry);
@@ -216,17 +230,21 @@
   }, {});
 }
 
-const QUICK_ENGINE = [
+const QUICK_ARGS = [
   ...['--decode-step-ms', '2', '--decode-step-per-sequence-ms', '0'],
   ...['--max-batch', '4000'],
   ...['--prefill-tokens-per-second', '10000000'],
 ];
-const SLOW_ENGINE = [
+const SLOW_ARGS = [
   ...['--decode-step-ms', '200', '--decode-step-per-sequence-ms', '0'],
   ...['--max-batch', '4000'],
   ...['--prefill-tokens-per-second', '10000000'],
 ];
 
+/** One engine for times; several, so that none refuses, for memory. */
+const QUICK_ENGINE = { count: 1, args: QUICK_ARGS };
+const SLOW_ENGINES = { count: 8, args: SLOW_ARGS };
+
 async function main(): Promise<void> {
   const { values } = parseArgs({
     options: {
@@ -250,7 +268,7 @@
       steps: await findHighestRate(entry, rates, durationMs),
     };
   });
-  const memory = await withSystem(values.out, SLOW_ENGINE, (entry) =>
+  const memory = await withSystem(values.out, SLOW_ENGINES, (entry) =>
     measureMemory(entry, Number(values.streams)),
   );
   const results = { cores: cpus().length, ...timed, memory };
