Drive the table and see the fleet from endivegatectl

Cause: operators had no command line. It starts no process: edits come from arguments, a file or standard input. Conclusion: to be tried against a running entry once the admin server is started by createEntry.

--- /dev/null
+++ b/packages/cli/src/createAdminClient/index.ts
@@ -0,0 +1,139 @@
+import { adminErrorBodySchema } from '@endivegate/contracts';
+import * as E from 'fp-ts/lib/Either.js';
+import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
+import { request } from 'undici';
+import type { z } from 'zod';
+import type { CliError } from '../cliError.ts';
+import { EXIT_CODE_OF_ERROR, EXIT_CODES } from '../exitCodes.ts';
+
+/** A call of the operators' API. */
+export interface AdminCall<Schema extends z.ZodType> {
+  readonly method?: 'GET' | 'POST' | 'DELETE';
+  readonly path: string;
+  readonly query?: Readonly<Record<string, string | undefined>>;
+  readonly body?: unknown;
+  /** Schema of the answer. */
+  readonly schema: Schema;
+}
+
+/** Calls of one entry's operators' API. */
+export type AdminClient = <Schema extends z.ZodType>(
+  call: AdminCall<Schema>,
+) => TaskEither<CliError, z.output<Schema>>;
+
+/** Options of {@link createAdminClient}. */
+export interface CreateAdminClientOptions {
+  /** Root of the entry's operators' API. */
+  readonly url: string;
+  readonly token: string;
+  /** Time for a whole call. */
+  readonly timeoutMs?: number;
+}
+
+/** Longer than the entry itself tries to settle an edit. */
+const CALL_TIMEOUT_MS = 60_000;
+
+/**
+ * Creates the calls of one entry's operators' API.
+ *
+ * @param options - Address and token.
+ * @returns The calls.
+ *
+ * @example
+ * const call = createAdminClient({ url, token });
+ * await call({ path: '/v1/members', schema: membersBodySchema })();
+ */
+export function createAdminClient(
+  options: CreateAdminClientOptions,
+): AdminClient {
+  const timeoutMs = options.timeoutMs ?? CALL_TIMEOUT_MS;
+  return (call) => async () => {
+    const sent = await send(options, call, timeoutMs);
+    if (E.isLeft(sent)) return sent;
+    const { status, body } = sent.right;
+    if (status >= 400) return E.left(errorOf(status, body));
+    const parsed = call.schema.safeParse(body);
+    return parsed.success
+      ? E.right(parsed.data)
+      : E.left({
+          exitCode: EXIT_CODES.failed,
+          message: 'The answer does not have the expected form.',
+        });
+  };
+}
+
+interface Answer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+async function send(
+  options: CreateAdminClientOptions,
+  call: AdminCall<z.ZodType>,
+  timeoutMs: number,
+): Promise<E.Either<CliError, Answer>> {
+  const headers = {
+    authorization: `Bearer ${options.token}`,
+    ...(call.body === undefined ? {} : { 'content-type': 'application/json' }),
+  };
+  try {
+    const url = urlOf(options.url, call);
+    const reply = await request(url, {
+      method: call.method ?? 'GET',
+      headers,
+      body: call.body === undefined ? null : JSON.stringify(call.body),
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    return E.right({
+      status: reply.statusCode,
+      body: parseJson(await reply.body.text()),
+    });
+  } catch (error) {
+    return E.left(unreachable(options.url, call, error));
+  }
+}
+
+/** A call that changes something may have been done although it broke. */
+function unreachable(
+  url: string,
+  call: AdminCall<z.ZodType>,
+  error: unknown,
+): CliError {
+  const reason = error instanceof Error ? error.message : String(error);
+  const isRefused =
+    error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+  const isInDoubt = (call.method ?? 'GET') !== 'GET' && !isRefused;
+  return {
+    exitCode: isInDoubt ? EXIT_CODES.inDoubt : EXIT_CODES.entryUnreachable,
+    message: `No answer from ${url}: ${reason}`,
+  };
+}
+
+function urlOf(root: string, call: AdminCall<z.ZodType>): URL {
+  const url = new URL(call.path, root);
+  Object.entries(call.query ?? {}).forEach(([name, value]) => {
+    if (value !== undefined) url.searchParams.set(name, value);
+  });
+  return url;
+}
+
+function errorOf(status: number, body: unknown): CliError {
+  const parsed = adminErrorBodySchema.safeParse(body);
+  if (!parsed.success) {
+    return {
+      exitCode: EXIT_CODES.failed,
+      message: `The entry answered with status ${status}.`,
+    };
+  }
+  const { type, message, conflicts, findings } = parsed.data.error;
+  return { exitCode: EXIT_CODE_OF_ERROR[type], message, conflicts, findings };
+}
+
+function parseJson(text: string): unknown {
+  return E.toUnion(
+    E.tryCatch(
+      () => JSON.parse(text) as unknown,
+      () => undefined,
+    ),
+  );
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -3,4 +3,6 @@
  *
  * @packageDocumentation
  */
-export {};
+export * from './createAdminClient/index.ts';
+export * from './exitCodes.ts';
+export * from './runCommandLine/index.ts';
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,2 +1,7 @@
 #!/usr/bin/env node
-process.stdout.write('endivegatectl 0.1.0\n');
+import { createHost } from './createHost.ts';
+import { runCommandLine } from './runCommandLine/index.ts';
+
+void runCommandLine(process.argv.slice(2), createHost()).then((exitCode) => {
+  process.exitCode = exitCode;
+});
--- a/packages/core/src/importTableCsv/index.ts
+++ b/packages/core/src/importTableCsv/index.ts
@@ -5,12 +5,8 @@
   TableFinding,
   TableSection,
 } from '@endivegate/contracts';
-import {
-  LIST_COLUMNS,
-  LIST_SEPARATOR,
-  RECORD_SCHEMAS,
-  tableCsvColumns,
-} from '../tableCsvColumns/index.ts';
+import { parseTableCell } from '../parseTableCell/index.ts';
+import { RECORD_SCHEMAS, tableCsvColumns } from '../tableCsvColumns/index.ts';
 
 /** Options of {@link importTableCsv}. */
 export interface ImportTableCsvOptions {
@@ -101,36 +97,11 @@
   return Object.fromEntries(
     Object.entries(record)
       .filter(([column]) => known.has(column))
-      .map(([column, cell]) => [column, toValue(column, cell)] as const)
+      .map(([column, cell]) => [column, parseTableCell(column, cell)] as const)
       .filter(([, value]) => value !== undefined),
   );
 }
 
-/** Text columns keep their text; others hold numbers and booleans. */
-const TEXT_COLUMNS: ReadonlySet<string> = new Set([
-  'workspace',
-  'service',
-  'kind',
-  'model',
-  'version',
-]);
-
-function toValue(column: string, cell: string): unknown {
-  if (LIST_COLUMNS.has(column)) {
-    return cell === '' ? [] : cell.split(LIST_SEPARATOR).map(unescapeFormula);
-  }
-  if (cell === '') return undefined;
-  if (TEXT_COLUMNS.has(column)) return unescapeFormula(cell);
-  const lower = cell.toLowerCase();
-  if (lower === 'true' || lower === 'false') return lower === 'true';
-  const number = Number(cell);
-  return Number.isNaN(number) ? cell : number;
-}
-
-function unescapeFormula(text: string): string {
-  return /^'[=+\-@\t\r]/.test(text) ? text.slice(1) : text;
-}
-
 function messageOf(error: unknown): string {
   return error instanceof Error ? error.message : String(error);
 }
