--- /dev/null
+++ b/packages/contracts/src/peerMessages/index.ts
@@ -0,0 +1,1 @@
+export * from './routing/index.ts';
--- a/packages/core/src/routing/_lib/messages.ts
+++ b/packages/core/src/routing/_lib/messages.ts
@@ -1,10 +1,11 @@
+import type { RoutingMessage } from '@endivegate/contracts';
 import type { EventBase } from '../../events/index.ts';
 import { addDemand, takeDemand } from './demand.ts';
 import { placerOf } from './peers.ts';
 import { takeGrant, takeRefusal } from './placing.ts';
 import { noteEnded, notePrefilled, want } from './placer.ts';
 import { andThen, withEffects } from './requests.ts';
-import type { RoutingMessage, RoutingState, RoutingStep } from './types.ts';
+import type { RoutingState, RoutingStep } from './types.ts';
 
 /** Handles a message of another entry, or of this one to itself. */
 export function handleMessage(
--- a/packages/core/src/routing/_lib/placer.ts
+++ b/packages/core/src/routing/_lib/placer.ts
@@ -1,4 +1,4 @@
-import type { Target } from '@endivegate/contracts';
+import type { RoutingMessage, Target } from '@endivegate/contracts';
 import type { EventBase } from '../../events/index.ts';
 import {
   planReservation,
@@ -10,7 +10,6 @@
 import type {
   Placement,
   RoutingEffect,
-  RoutingMessage,
   RoutingState,
   RoutingStep,
 } from './types.ts';
--- a/packages/core/src/routing/_lib/placing.ts
+++ b/packages/core/src/routing/_lib/placing.ts
@@ -1,3 +1,4 @@
+import type { RoutingMessage } from '@endivegate/contracts';
 import type { EventBase } from '../../events/index.ts';
 import type { RequestInfo } from '../../request/index.ts';
 import { resolveRow } from '../../resolveRow/index.ts';
@@ -8,7 +9,6 @@
 import type {
   RoutedRequest,
   RoutingEffect,
-  RoutingMessage,
   RoutingState,
   RoutingStep,
 } from './types.ts';
--- a/packages/core/src/routing/_lib/types.ts
+++ b/packages/core/src/routing/_lib/types.ts
@@ -2,6 +2,7 @@
   CacheEvent,
   EntryAddress,
   LoadReport,
+  RoutingMessage,
   Target,
 } from '@endivegate/contracts';
 import type { BucketMap } from '../../bucketMap/index.ts';
@@ -89,54 +90,6 @@
   readonly phase: 'waiting' | 'prefill' | 'decoding';
 }
 
-/** Message between entries about placement of long prompts. */
-export type RoutingMessage =
-  | {
-      readonly type: 'placementWanted';
-      readonly requestId: string;
-      readonly model: string;
-      readonly workspace: string;
-      readonly weight: number;
-      readonly promptTokens: number;
-      readonly needTokens: number;
-      readonly costMs: number;
-      readonly decodeMs: number;
-      readonly remainingMs: number;
-      readonly excludedTargetIds: readonly string[];
-      /** Set when another placing entry granted it before. */
-      readonly held:
-        | {
-            readonly targetId: string;
-            readonly parts: readonly ReservationPart[];
-            readonly phase: 'prefill' | 'decoding';
-          }
-        | undefined;
-    }
-  | {
-      readonly type: 'placementGranted';
-      readonly requestId: string;
-      readonly targetId: string;
-      readonly parts: readonly ReservationPart[];
-    }
-  | {
-      readonly type: 'placementRefused';
-      readonly requestId: string;
-      readonly retryAfterMs: number;
-    }
-  /** The prompt is in the engine's memory; the engine may start another. */
-  | { readonly type: 'placementPrefilled'; readonly requestId: string }
-  | { readonly type: 'placementEnded'; readonly requestId: string }
-  | {
-      readonly type: 'demand';
-      readonly model: string;
-      readonly work: WorkByClass;
-    }
-  | {
-      readonly type: 'lanes';
-      readonly model: string;
-      readonly plan: LanePlan;
-    };
-
 /** State of routing at one entry. */
 export interface RoutingState {
   readonly self: EntryAddress | undefined;
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -33,7 +33,6 @@
   RoutedRequest,
   RoutingEffect,
   RoutingEvent,
-  RoutingMessage,
   RoutingState,
 } from './_lib/types.ts';
 
--- a/packages/daemon/src/createAttemptRunner/index.ts
+++ b/packages/daemon/src/createAttemptRunner/index.ts
@@ -5,7 +5,11 @@
   Target,
   TargetError,
 } from '@endivegate/contracts';
-import type { AttemptEnd, RootEffect } from '@endivegate/core';
+import {
+  enginePriorityOf,
+  type AttemptEnd,
+  type RootEffect,
+} from '@endivegate/core';
 import * as E from 'fp-ts/lib/Either.js';
 import type { Metrics } from '../createMetrics/index.ts';
 import type { OpenRequest, OpenRequests } from '../openRequests/index.ts';
@@ -141,7 +145,7 @@
         prompt: work.type === 'prompt' ? work.prompt : '',
         promptTokens: info.promptTokens,
         maxOutputTokens: info.maxOutputTokens,
-        priority: info.priority,
+        priority: enginePriorityOf(info),
         timeoutMs: effect.timeoutMs,
         reservationId: effect.reservationId,
         prefixHashes: info.prefixHashes,
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -17,6 +17,7 @@
 import { createOpenRequests } from '../openRequests/index.ts';
 import { pollInstances } from '../pollInstances/index.ts';
 import { recordEnd, recordMetrics } from '../recordMetrics/index.ts';
+import { createRoutingHandler } from '../routing/index.ts';
 import { createRuntime, type Runtime } from '../runtime/index.ts';
 import { createTableHandler } from '../table/index.ts';
 
@@ -84,6 +85,14 @@
         findTarget: (targetId) => view.findTarget(targetId),
       }),
       table: table.handle,
+      routing: createRoutingHandler({
+        engines: ports.engines,
+        findTarget: (targetId) => view.findTarget(targetId),
+        notifyPeer: () => Promise.resolve(false),
+        onUnfreed: (targetId, reservationId) => {
+          logger.warn('reservation.unfreed', { targetId, reservationId });
+        },
+      }),
     },
     onEvent: (event) => {
       recordMetrics(metrics, { event, openRequests });
--- /dev/null
+++ b/packages/daemon/src/routing/test.ts
@@ -0,0 +1,74 @@
+import type { EnginePort, Target, TargetError } from '@endivegate/contracts';
+import type { RootEffect } from '@endivegate/core';
+import { expect } from 'chai';
+import * as TE from 'fp-ts/lib/TaskEither.js';
+import type { Runtime, UnstampedEvent } from '../runtime/index.ts';
+import { createRoutingHandler } from './index.ts';
+
+const target = { targetId: 'e1' } as Target;
+const lost: TargetError = { type: 'timedOut' };
+
+function setUp(engines: Partial<EnginePort>) {
+  const events: UnstampedEvent[] = [];
+  const unfreed: string[] = [];
+  const runtime = {
+    dispatch: (event: UnstampedEvent) => events.push(event),
+  } as unknown as Runtime;
+  const handler = createRoutingHandler({
+    engines: engines as EnginePort,
+    findTarget: (id) => (id === 'e1' ? target : undefined),
+    notifyPeer: () => Promise.resolve(true),
+    onUnfreed: (_, reservationId) => unfreed.push(reservationId),
+    sleep: () => Promise.resolve(),
+  });
+  const run = async (effect: RootEffect) => {
+    handler(effect, runtime);
+    await new Promise((resolve) => setImmediate(resolve));
+  };
+  return { events, unfreed, run };
+}
+
+const reserve = (targetId: string): RootEffect => ({
+  type: 'routing.reserve',
+  requestId: 'r1',
+  targetId,
+  reservationId: 'a/1/1',
+  tokens: 10,
+  lifetimeMs: 1_000,
+});
+
+const free: RootEffect = {
+  type: 'routing.free',
+  targetId: 'e1',
+  reservationId: 'a/1/1',
+};
+
+describe('createRoutingHandler', () => {
+  it('answers each reservation, refused for a lost reply or unknown engine', async () => {
+    const granted = setUp({ reserve: () => TE.right(undefined) });
+    await granted.run(reserve('e1'));
+    await granted.run(reserve('gone'));
+    const unsure = setUp({ reserve: () => TE.left(lost) });
+    await unsure.run(reserve('e1'));
+    expect([...granted.events, ...unsure.events]).toMatchSnapshot();
+  });
+
+  it('repeats freeing until the engine has confirmed', async () => {
+    let calls = 0;
+    const { run, unfreed } = setUp({
+      free: () => {
+        calls += 1;
+        return calls < 3 ? TE.left(lost) : TE.right(undefined);
+      },
+    });
+    await run(free);
+    expect(calls).to.equal(3);
+    expect(unfreed).to.deep.equal([]);
+  });
+
+  it('reports memory that stays reserved', async () => {
+    const { run, unfreed } = setUp({ free: () => TE.left(lost) });
+    await run(free);
+    expect(unfreed).to.deep.equal(['a/1/1']);
+  });
+});
