--- a/packages/stand-ins/src/startServiceStandIn/index.ts
+++ b/packages/stand-ins/src/startServiceStandIn/index.ts
@@ -48,6 +48,8 @@
   readonly attemptId: string;
   readonly idempotencyKey: string | undefined;
   readonly path: string;
+  /** Body of the whole answer. */
+  readonly answer: string;
   readonly atMs: number;
 }
 
@@ -171,22 +173,23 @@
     reply: FastifyReply,
     call: { readonly attemptId: string; readonly key: string | undefined },
   ): void {
+    const body = JSON.stringify({
+      service: settings.service,
+      path: request.url,
+      run: runs.length + 1,
+      idempotencyKey: call.key ?? null,
+    });
     const record: ServiceRecord = {
       type: 'ran',
       targetId: settings.targetId,
       attemptId: call.attemptId,
       idempotencyKey: call.key,
       path: request.url,
+      answer: body,
       atMs: performance.now(),
     };
     runs = [...runs, record];
     options.onRecord?.(record);
-    const body = JSON.stringify({
-      service: settings.service,
-      path: request.url,
-      run: runs.length,
-      idempotencyKey: call.key ?? null,
-    });
     if (call.key !== undefined) {
       outcomes.set(call.key, doneOutcome(call.attemptId, body));
     }
