Share limits over the homes by floors and short grants

Cause: each entry would have applied a row's limit alone, so that the homes together used a multiple of it. Change: each home keeps a floor (a tenth of the limit, divided); the rest is granted by the coordinating home for 2 s by max-min fair demand. The coordinator counts grants until they end and requests in flight beyond the floor; a new one waits out its predecessor's grants. A request without a share waits up to 1 s, then is refused as limited.

--- a/packages/contracts/src/peerMessages/index.ts
+++ b/packages/contracts/src/peerMessages/index.ts
@@ -1,1 +1,2 @@
+export * from './limits/index.ts';
 export * from './routing/index.ts';
--- a/packages/contracts/src/peerMessages/routing/index.ts
+++ b/packages/contracts/src/peerMessages/routing/index.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { limitGrantedSchema, limitWantedSchema } from '../limits/index.ts';
 
 const idSchema = z.string().min(1).max(256);
 const countSchema = z.number().int().nonnegative();
@@ -20,7 +21,7 @@
   phase: z.enum(['prefill', 'decoding']),
 });
 
-/** Messages between entries about placing long prompts; topic `routing`. */
+/** Messages between entries about placement and limits; topic `routing`. */
 export const routingMessageSchema = z.discriminatedUnion('type', [
   z.strictObject({
     type: z.literal('placementWanted'),
@@ -62,6 +63,8 @@
     model: idSchema,
     work: workSchema,
   }),
+  limitWantedSchema,
+  limitGrantedSchema,
   z.strictObject({
     type: z.literal('lanes'),
     model: idSchema,
@@ -72,5 +75,5 @@
   }),
 ]);
 
-/** Message between entries about placing long prompts. */
+/** Message between entries about placement and limits. */
 export type RoutingMessage = z.infer<typeof routingMessageSchema>;
--- a/packages/contracts/src/tableRow/index.ts
+++ b/packages/contracts/src/tableRow/index.ts
@@ -32,6 +32,13 @@
 /** One row of the operators' table. */
 export type TableRow = z.infer<typeof tableRowSchema>;
 
+/** Schema of a row's address. */
+export const tableRowKeySchema = tableRowSchema.pick({
+  workspace: true,
+  service: true,
+  kind: true,
+});
+
 /** The value cells of a row, without its address. */
 export type TableCells = Omit<TableRow, 'workspace' | 'service' | 'kind'>;
 
--- a/packages/core/src/routing/_lib/admit.ts
+++ b/packages/core/src/routing/_lib/admit.ts
@@ -10,6 +10,7 @@
   workAt,
 } from './engines.ts';
 import { tagRequest } from './fairQueue.ts';
+import { passLimit } from './limitQueue.ts';
 import { askForPlacement } from './placing.ts';
 import {
   drain,
@@ -19,6 +20,7 @@
   waitingRequests,
 } from './queue.ts';
 import { dispatchTo, keep, refuse } from './requests.ts';
+import { releaseShare } from './limited.ts';
 import { noteWork } from './demand.ts';
 import type { RoutedRequest, RoutingState, RoutingStep } from './types.ts';
 
@@ -40,13 +42,24 @@
       retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
     });
   }
-  const routed = newRouted(state, stamp, request);
+  return passLimit(state, stamp, newRouted(state, stamp, request));
+}
+
+/** Sends or queues a request that has passed its limit. */
+export function proceed(
+  state: RoutingState,
+  stamp: EventBase,
+  routed: RoutedRequest,
+): RoutingStep {
+  const { request } = routed;
+  const { requestId } = request;
+  const targets = servingTargets(state, request.service);
   if (targets.some(({ targetKind }) => targetKind === 'service')) {
     return sendToService(state, stamp, routed);
   }
   const overflowMs = queueOverflowMs(state, request);
   if (overflowMs !== undefined) {
-    return refuse(state, stamp, {
+    return refuse(releaseShare(state, routed), stamp, {
       requestId,
       reason: 'queueFull',
       retryAfterMs: overflowMs,
@@ -115,6 +128,7 @@
     ),
     startTag: 0,
     phaseSinceMs: stamp.atMs,
+    limitKey: undefined,
     predictedMs: 0,
     cachedTokens: 0,
     reservationId: undefined,
--- a/packages/core/src/routing/_lib/messages.ts
+++ b/packages/core/src/routing/_lib/messages.ts
@@ -1,6 +1,8 @@
 import type { RoutingMessage } from '@endivegate/contracts';
 import type { EventBase } from '../../events/index.ts';
 import { addDemand, takeDemand } from './demand.ts';
+import { answerLimitReport, takeLimitGrant } from './limited.ts';
+import { retryLimited } from './limitQueue.ts';
 import { placerOf } from './peers.ts';
 import { takeGrant, takeRefusal } from './placing.ts';
 import { noteEnded, notePrefilled, want } from './placer.ts';
@@ -25,6 +27,10 @@
       return takeGrant(state, stamp, message);
     case 'placementRefused':
       return takeRefusal(state, stamp, message);
+    case 'limitWanted':
+      return answerLimitReport(state, stamp, fromEntryId, message);
+    case 'limitGranted':
+      return retryLimited(takeLimitGrant(state, stamp, message), stamp);
     case 'demand':
       return takeReport(state, fromEntryId, message);
     case 'lanes': {
--- a/packages/core/src/routing/_lib/types.ts
+++ b/packages/core/src/routing/_lib/types.ts
@@ -11,12 +11,15 @@
 import type { RowIndex } from '../../indexRows/index.ts';
 import type { LanePlan, WorkByClass } from '../../planLanes/index.ts';
 import type { ReservationPart } from '../../planReservation/index.ts';
+import type { CoordinatedLimit, LimitUse } from '../../limits/index.ts';
 import type { RequestInfo } from '../../request/index.ts';
 import type { RaiseEffect } from '../../slice/index.ts';
 import type { Step } from '../../step/index.ts';
 
 /** Where a request stands in routing. */
 export type RoutedPhase =
+  /** Waiting for a share of its row's limit. */
+  | 'limited'
   /** In this entry's queue. */
   | 'waiting'
   /** The model's placing entry was asked for an engine. */
@@ -39,6 +42,8 @@
   /** Virtual start time of weighted fair queueing. */
   readonly startTag: number;
   readonly phaseSinceMs: number;
+  /** Limit that it counts for, while it holds or waits for a share. */
+  readonly limitKey: string | undefined;
   /** First token time that was predicted at dispatch, as a duration. */
   readonly predictedMs: number;
   readonly cachedTokens: number;
@@ -110,6 +115,11 @@
   /** As placing entry: work of all entries, decaying, and placements. */
   readonly fleetWork: ReadonlyMap<string, WorkByClass>;
   readonly placements: ReadonlyMap<string, Placement>;
+  /** Time at which the view of live entries last changed. */
+  readonly viewSinceMs: number;
+  /** Limits that this entry uses, and those it coordinates. */
+  readonly limitUses: ReadonlyMap<string, LimitUse>;
+  readonly coordinatedLimits: ReadonlyMap<string, CoordinatedLimit>;
   readonly nextReservation: number;
   readonly loadCursor: number;
 }
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -17,6 +17,8 @@
   toPlacer,
 } from './_lib/placing.ts';
 import { applyCacheEvents } from './_lib/prefixes.ts';
+import { releaseShare, replaceLimits, reportLimits } from './_lib/limited.ts';
+import { retryLimited } from './_lib/limitQueue.ts';
 import { drain } from './_lib/queue.ts';
 import { andThen, forget, keep, withEffects } from './_lib/requests.ts';
 import type {
@@ -63,6 +65,9 @@
     lanes: new Map(),
     fleetWork: new Map(),
     placements: new Map(),
+    viewSinceMs: 0,
+    limitUses: new Map(),
+    coordinatedLimits: new Map(),
     nextReservation: 1,
     loadCursor: 0,
   },
@@ -77,7 +82,10 @@
     case 'entry.started':
       return withEffects({ ...state, self: event.self }, []);
     case 'table.installed':
-      return withEffects({ ...state, rows: indexRows(event.rows) }, []);
+      return withEffects(
+        replaceLimits({ ...state, rows: indexRows(event.rows) }),
+        [],
+      );
     case 'targets.changed':
       return drain({ ...state, targets: event.targets }, event);
     case 'members.changed':
@@ -116,7 +124,15 @@
   event: SharedEvent & { readonly type: 'clock.ticked' },
 ): RoutingStep {
   const expired = expirePlacements(dropIdleFlows(state), event, new Set());
-  const steps = [drain, askAgain, place, reportDemand, readLoads];
+  const steps = [
+    retryLimited,
+    drain,
+    askAgain,
+    place,
+    reportDemand,
+    reportLimits,
+    readLoads,
+  ];
   return steps.reduce<RoutingStep>(
     (done, next) => andThen(done, (current) => next(current, event)),
     withEffects(expired, []),
@@ -154,7 +170,8 @@
   const models = new Set(
     [...state.requests.values()].map(({ request }) => request.service),
   );
-  const changed = expirePlacements({ ...state, live: event.live }, event, dead);
+  const viewed = { ...state, live: event.live, viewSinceMs: event.atMs };
+  const changed = expirePlacements(replaceLimits(viewed), event, dead);
   const hasNewPlacer = [...models].some(
     (model) => placerOf(state, model) !== placerOf(changed, model),
   );
@@ -199,9 +216,12 @@
 ): RoutingStep {
   const routed = state.requests.get(event.requestId);
   if (!routed) return withEffects(state, []);
-  const released = releaseHuge(state, routed);
+  const released = releaseHuge(releaseShare(state, routed), routed);
   const forgotten = forget(released.state, event.requestId);
-  return andThen({ ...released, state: forgotten }, (next) =>
-    drain(next, event),
+  return andThen(
+    andThen({ ...released, state: forgotten }, (next) =>
+      retryLimited(next, event),
+    ),
+    (next) => drain(next, event),
   );
 }
--- a/packages/core/src/routing/test.ts
+++ b/packages/core/src/routing/test.ts
@@ -115,4 +115,52 @@
     const state: RootState = reduce(initialRootState, targetsChanged).state;
     expect(state.routing.targets).to.have.length(5);
   });
+
+  it('lets a limited row run as many as it says, and the next one after an end', () => {
+    const limited = (concurrency: number): SharedEvent => ({
+      ...stamp,
+      type: 'table.installed',
+      number: 1,
+      rows: [{ workspace: 'w', service: 'm', kind: 'chat', concurrency }],
+    });
+    const started: SharedEvent = {
+      ...stamp,
+      type: 'entry.started',
+      self: {
+        entryId: 'a',
+        incarnation: 1,
+        region: 'r',
+        dataCentre: 'dc',
+        host: '127.0.0.1',
+        httpPort: 0,
+        peerPort: 0,
+      },
+    };
+    const { state, raised } = run([
+      started,
+      targetsChanged,
+      limited(2),
+      arrived('r1'),
+      arrived('r2'),
+      arrived('r3'),
+    ]);
+    const phases = [...state.requests.values()].map((one) => one.phase);
+    expect(phases).to.deep.equal(['prefill', 'prefill', 'limited']);
+    expect(raised).to.have.length(2);
+    const ended = routingSlice.reduce(state, {
+      ...stamp,
+      atMs: 500,
+      type: 'request.ended',
+      requestId: 'r1',
+      ran: 'yes',
+      end: { type: 'answered' },
+    });
+    expect(ended.state.requests.get('r3')?.phase).to.equal('prefill');
+    const late = routingSlice.reduce(state, {
+      ...stamp,
+      atMs: 1_500,
+      type: 'clock.ticked',
+    });
+    expect(late.effects).toMatchSnapshot();
+  });
 });
