--- a/packages/contracts/src/settings/index.ts
+++ b/packages/contracts/src/settings/index.ts
@@ -52,7 +52,9 @@
     port: portSchema,
     tls: tlsSchema.optional(),
     /** `host:port` of peers to try when the instance list cannot be read. */
-    seeds: z.array(z.string().min(1)).default([]),
+    seeds: z.array(z.string().regex(/^.+:\d{1,5}$/)).default([]),
+    /** Key shared by all entries, which signs membership datagrams. */
+    key: secretSourceSchema.optional(),
   }),
   platform: z.strictObject({
     url: z.url(),
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,6 +20,7 @@
 export * from './indexRows/index.ts';
 export * from './joinTable/index.ts';
 export * from './leaving/index.ts';
+export * from './listLiveEntries/index.ts';
 export * from './matchTimeline/index.ts';
 export * from './membership/index.ts';
 export * from './mergeHybridClock/index.ts';
--- a/packages/daemon/src/createCallersServer/_lib/authenticate.ts
+++ b/packages/daemon/src/createCallersServer/_lib/authenticate.ts
@@ -1,9 +1,8 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
+import { readBearerToken } from '../../readBearerToken/index.ts';
 import type { CallersContext } from './context.ts';
 import { sendInputError } from './errors.ts';
 
-const BEARER = /^Bearer ([\x21-\x7e]{1,256})$/;
-
 /**
  * Returns the workspace of a request, or answers 401.
  *
@@ -17,7 +16,7 @@
   request: FastifyRequest,
   reply: FastifyReply,
 ): string | undefined {
-  const token = BEARER.exec(request.headers.authorization ?? '')?.[1];
+  const token = readBearerToken(request.headers);
   const workspace =
     token === undefined ? undefined : context.findWorkspace(token);
   if (workspace !== undefined) return workspace;
--- /dev/null
+++ b/packages/daemon/src/createEntry/_lib/listUnreadyReasons.ts
@@ -0,0 +1,16 @@
+import type { RootState } from '@endivegate/core';
+
+/**
+ * Names what keeps an entry from being ready.
+ *
+ * @param state - State of the entry.
+ * @returns Reasons in plain words; empty when the entry is ready.
+ */
+export function listUnreadyReasons(state: RootState): readonly string[] {
+  const checks: readonly (readonly [isMet: boolean, reason: string])[] = [
+    [state.table.document !== undefined, 'no table is in force'],
+    [state.targets.byId.size > 0, 'no target is known'],
+    [state.leaving.phase === 'running', 'the entry is leaving'],
+  ];
+  return checks.filter(([isMet]) => !isMet).map(([, reason]) => reason);
+}
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -5,20 +5,34 @@
   EntryAddress,
   PlatformPort,
   ServicePort,
-  Settings,
 } from '@endivegate/contracts';
-import type { RootEffect, RootEvent } from '@endivegate/core';
-import * as TE from 'fp-ts/lib/TaskEither.js';
+import { decideNewRequest, listLiveEntries } from '@endivegate/core';
+import type { FastifyInstance } from 'fastify';
 import { createAttemptRunner } from '../createAttemptRunner/index.ts';
-import { createCallersServer } from '../createCallersServer/index.ts';
-import { createEntryView } from '../createEntryView/index.ts';
+import {
+  createCallersServer,
+  refuseLeaving,
+} from '../createCallersServer/index.ts';
+import { createEntryView, type EntryView } from '../createEntryView/index.ts';
+import { createLeavingHandler } from '../createLeavingHandler/index.ts';
 import type { Logger } from '../createLogger/index.ts';
 import { createMetrics, type Metrics } from '../createMetrics/index.ts';
+import { createTablePeers } from '../createTablePeers/index.ts';
+import { learnFromSeeds } from '../learnFromSeeds/index.ts';
+import type { LoadedSettings } from '../loadSettings/index.ts';
+import { fromPeerUpdate } from '../membership/index.ts';
 import { createOpenRequests } from '../openRequests/index.ts';
 import { pollInstances } from '../pollInstances/index.ts';
 import { recordEnd, recordMetrics } from '../recordMetrics/index.ts';
+import { registerRelay } from '../relay/index.ts';
 import { createRuntime, type Runtime } from '../runtime/index.ts';
-import { createTableHandler } from '../table/index.ts';
+import { type Peering, startPeering } from '../startPeering/index.ts';
+import { createTableHandler, type TablePeerPort } from '../table/index.ts';
+import { createTimeline } from '../timeline/index.ts';
+import { createPeerHandlers } from './_lib/createPeerHandlers.ts';
+import { describeSelf } from './_lib/describeSelf.ts';
+import { listUnreadyReasons } from './_lib/listUnreadyReasons.ts';
+import { logEvent, logPauses } from './_lib/logEvents.ts';
 
 /** What an entry talks to. */
 export interface EntryPorts {
@@ -28,11 +42,11 @@
 }
 
 /** Options of {@link createEntry}. */
-export interface CreateEntryOptions {
-  readonly settings: Settings;
-  readonly operatorToken: string;
+export interface CreateEntryOptions extends LoadedSettings {
   readonly ports: EntryPorts;
   readonly logger: Logger;
+  /** Told once the entry has left; it still has to be stopped. */
+  readonly onExit?: (exitCode: number) => void;
 }
 
 /** One running entry. */
@@ -43,6 +57,9 @@
   readonly metrics: Metrics;
   /** Names what keeps the entry from being ready; empty when ready. */
   readonly unreadyReasons: () => readonly string[];
+  /** Starts to leave; a second call exits at once. */
+  readonly leave: () => void;
+  /** Closes all sockets at once, as a crash would. */
   readonly stop: () => Promise<void>;
 }
 
@@ -53,29 +70,57 @@
  *
  * @param options - Settings, ports and logger.
  * @returns The running entry, listening.
+ * @throws If a port cannot be bound.
  */
 export async function createEntry(options: CreateEntryOptions): Promise<Entry> {
   const { settings, ports, logger } = options;
+  const listenHost = settings.listenHost ?? settings.host;
+  const unbound = describeSelf(settings, Date.now());
   const metrics = createMetrics();
+  const timeline = createTimeline({ entryId: unbound.entryId });
   const openRequests = createOpenRequests({
     onFinish: ({ info }, result) => {
       recordEnd(metrics, { info, result, nowMs: runtime.nowMs() });
     },
   });
-  const self = addressOf(settings);
   const table = createTableHandler({
     platform: ports.platform,
-    peers: {
-      fetchHead: () => TE.right(undefined),
-      fetchValues: () => TE.right([]),
-    },
-    announce: (number) => {
-      logger.info('table.inForce', { number });
+    peers: tablePeers(
+      () => peering,
+      () => runtime,
+    ),
+    announce: () => undefined,
+  });
+  const peering = await startPeering({
+    self: unbound,
+    listenHost,
+    peers: settings.peers,
+    key: options.peerKey,
+    clock: timeline,
+    handlers: createPeerHandlers({
+      runtime: () => runtime,
+      table,
+      timeline,
+      topics: {},
+      callersUrl: () => callersUrl,
+      maxBodyBytes: settings.callers.maxBodyBytes,
+    }),
+    onSuperseded: (incarnation) => {
+      logger.error('entry.superseded', { incarnation });
+      runtime.dispatch({ type: 'leaving.requested' });
     },
   });
   const runtime: Runtime = createRuntime({
     handlers: {
-      clock: logClockEffect(logger),
+      clock: logPauses(logger),
+      membership: peering.membership.handler,
+      leaving: createLeavingHandler({
+        openRequests,
+        exit: (exitCode, reason) => {
+          logger.info('entry.left', { exitCode, reason });
+          options.onExit?.(exitCode);
+        },
+      }),
       requests: createAttemptRunner({
         engines: ports.engines,
         services: ports.services,
@@ -87,6 +132,7 @@
     },
     onEvent: (event) => {
       recordMetrics(metrics, { event, openRequests });
+      timeline.record(event);
       logEvent(logger, event);
     },
     onEffectError: (slice, error) => {
@@ -96,93 +142,120 @@
   });
   const view = createEntryView({
     state: runtime.state,
-    self,
-    liveEntries: () => [self],
+    self: unbound,
+    liveEntries: () => listLiveEntries(runtime.state().membership),
     entriesTtlMs: settings.callers.entriesTtlMs,
   });
+  const unreadyReasons = () => listUnreadyReasons(runtime.state());
   const server = createCallersServer(
     {
       ...view,
       runtime,
       openRequests,
       metrics,
-      unreadyReasons: () => unreadyReasons(runtime),
-      newRequestId: () => `${self.entryId}-${randomUUID()}`,
+      unreadyReasons,
+      newRequestId: () => `${unbound.entryId}-${randomUUID()}`,
       maxOpenRequests: settings.callers.maxOpenRequests,
     },
     settings.callers,
   );
-  const listenHost = settings.listenHost ?? settings.host;
+  relayToHomes(server, { view, runtime, peering });
   await server.listen({ port: settings.callers.port, host: listenHost });
   const { port } = server.server.address() as AddressInfo;
-  const listening = { ...self, httpPort: port };
-  runtime.dispatch({ type: 'entry.started', self: listening });
+  const callersUrl = `http://${settings.host}:${port}`;
+  const self = { ...unbound, httpPort: port, peerPort: peering.port };
+  peering.membership.attach(runtime);
   runtime.dispatch({
-    type: 'members.changed',
-    live: [listening],
-    leaving: [],
-    dead: [],
-  });
-  const ticks = setInterval(() => {
-    runtime.dispatch({ type: 'clock.ticked' });
-  }, TICK_PERIOD_MS);
-  const stopPolling = pollInstances({
-    platform: ports.platform,
-    onList: (list) => {
-      runtime.dispatch({ type: 'targets.listed', targets: list.targets });
-    },
-    onError: (error) => {
-      logger.warn('instances.unread', { reason: error.type });
-    },
+    type: 'leaving.configured',
+    lingerMs: settings.callers.entriesTtlMs,
+    drainTimeoutMs: settings.leaving.drainTimeoutMs,
   });
-  logger.info('entry.listening', { port });
+  runtime.dispatch({ type: 'entry.started', self });
+  const stopTimers = startTimers({ ...options, runtime, peering });
+  logger.info('entry.listening', { port, peerPort: peering.port });
 
   return {
-    self: listening,
-    callersUrl: `http://${settings.host}:${port}`,
+    self,
+    callersUrl,
     runtime,
     metrics,
-    unreadyReasons: () => unreadyReasons(runtime),
+    unreadyReasons,
+    leave: () => {
+      runtime.dispatch({ type: 'leaving.requested' });
+    },
     stop: async () => {
-      clearInterval(ticks);
-      stopPolling();
-      await server.close();
+      stopTimers();
+      server.server.closeAllConnections();
+      await Promise.all([server.close(), peering.close()]);
     },
   };
 }
 
-function addressOf(settings: Settings): EntryAddress {
-  return {
-    entryId: settings.entryId,
-    incarnation: Date.now(),
-    region: settings.region,
-    dataCentre: settings.dataCentre,
-    host: settings.host,
-    httpPort: settings.callers.port,
-    peerPort: settings.peers.port,
-  };
-}
-
-function unreadyReasons(runtime: Runtime): readonly string[] {
-  const state = runtime.state();
-  return [
-    state.table.document === undefined ? 'no table is in force' : '',
-    state.targets.byId.size === 0 ? 'no target is known' : '',
-  ].filter((reason) => reason !== '');
+function tablePeers(
+  peering: () => Peering,
+  runtime: () => Runtime,
+): TablePeerPort {
+  return createTablePeers({
+    client: {
+      fetchManifest: (...args) => peering().client.fetchManifest(...args),
+      fetchChunks: (...args) => peering().client.fetchChunks(...args),
+    },
+    findEntry: (entryId) =>
+      runtime().state().membership.members.get(entryId)?.address,
+  });
 }
 
-function logClockEffect(logger: Logger): (effect: RootEffect) => void {
-  return (effect) => {
-    if (effect.type !== 'clock.pauseSeen') return;
-    logger.warn('entry.paused', { pausedMs: Math.round(effect.pausedMs) });
-  };
+function relayToHomes(
+  server: FastifyInstance,
+  entry: {
+    readonly view: EntryView;
+    readonly runtime: Runtime;
+    readonly peering: Peering;
+  },
+): void {
+  registerRelay(server, {
+    client: entry.peering.client,
+    decide: () => decideNewRequest(entry.runtime.state().leaving),
+    homesFor: (request) => entry.view.relayHomesFor(request.headers),
+    refuse: refuseLeaving,
+  });
 }
 
-function logEvent(logger: Logger, event: RootEvent): void {
-  if (event.type !== 'request.ended') return;
-  logger.debug('request.ended', {
-    requestId: event.requestId,
-    ran: event.ran,
-    end: event.end.type,
+function startTimers(
+  entry: CreateEntryOptions & {
+    readonly runtime: Runtime;
+    readonly peering: Peering;
+  },
+): () => void {
+  const { runtime, peering, settings, logger } = entry;
+  const ticks = setInterval(() => {
+    runtime.dispatch({ type: 'clock.ticked' });
+  }, TICK_PERIOD_MS);
+  const askSeeds = () =>
+    learnFromSeeds({
+      seeds: settings.peers.seeds,
+      client: peering.client,
+      onMembers: (updates) => {
+        runtime.dispatch({
+          type: 'membership.fetched',
+          updates: updates.flatMap((wire) => fromPeerUpdate(wire) ?? []),
+        });
+      },
+    });
+  const stopPolling = pollInstances({
+    platform: entry.ports.platform,
+    onList: (list) => {
+      runtime.dispatch({ type: 'targets.listed', targets: list.targets });
+      runtime.dispatch({ type: 'membership.listed', entries: list.entries });
+    },
+    onError: (error) => {
+      logger.warn('instances.unread', { reason: error.type });
+      if (runtime.state().membership.members.size === 0) void askSeeds();
+    },
   });
+  void askSeeds();
+  return () => {
+    clearInterval(ticks);
+    stopPolling();
+  };
 }
--- a/packages/daemon/src/createEntryView/index.ts
+++ b/packages/daemon/src/createEntryView/index.ts
@@ -1,4 +1,5 @@
 import { createHash } from 'node:crypto';
+import type { IncomingHttpHeaders } from 'node:http';
 import type {
   EffectiveRow,
   EntriesBody,
@@ -6,6 +7,7 @@
   TableRowKey,
   Target,
 } from '@endivegate/contracts';
+import { readBearerToken } from '../readBearerToken/index.ts';
 import {
   DEFAULT_CELLS,
   DEFAULT_PROMPT_CELLS,
@@ -28,6 +30,13 @@
     workspace: string,
     dataCentre: string | undefined,
   ) => EntriesBody;
+  /**
+   * Returns the entries that should serve a request in place of this one;
+   * none when this entry is a home or the caller is not known.
+   */
+  readonly relayHomesFor: (
+    headers: IncomingHttpHeaders,
+  ) => readonly EntryAddress[];
   readonly findTarget: (targetId: string) => Target | undefined;
 }
 
@@ -51,6 +60,7 @@
  * @returns Functions that read the state as it is when they are called.
  */
 export function createEntryView(options: CreateEntryViewOptions): EntryView {
+  const { self } = options;
   const rowIndex = memoizeByInput((document: RootState['table']['document']) =>
     indexRows(document?.rows ?? []),
   );
@@ -60,9 +70,19 @@
   }));
   const rows = () => rowIndex(options.state().table.document);
 
+  const workspaceOf = (token: string) =>
+    findWorkspace(options.state().table, sha256Hex(token));
+
   return {
-    findWorkspace: (token) =>
-      findWorkspace(options.state().table, sha256Hex(token)),
+    findWorkspace: workspaceOf,
+    relayHomesFor: (headers) => {
+      const token = readBearerToken(headers);
+      const workspace = token === undefined ? undefined : workspaceOf(token);
+      if (workspace === undefined) return [];
+      const homes = homesOf(workspace, options);
+      const isHome = homes.some((home) => home.entryId === self.entryId);
+      return isHome ? [] : orderHomes(homes, self.dataCentre);
+    },
     resolvePromptRow: (key) =>
       resolveRow(rows(), key, { defaults: DEFAULT_PROMPT_CELLS }),
     resolveCallRow: (key) =>
--- a/packages/daemon/src/loadSettings/index.ts
+++ b/packages/daemon/src/loadSettings/index.ts
@@ -12,6 +12,8 @@
 export interface LoadedSettings {
   readonly settings: Settings;
   readonly operatorToken: string;
+  /** Key that signs membership datagrams; unsigned when absent. */
+  readonly peerKey: string | undefined;
 }
 
 /** Options of {@link loadSettings}. */
@@ -35,13 +37,30 @@
   if (E.isLeft(text)) return E.left([fileFinding(file, text.left)]);
   const settings = parseJsonc(text.right, settingsSchema, { file });
   if (E.isLeft(settings)) return settings;
-  const token = await readSecret(settings.right.operators.token, environment);
-  if (E.isLeft(token)) {
-    return E.left([
-      { ...fileFinding(file, token.left), path: 'operators.token' },
-    ]);
+  const { operators, peers } = settings.right;
+  const read = (source: SecretSource) => readSecret(source, environment);
+  const token = await read(operators.token);
+  const key =
+    peers.key === undefined ? E.right(undefined) : await read(peers.key);
+  if (E.isRight(token) && E.isRight(key)) {
+    return E.right({
+      settings: settings.right,
+      operatorToken: token.right,
+      peerKey: key.right,
+    });
   }
-  return E.right({ settings: settings.right, operatorToken: token.right });
+  return E.left([
+    ...secretFindings(token, { file, path: 'operators.token' }),
+    ...secretFindings(key, { file, path: 'peers.key' }),
+  ]);
+}
+
+function secretFindings(
+  secret: E.Either<string, unknown>,
+  place: Pick<Finding, 'file' | 'path'>,
+): readonly Finding[] {
+  if (E.isRight(secret)) return [];
+  return [{ ...fileFinding(place.file, secret.left), path: place.path }];
 }
 
 async function readSecret(
--- a/packages/daemon/src/runDev/index.ts
+++ b/packages/daemon/src/runDev/index.ts
@@ -7,7 +7,11 @@
 } from '@endivegate/stand-ins';
 import { createPlatformHttpPort } from '../adapters/index.ts';
 import type { Entry } from '../createEntry/index.ts';
-import { startHttpEntry, waitForExit } from '../runServe/index.ts';
+import {
+  createExitSignal,
+  leaveOnSignals,
+  startHttpEntry,
+} from '../runServe/index.ts';
 import { hashToken, seedTable } from './_lib/seedTable.ts';
 
 /** Bearer token of the workspace `demo` in a trial. */
@@ -43,6 +47,7 @@
   readonly port: number;
   /** Port for operators; 0 for any. */
   readonly operatorsPort: number;
+  readonly onExit?: (exitCode: number) => void;
 }
 
 /** One entry with in-process stand-ins. */
@@ -73,10 +78,14 @@
   });
   const port = createPlatformHttpPort({ url: platform.url });
   await seedTable(port, devTable)();
-  const entry = await startHttpEntry({
-    settings: devSettings(options, platform.url),
-    operatorToken: DEV_OPERATOR_TOKEN,
-  });
+  const entry = await startHttpEntry(
+    {
+      settings: devSettings(options, platform.url),
+      operatorToken: DEV_OPERATOR_TOKEN,
+      peerKey: undefined,
+    },
+    options,
+  );
   await untilReady(entry);
   return {
     entry,
@@ -96,9 +105,11 @@
  * @returns The exit code.
  */
 export async function runDev(options: StartDevOptions): Promise<number> {
-  const dev = await startDev(options);
+  const exit = createExitSignal();
+  const dev = await startDev({ ...options, onExit: exit.resolve });
+  leaveOnSignals(dev.entry);
   process.stdout.write(greeting(dev.entry));
-  const exitCode = await waitForExit(dev.entry);
+  const exitCode = await exit.promise;
   await dev.stop();
   return exitCode;
 }
--- a/packages/daemon/src/runServe/index.ts
+++ b/packages/daemon/src/runServe/index.ts
@@ -9,13 +9,22 @@
 import { createLogger } from '../createLogger/index.ts';
 import { type LoadedSettings, loadSettings } from '../loadSettings/index.ts';
 
+/** Options of {@link startHttpEntry}. */
+export interface StartHttpEntryOptions {
+  readonly onExit?: (exitCode: number) => void;
+}
+
 /**
  * Starts an entry over the HTTP adapters of its ports.
  *
  * @param loaded - Settings with their secrets.
+ * @param options - What to tell when the entry has left.
  * @returns The running entry.
  */
-export function startHttpEntry(loaded: LoadedSettings): Promise<Entry> {
+export function startHttpEntry(
+  loaded: LoadedSettings,
+  options: StartHttpEntryOptions = {},
+): Promise<Entry> {
   const { settings } = loaded;
   const logger = createLogger({
     entryId: settings.entryId,
@@ -23,6 +32,7 @@
   });
   return createEntry({
     ...loaded,
+    ...options,
     logger,
     ports: {
       engines: createEngineHttpPort(),
@@ -33,7 +43,7 @@
 }
 
 /**
- * Runs one entry until it is told to stop.
+ * Runs one entry until it was told to leave and has left.
  *
  * @param settingsFile - Path of the settings.
  * @returns The exit code.
@@ -44,21 +54,40 @@
     process.stderr.write(`${formatFindings(loaded.left)}\n`);
     return 1;
   }
-  const entry = await startHttpEntry(loaded.right);
-  return waitForExit(entry);
+  const exit = createExitSignal();
+  const entry = await startHttpEntry(loaded.right, { onExit: exit.resolve });
+  leaveOnSignals(entry);
+  const exitCode = await exit.promise;
+  await entry.stop();
+  return exitCode;
+}
+
+/** A promise of an exit code, and what resolves it. */
+export interface ExitSignal {
+  readonly promise: Promise<number>;
+  readonly resolve: (exitCode: number) => void;
 }
 
 /**
- * Waits until an entry was told to leave and has left.
+ * Creates a promise of an exit code.
+ *
+ * @returns The promise and what resolves it.
+ */
+export function createExitSignal(): ExitSignal {
+  let resolve: (exitCode: number) => void = () => undefined;
+  const promise = new Promise<number>((settle) => {
+    resolve = settle;
+  });
+  return { promise, resolve };
+}
+
+/**
+ * Lets an entry leave at SIGTERM or SIGINT; a second one exits at once.
  *
  * @param entry - The running entry.
- * @returns The exit code.
  */
-export async function waitForExit(entry: Entry): Promise<number> {
-  await new Promise((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
+export function leaveOnSignals(entry: Pick<Entry, 'leave'>): void {
+  ['SIGTERM', 'SIGINT'].forEach((signal) => {
+    process.on(signal, entry.leave);
   });
-  await entry.stop();
-  return 0;
 }
