--- a/packages/daemon/src/runDev/index.ts
+++ b/packages/daemon/src/runDev/index.ts
@@ -12,7 +12,7 @@
   leaveOnSignals,
   startHttpEntry,
 } from '../runServe/index.ts';
-import { hashToken, seedTable } from './_lib/seedTable.ts';
+import { hashToken, seedTable } from '../seedTable/index.ts';
 
 /** Bearer token of the workspace `demo` in a trial. */
 export const DEV_WORKSPACE_TOKEN = 'demo-token';
