Send a call that may not be repeated at most once

Cause: two entries, a crash, a pause or a lost reply could each lead to a second send of a call with an idempotency key. Change: slice `once` creates a claim by compare-and-swap just before the send, with a token of its own; only the token's creator sends, once, and within 2 s of asking. The outcome is written into the claim and replayed, waited for, looked up at the service or told as in doubt. New events `request.claimWanted`, `.claimGranted`, `.claimContended`, `.claimRefused`; `attempt.ended` carries the answer to keep.

--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -7,6 +7,7 @@
 export * from './adminBodies/index.ts';
 export * from './formatFindings/index.ts';
 export * from './httpBodies/index.ts';
+export * from './claim/index.ts';
 export * from './lengthClass/index.ts';
 export * from './parseJsonc/index.ts';
 export * from './ports/index.ts';
--- a/packages/core/src/bucketMap/index.ts
+++ b/packages/core/src/bucketMap/index.ts
@@ -85,6 +85,7 @@
  * @returns Its values, bucket by bucket.
  */
 export function bucketValues<V>(map: BucketMap<V>): readonly V[] {
+  if (map.size === 0) return [];
   return map.buckets.flatMap((bucket) =>
     bucket.size === 0 ? [] : [...bucket.values()],
   );
--- a/packages/core/src/events/index.ts
+++ b/packages/core/src/events/index.ts
@@ -2,6 +2,7 @@
   AttemptReport,
   EntryAddress,
   Ran,
+  StoredAnswer,
   TableRow,
   Target,
   TargetError,
@@ -38,6 +39,8 @@
   | 'storeDown'
   /** The idempotency key was used with another body. */
   | 'keyReused'
+  /** The idempotency key's own time is older than claims are kept. */
+  | 'keyExpired'
   /** The caller went away. */
   | 'callerGone';
 
@@ -90,6 +93,24 @@
       /** Whether no other suspect may run on the target at the same time. */
       readonly isolated: boolean;
     }
+  /** A call that may not be repeated needs the right to be sent (once). */
+  | {
+      readonly type: 'request.claimWanted';
+      readonly request: RequestInfo;
+      readonly targetId: string;
+    }
+  /** The call may be sent, once and now. */
+  | { readonly type: 'request.claimGranted'; readonly requestId: string }
+  /** Another claim holds the call's key; the call may have run. */
+  | { readonly type: 'request.claimContended'; readonly requestId: string }
+  /** The call must not be sent; an answer is the one stored for its key. */
+  | {
+      readonly type: 'request.claimRefused';
+      readonly requestId: string;
+      readonly ran: Ran;
+      readonly end: RequestEnd;
+      readonly answer: StoredAnswer | undefined;
+    }
   | { readonly type: 'request.callerGone'; readonly requestId: string }
   | {
       readonly type: 'request.ended';
@@ -136,6 +157,8 @@
       readonly outputTokens: number;
       /** Whether any byte of the request left this process. */
       readonly sent: boolean;
+      /** Answer of a plain service, when it is to be kept for repeats. */
+      readonly answer?: StoredAnswer | undefined;
     };
 
 /** Events that several slices of the state read. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,6 +18,7 @@
 export * from './findWorkspace/index.ts';
 export * from './hybridClock/index.ts';
 export * from './indexRows/index.ts';
+export * from './once/index.ts';
 export * from './joinTable/index.ts';
 export * from './leaving/index.ts';
 export * from './matchTimeline/index.ts';
--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -5,6 +5,7 @@
 import { clockSlice } from '../clock/index.ts';
 import { leavingSlice } from '../leaving/index.ts';
 import { membershipSlice } from '../membership/index.ts';
+import { onceSlice } from '../once/index.ts';
 import { requestsSlice } from '../requests/index.ts';
 import { suspectsSlice } from '../suspects/index.ts';
 import { tableSlice } from '../table/index.ts';
@@ -19,6 +20,7 @@
   membership: membershipSlice,
   leaving: leavingSlice,
   requests: requestsSlice,
+  once: onceSlice,
   suspects: suspectsSlice,
   routing: routingSlice,
 };
--- a/packages/core/src/requests/_lib/attempts.ts
+++ b/packages/core/src/requests/_lib/attempts.ts
@@ -1,11 +1,13 @@
-import type { SharedEvent } from '../../events/index.ts';
+import type { EventBase, SharedEvent } from '../../events/index.ts';
+import { SETTLE_GRACE_MS } from '../../once/_lib/constants.ts';
 import { getEntry } from '../../bucketMap/index.ts';
 import { unchanged } from '../../step/index.ts';
 import { ask } from './asks.ts';
-import { close, keep } from './close.ts';
+import { close, isClaimed, keep } from './close.ts';
 import { ranOfAttempt } from './ran.ts';
 import { retryOrEnd } from './retry.ts';
 import type {
+  Destination,
   OpenAttempt,
   OpenRequest,
   RequestsState,
@@ -18,21 +20,78 @@
 >;
 
 /**
- * Sends a request to the target that routing has chosen.
+ * Sends a request to the target that routing has chosen, or asks first for the
+ * right to send a call that may not be repeated.
  *
  * @param state - State of the slice.
  * @param event - The choice.
- * @returns The step that starts an attempt.
+ * @returns The step that starts an attempt or wants a claim.
  */
 export function startAttempt(
   state: RequestsState,
   event: EventOf<'request.dispatched'>,
 ): RequestsStep {
   const request = getEntry(state.open, event.requestId);
-  if (request?.attempt !== undefined || request === undefined) {
+  if (request === undefined || request.attempt !== undefined) {
     return unchanged(state);
   }
-  const { requestId, targetId, reservationId } = event;
+  if (request.claimFor !== undefined) return unchanged(state);
+  const destination: Destination = {
+    targetId: event.targetId,
+    reservationId: event.reservationId,
+  };
+  return isClaimed(request)
+    ? wantClaim(state, { ...request, claimFor: destination }, event)
+    : send(state, request, { event, destination });
+}
+
+/**
+ * Sends a call that has been given the right to be sent.
+ *
+ * @param state - State of the slice.
+ * @param event - The grant.
+ * @returns The step that starts the attempt.
+ */
+export function sendGranted(
+  state: RequestsState,
+  event: EventOf<'request.claimGranted'>,
+): RequestsStep {
+  const request = getEntry(state.open, event.requestId);
+  if (request?.claimFor === undefined) return unchanged(state);
+  const granted = { ...request, claimFor: undefined };
+  return send(state, granted, { event, destination: request.claimFor });
+}
+
+function wantClaim(
+  state: RequestsState,
+  request: OpenRequest,
+  event: EventOf<'request.dispatched'>,
+): RequestsStep {
+  return {
+    state: keep(state, request),
+    effects: [
+      {
+        type: 'raise',
+        event: {
+          type: 'request.claimWanted',
+          atMs: event.atMs,
+          random: event.random,
+          request: request.info,
+          targetId: event.targetId,
+        },
+      },
+    ],
+  };
+}
+
+function send(
+  state: RequestsState,
+  request: OpenRequest,
+  options: { readonly event: EventBase; readonly destination: Destination },
+): RequestsStep {
+  const { event, destination } = options;
+  const { targetId, reservationId } = destination;
+  const { requestId, deadlineAtMs } = request.info;
   const attempts = request.attempts + 1;
   const attemptId = `${requestId}.${attempts}`;
   const attempt: OpenAttempt = {
@@ -43,7 +102,7 @@
     cut: false,
     resumes: 0,
   };
-  const timeoutMs = request.info.deadlineAtMs - event.atMs;
+  const graceMs = isClaimed(request) ? SETTLE_GRACE_MS : 0;
   return {
     state: keep(state, { ...request, attempts, attempt, outputTokens: 0 }),
     effects: [
@@ -52,7 +111,7 @@
         requestId,
         attemptId,
         targetId,
-        timeoutMs,
+        timeoutMs: deadlineAtMs - event.atMs + graceMs,
         reservationId,
       },
       {
--- a/packages/core/src/requests/_lib/close.ts
+++ b/packages/core/src/requests/_lib/close.ts
@@ -21,7 +21,8 @@
 }
 
 /**
- * Ends a request: tells the caller, and stops the attempt that is under way.
+ * Ends a request: tells the caller, and stops the attempt that is under way
+ * unless its outcome must be learnt for the call's claim.
  *
  * @param state - State of the slice.
  * @param request - The request to end.
@@ -42,7 +43,7 @@
   return {
     state: { ...state, open: deleteEntry(state.open, requestId) },
     effects: [
-      ...cancelEffects(request),
+      ...(isClaimed(request) ? [] : cancelEffects(request)),
       { type: 'requests.finish', requestId, ran, end },
       {
         type: 'raise',
@@ -59,6 +60,16 @@
   };
 }
 
+/**
+ * Tells whether a request needs a claim before each send.
+ *
+ * @param request - The request.
+ * @returns Whether it may not be repeated and names an idempotency key.
+ */
+export function isClaimed({ info }: OpenRequest): boolean {
+  return !info.repeatable && info.idempotencyKey !== undefined;
+}
+
 /**
  * Lists the effects that stop a request's open attempt.
  *
--- a/packages/core/src/requests/_lib/retry.ts
+++ b/packages/core/src/requests/_lib/retry.ts
@@ -1,5 +1,6 @@
 import type { Ran } from '@endivegate/contracts';
 import type { EventBase, RequestEnd } from '../../events/index.ts';
+import { retryDelay } from '../../retryDelay/index.ts';
 import { close, keep } from './close.ts';
 import { combineRan } from './ran.ts';
 import type { OpenRequest, RequestsState, RequestsStep } from './types.ts';
@@ -10,7 +11,7 @@
 /** Attempts of one request that a target may have run. */
 export const MAX_LOST_ATTEMPTS = 3;
 
-/** Wait before the second retry of a request; doubled for each one after. */
+/** Bound of the wait before a second retry; doubled for each one after. */
 export const RETRY_BACKOFF_MS = 100;
 
 /** Longest wait before a retry. */
@@ -141,10 +142,10 @@
 }
 
 function backoffMs(lostAttempts: number, random: number): number {
-  if (lostAttempts < 2) return 0;
-  const limitMs = Math.min(
-    MAX_RETRY_BACKOFF_MS,
-    RETRY_BACKOFF_MS * 2 ** (lostAttempts - 2),
-  );
-  return limitMs * (0.5 + random / 2);
+  return lostAttempts < 2
+    ? 0
+    : retryDelay(lostAttempts - 1, random, {
+        baseMs: RETRY_BACKOFF_MS,
+        maxMs: MAX_RETRY_BACKOFF_MS,
+      });
 }
--- a/packages/core/src/requests/_lib/types.ts
+++ b/packages/core/src/requests/_lib/types.ts
@@ -1,4 +1,4 @@
-import type { Ran } from '@endivegate/contracts';
+import type { Ran, StoredAnswer } from '@endivegate/contracts';
 import type { BucketMap } from '../../bucketMap/index.ts';
 import type { RequestEnd } from '../../events/index.ts';
 import type { RequestInfo } from '../../request/index.ts';
@@ -19,6 +19,12 @@
   readonly resumes: number;
 }
 
+/** Where routing has placed a request. */
+export interface Destination {
+  readonly targetId: string;
+  readonly reservationId: string | undefined;
+}
+
 /** A request from its arrival to its end. */
 export interface OpenRequest {
   readonly info: RequestInfo;
@@ -28,6 +34,8 @@
   readonly lostAttempts: number;
   /** Undefined while the request waits for a target. */
   readonly attempt: OpenAttempt | undefined;
+  /** Where to send once the right to send is given; undefined without need. */
+  readonly claimFor: Destination | undefined;
   /** What is known of all attempts together. */
   readonly ran: Ran;
   /** Tokens received for the caller by the open attempt. */
@@ -78,6 +86,12 @@
       readonly attemptId: string;
       readonly targetId: string;
     }
+  /** Hand the caller an answer that is stored for its idempotency key. */
+  | {
+      readonly type: 'requests.replayStored';
+      readonly requestId: string;
+      readonly answer: StoredAnswer;
+    }
   /** Tell the caller how the request ended. */
   | {
       readonly type: 'requests.finish';
--- a/packages/core/src/requests/index.ts
+++ b/packages/core/src/requests/index.ts
@@ -8,8 +8,10 @@
   endAttempt,
   noteFirstToken,
   requestOfAttempt,
+  sendGranted,
   startAttempt,
 } from './_lib/attempts.ts';
+import { endUnclaimed, noteContention } from './_lib/claims.ts';
 import { close, keep } from './_lib/close.ts';
 import { checkDeadlines, ranSoFar } from './_lib/ticks.ts';
 import type {
@@ -49,6 +51,12 @@
       return { state: keep(state, openRequest(event.request)), effects: [] };
     case 'request.dispatched':
       return startAttempt(state, event);
+    case 'request.claimGranted':
+      return sendGranted(state, event);
+    case 'request.claimContended':
+      return noteContention(state, event);
+    case 'request.claimRefused':
+      return endUnclaimed(state, event);
     case 'request.refused':
       return endRefused(state, event);
     case 'request.callerGone':
@@ -80,6 +88,7 @@
     attempts: 0,
     lostAttempts: 0,
     attempt: undefined,
+    claimFor: undefined,
     ran: 'no',
     outputTokens: 0,
     excludedTargetIds: [],
--- a/packages/daemon/src/createAttemptRunner/index.ts
+++ b/packages/daemon/src/createAttemptRunner/index.ts
@@ -2,6 +2,7 @@
   EnginePort,
   EngineStream,
   ServicePort,
+  StoredAnswer,
   Target,
   TargetError,
 } from '@endivegate/contracts';
@@ -10,6 +11,7 @@
 import type { Metrics } from '../createMetrics/index.ts';
 import type { OpenRequest, OpenRequests } from '../openRequests/index.ts';
 import type { EffectHandler, Runtime } from '../runtime/index.ts';
+import { restoreAnswer, storeAnswer } from '../storedAnswer/index.ts';
 import type { EffectOf } from './_lib/effects.ts';
 import { readStream, type StreamOutcome } from './_lib/readStream.ts';
 import { type SilenceWatch, watchSilence } from './_lib/watchSilence.ts';
@@ -46,6 +48,7 @@
 interface AttemptOutcome {
   readonly end: AttemptEnd;
   readonly sent: boolean;
+  readonly answer?: StoredAnswer | undefined;
 }
 
 /**
@@ -198,7 +201,11 @@
     })();
     if (E.isLeft(answer)) return outcomeOfError(answer.left);
     attempt.open.answer = answer.right;
-    return { end: { type: 'done' }, sent: true };
+    return {
+      end: { type: 'done' },
+      sent: true,
+      answer: storeAnswer(answer.right),
+    };
   }
 
   function endAttempt(
@@ -219,6 +226,7 @@
       end: result.end,
       outputTokens: open.outputTokens,
       sent: result.sent,
+      answer: result.answer,
     });
   }
 
@@ -248,6 +256,12 @@
     void options.engines.cancel(target, effect.attemptId)();
   }
 
+  function replayStored(effect: EffectOf<'requests.replayStored'>): void {
+    const open = options.openRequests.find(effect.requestId);
+    if (open === undefined) return;
+    open.answer = restoreAnswer(effect.answer, effect.requestId);
+  }
+
   return (effect: RootEffect, runtime) => {
     switch (effect.type) {
       case 'requests.send':
@@ -262,6 +276,9 @@
       case 'requests.cancel':
         cancel(effect);
         return;
+      case 'requests.replayStored':
+        replayStored(effect);
+        return;
       case 'requests.finish':
         options.openRequests.finish(effect.requestId, effect);
         return;
--- a/packages/daemon/src/createCallersServer/_lib/describeEnd.ts
+++ b/packages/daemon/src/createCallersServer/_lib/describeEnd.ts
@@ -73,6 +73,12 @@
     code: 'idempotency_key_reused',
     message: 'The idempotency key was used with another body.',
   },
+  keyExpired: {
+    status: 422,
+    type: 'invalid_request_error',
+    code: 'key_expired',
+    message: 'The idempotency key is older than outcomes are kept.',
+  },
   callerGone: {
     status: 499,
     type: 'invalid_request_error',
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -14,6 +14,7 @@
 import { createEntryView } from '../createEntryView/index.ts';
 import type { Logger } from '../createLogger/index.ts';
 import { createMetrics, type Metrics } from '../createMetrics/index.ts';
+import { createOnceHandler } from '../once/index.ts';
 import { createOpenRequests } from '../openRequests/index.ts';
 import { pollInstances } from '../pollInstances/index.ts';
 import { recordEnd, recordMetrics } from '../recordMetrics/index.ts';
@@ -83,6 +84,11 @@
         metrics,
         findTarget: (targetId) => view.findTarget(targetId),
       }),
+      once: createOnceHandler({
+        platform: ports.platform,
+        services: ports.services,
+        findTarget: (targetId) => view.findTarget(targetId),
+      }),
       table: table.handle,
     },
     onEvent: (event) => {
--- /dev/null
+++ b/packages/daemon/src/once/index.ts
@@ -0,0 +1,2 @@
+export * from './claimAdmin/index.ts';
+export * from './createOnceHandler/index.ts';
