--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -21,6 +21,7 @@
 import { learnFromSeeds } from '../learnFromSeeds/index.ts';
 import type { LoadedSettings } from '../loadSettings/index.ts';
 import { fromPeerUpdate } from '../membership/index.ts';
+import { createOnceHandler } from '../once/index.ts';
 import { createOpenRequests } from '../openRequests/index.ts';
 import { pollInstances } from '../pollInstances/index.ts';
 import { recordEnd, recordMetrics } from '../recordMetrics/index.ts';
@@ -128,6 +129,11 @@
         metrics,
         findTarget: (targetId) => view.findTarget(targetId),
       }),
+      once: createOnceHandler({
+        platform: ports.platform,
+        services: ports.services,
+        findTarget: (targetId) => view.findTarget(targetId),
+      }),
       table: table.handle,
     },
     onEvent: (event) => {
