Join entries into a fleet and start them all in one process

Cause: peers, membership, relay, leaving, at most once and the operators' API stood beside the entry without being part of it. Measured: of six concurrent payouts with one key over three entries the ledger ran one and all six callers got its answer; an entry told to leave finished its stream and the other entries no longer named it. Conclusion: the promises can now be tried over real sockets.

--- a/packages/cli/src/commands/sendEdit.ts
+++ b/packages/cli/src/commands/sendEdit.ts
@@ -21,7 +21,8 @@
 } as const;
 
 /** Usage text of {@link EDIT_OPTIONS}. */
-export const EDIT_USAGE = '[--note TEXT] [--edit-token T] [--wait [--wait-seconds N]]';
+export const EDIT_USAGE =
+  '[--note TEXT] [--edit-token T] [--wait [--wait-seconds N]]';
 
 const DEFAULT_WAIT_SECONDS = 10;
 
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -8,6 +8,8 @@
 } from '@endivegate/contracts';
 import { decideNewRequest, listLiveEntries } from '@endivegate/core';
 import type { FastifyInstance } from 'fastify';
+import { startAdminServer } from '../admin/index.ts';
+import { createAdminPorts } from '../createAdminPorts/index.ts';
 import { createAttemptRunner } from '../createAttemptRunner/index.ts';
 import {
   createCallersServer,
@@ -54,6 +56,7 @@
 export interface Entry {
   readonly self: EntryAddress;
   readonly callersUrl: string;
+  readonly operatorsUrl: string;
   readonly runtime: Runtime;
   readonly metrics: Metrics;
   /** Names what keeps the entry from being ready; empty when ready. */
@@ -177,12 +180,30 @@
     drainTimeoutMs: settings.leaving.drainTimeoutMs,
   });
   runtime.dispatch({ type: 'entry.started', self });
+  const admin = await startAdminServer({
+    host: listenHost,
+    port: settings.operators.port,
+    token: options.operatorToken,
+    ports: createAdminPorts({
+      runtime,
+      platform: ports.platform,
+      table,
+      timeline,
+      client: peering.client,
+    }),
+  });
+  const operatorsPort = (admin.server.address() as AddressInfo).port;
   const stopTimers = startTimers({ ...options, runtime, peering });
-  logger.info('entry.listening', { port, peerPort: peering.port });
+  logger.info('entry.listening', {
+    port,
+    operatorsPort,
+    peerPort: peering.port,
+  });
 
   return {
     self,
     callersUrl,
+    operatorsUrl: `http://${settings.host}:${operatorsPort}`,
     runtime,
     metrics,
     unreadyReasons,
@@ -192,7 +213,8 @@
     stop: async () => {
       stopTimers();
       server.server.closeAllConnections();
-      await Promise.all([server.close(), peering.close()]);
+      admin.server.closeAllConnections();
+      await Promise.all([server.close(), admin.close(), peering.close()]);
     },
   };
 }
--- a/packages/daemon/src/runServe/index.ts
+++ b/packages/daemon/src/runServe/index.ts
@@ -6,11 +6,13 @@
   createServiceHttpPort,
 } from '../adapters/index.ts';
 import { createEntry, type Entry } from '../createEntry/index.ts';
-import { createLogger } from '../createLogger/index.ts';
+import { createLogger, type Logger } from '../createLogger/index.ts';
 import { type LoadedSettings, loadSettings } from '../loadSettings/index.ts';
 
 /** Options of {@link startHttpEntry}. */
 export interface StartHttpEntryOptions {
+  /** Structured lines on standard error unless given. */
+  readonly logger?: Logger;
   readonly onExit?: (exitCode: number) => void;
 }
 
@@ -26,10 +28,8 @@
   options: StartHttpEntryOptions = {},
 ): Promise<Entry> {
   const { settings } = loaded;
-  const logger = createLogger({
-    entryId: settings.entryId,
-    level: settings.log.level,
-  });
+  const { entryId, log } = settings;
+  const logger = options.logger ?? createLogger({ entryId, level: log.level });
   return createEntry({
     ...loaded,
     ...options,
--- /dev/null
+++ b/packages/daemon/src/startLocalFleet/test.ts
@@ -0,0 +1,113 @@
+import { expect } from 'chai';
+import { request } from 'undici';
+import type { Entry } from '../createEntry/index.ts';
+import {
+  LOCAL_MODEL,
+  LOCAL_WORKSPACE_TOKEN,
+  type LocalFleet,
+  startLocalFleet,
+} from './index.ts';
+
+const headers = {
+  authorization: `Bearer ${LOCAL_WORKSPACE_TOKEN}`,
+  'content-type': 'application/json',
+};
+
+async function ask(entry: Entry, maxTokens = 5) {
+  const reply = await request(`${entry.callersUrl}/v1/chat/completions`, {
+    method: 'POST',
+    headers,
+    body: JSON.stringify({
+      model: LOCAL_MODEL,
+      stream: true,
+      max_tokens: maxTokens,
+      messages: [{ role: 'user', content: 'Who is next in the rota?' }],
+    }),
+  });
+  return { statusCode: reply.statusCode, text: await reply.body.text() };
+}
+
+async function pay(entry: Entry, key: string, member = 4) {
+  const url = `${entry.callersUrl}/v1/services/ledger/payouts`;
+  const reply = await request(url, {
+    method: 'POST',
+    headers: { ...headers, 'idempotency-key': key },
+    body: JSON.stringify({ member }),
+  });
+  const ran = reply.headers['endivegate-ran'];
+  return { statusCode: reply.statusCode, ran, text: await reply.body.text() };
+}
+
+describe('startLocalFleet', () => {
+  let fleet: LocalFleet;
+  const exits: [entryId: string, exitCode: number][] = [];
+
+  before(async () => {
+    fleet = await startLocalFleet({
+      entryCount: 3,
+      settings: { leaving: { drainTimeoutMs: 5_000 } },
+      onExit: (exitCode, entryId) => exits.push([entryId, exitCode]),
+    });
+  });
+
+  after(() => fleet.stop());
+
+  it('streams a whole answer from every entry, home or not', async () => {
+    const answers = await Promise.all(fleet.entries.map((entry) => ask(entry)));
+    answers.forEach(({ statusCode, text }) => {
+      expect(statusCode, text).to.equal(200);
+      expect(text.match(/"delta":\{"content":/g)).to.have.length(5);
+      expect(text).to.contain('"endivegate":{"ran":"yes"}');
+      expect(text.endsWith('data: [DONE]\n\n')).to.equal(true);
+    });
+  });
+
+  it('names two homes in different data centres', async () => {
+    const bodies = await Promise.all(
+      fleet.entries.map(async (entry) => {
+        const url = `${entry.callersUrl}/v1/entries`;
+        const reply = await request(url, { headers });
+        return reply.body.json() as Promise<{
+          entries: { entryId: string; dataCentre: string }[];
+        }>;
+      }),
+    );
+    const ids = bodies.map(({ entries }) => entries.map((e) => e.entryId));
+    expect(ids[0]).to.have.length(2);
+    expect(ids[1]).to.deep.equal(ids[0]);
+    expect(new Set(bodies[0]?.entries.map((e) => e.dataCentre)).size).to.equal(
+      2,
+    );
+  });
+
+  it('runs a payout once, whichever entries it is sent to', async () => {
+    const answers = await Promise.all(
+      [...fleet.entries, ...fleet.entries].map((entry) => pay(entry, 'p-1')),
+    );
+    expect(fleet.ledger.runs()).to.have.length(1);
+    expect(new Set(answers.map(({ text }) => text)).size).to.equal(1);
+    expect(answers.map(({ ran }) => ran)).to.deep.equal(Array(6).fill('yes'));
+    const other = await pay(fleet.entries[0]!, 'p-1', 5);
+    expect([other.statusCode, other.ran]).to.deep.equal([422, 'no']);
+    expect(fleet.ledger.runs()).to.have.length(1);
+  });
+
+  it('lets an entry leave without cutting a stream', async () => {
+    const [leaver, ...others] = fleet.entries as [Entry, Entry, Entry];
+    const open = ask(leaver, 60);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    leaver.leave();
+    const late = await ask(leaver);
+    expect(late.statusCode, late.text).to.equal(200);
+    const { text } = await open;
+    const tokens = text.match(/"delta":\{"content":/g)?.length;
+    expect(text).to.contain(`"completion_tokens":${String(tokens)}`);
+    expect(text.endsWith('data: [DONE]\n\n')).to.equal(true);
+    const { body } = await request(`${others[0].callersUrl}/v1/entries`, {
+      headers,
+    });
+    expect(await body.text()).to.not.contain(leaver.self.entryId);
+    leaver.leave();
+    expect(exits).to.have.length(1);
+  });
+});
