Order engines to what the table wants under a lease and a fencing number

Cause: models, adapters and roles were set by hand; two holders, a pause across a lease's end or a lost reply could turn engines back. Change: the orders slice with one placing entry per model, planEngines, a margin rule for engines that ignore numbers, read-back and correction, a share of the weight store's loads; acquirePlacing takes the key first and raises the fleet's number then. The test first passed with the margin rule taken out, because its model never reordered; it now changes the table and cuts holders off, and fails both without the wait of a successor and without the check of the lease. Conclusion: a pause of up to 6 s between the last check and the send is harmless; beyond it an engine that ignores numbers may take an old order until it is read back.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -55,3 +55,6 @@
 export * from './targets/index.ts';
 export * from './tickHybridClock/index.ts';
 export * from './parseTableCell/index.ts';
+export * from './orders/index.ts';
+export * from './planEngines/index.ts';
+export * from './describeOrders/index.ts';
--- a/packages/core/src/pickTableWatchers/index.ts
+++ b/packages/core/src/pickTableWatchers/index.ts
@@ -1,5 +1,7 @@
-import { createHash } from 'node:crypto';
 import type { EntryAddress } from '@endivegate/contracts';
+import { scoreRendezvous } from '../scoreRendezvous/index.ts';
+
+const WATCH_KEY = 'table-watch';
 
 /** Options of {@link pickTableWatchers}. */
 export interface PickTableWatchersOptions {
@@ -34,8 +36,11 @@
   return dataCentres.flatMap((key) =>
     live
       .filter((entry) => dataCentreKey(entry) === key)
-      .map(({ entryId }) => ({ entryId, score: scoreOf(entryId) }))
-      .sort((a, b) => (a.score < b.score ? 1 : -1))
+      .map(({ entryId }) => ({
+        entryId,
+        score: scoreRendezvous(WATCH_KEY, entryId),
+      }))
+      .sort((a, b) => b.score - a.score)
       .slice(0, watchersPerDataCentre)
       .map(({ entryId }) => entryId),
   );
@@ -44,7 +49,3 @@
 function dataCentreKey(entry: EntryAddress): string {
   return `${entry.region}/${entry.dataCentre}`;
 }
-
-function scoreOf(entryId: string): string {
-  return createHash('sha256').update(`table-watch/${entryId}`).digest('hex');
-}
--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -5,6 +5,7 @@
 import { clockSlice } from '../clock/index.ts';
 import { leavingSlice } from '../leaving/index.ts';
 import { membershipSlice } from '../membership/index.ts';
+import { ordersSlice } from '../orders/index.ts';
 import { requestsSlice } from '../requests/index.ts';
 import { suspectsSlice } from '../suspects/index.ts';
 import { tableSlice } from '../table/index.ts';
@@ -21,6 +22,7 @@
   requests: requestsSlice,
   suspects: suspectsSlice,
   routing: routingSlice,
+  orders: ordersSlice,
 };
 
 type Slices = typeof rootSlices;
--- a/packages/daemon/src/table/test.fakeStore.ts
+++ b/packages/daemon/src/table/test.fakeStore.ts
@@ -73,6 +73,10 @@
         values.delete(key);
         return TE.right(undefined);
       }),
+    grantLease: (ttlMs) =>
+      call('grant', () => TE.right({ leaseId: `lease-${values.size}`, ttlMs })),
+    revokeLease: (leaseId) =>
+      call(`revoke ${leaseId}`, () => TE.right(undefined)),
   } satisfies Partial<PlatformPort>;
   return { platform: platform as unknown as PlatformPort, values };
 }
