--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -6,6 +6,7 @@
 import { leavingSlice } from '../leaving/index.ts';
 import { membershipSlice } from '../membership/index.ts';
 import { ordersSlice } from '../orders/index.ts';
+import { onceSlice } from '../once/index.ts';
 import { requestsSlice } from '../requests/index.ts';
 import { suspectsSlice } from '../suspects/index.ts';
 import { tableSlice } from '../table/index.ts';
@@ -20,6 +21,7 @@
   membership: membershipSlice,
   leaving: leavingSlice,
   requests: requestsSlice,
+  once: onceSlice,
   suspects: suspectsSlice,
   routing: routingSlice,
   orders: ordersSlice,
--- a/packages/daemon/src/createAttemptRunner/index.ts
+++ b/packages/daemon/src/createAttemptRunner/index.ts
@@ -2,14 +2,20 @@
   EnginePort,
   EngineStream,
   ServicePort,
+  StoredAnswer,
   Target,
   TargetError,
 } from '@endivegate/contracts';
-import type { AttemptEnd, RootEffect } from '@endivegate/core';
+import {
+  enginePriorityOf,
+  type AttemptEnd,
+  type RootEffect,
+} from '@endivegate/core';
 import * as E from 'fp-ts/lib/Either.js';
 import type { Metrics } from '../createMetrics/index.ts';
 import type { OpenRequest, OpenRequests } from '../openRequests/index.ts';
 import type { EffectHandler, Runtime } from '../runtime/index.ts';
+import { restoreAnswer, storeAnswer } from '../storedAnswer/index.ts';
 import type { EffectOf } from './_lib/effects.ts';
 import { readStream, type StreamOutcome } from './_lib/readStream.ts';
 import { type SilenceWatch, watchSilence } from './_lib/watchSilence.ts';
@@ -46,6 +52,7 @@
 interface AttemptOutcome {
   readonly end: AttemptEnd;
   readonly sent: boolean;
+  readonly answer?: StoredAnswer | undefined;
 }
 
 /**
@@ -141,7 +148,7 @@
         prompt: work.type === 'prompt' ? work.prompt : '',
         promptTokens: info.promptTokens,
         maxOutputTokens: info.maxOutputTokens,
-        priority: info.priority,
+        priority: enginePriorityOf(info),
         timeoutMs: effect.timeoutMs,
         reservationId: effect.reservationId,
         prefixHashes: info.prefixHashes,
@@ -198,7 +205,11 @@
     })();
     if (E.isLeft(answer)) return outcomeOfError(answer.left);
     attempt.open.answer = answer.right;
-    return { end: { type: 'done' }, sent: true };
+    return {
+      end: { type: 'done' },
+      sent: true,
+      answer: storeAnswer(answer.right),
+    };
   }
 
   function endAttempt(
@@ -219,6 +230,7 @@
       end: result.end,
       outputTokens: open.outputTokens,
       sent: result.sent,
+      answer: result.answer,
     });
   }
 
@@ -248,6 +260,12 @@
     void options.engines.cancel(target, effect.attemptId)();
   }
 
+  function replayStored(effect: EffectOf<'requests.replayStored'>): void {
+    const open = options.openRequests.find(effect.requestId);
+    if (open === undefined) return;
+    open.answer = restoreAnswer(effect.answer, effect.requestId);
+  }
+
   return (effect: RootEffect, runtime) => {
     switch (effect.type) {
       case 'requests.send':
@@ -262,6 +280,9 @@
       case 'requests.cancel':
         cancel(effect);
         return;
+      case 'requests.replayStored':
+        replayStored(effect);
+        return;
       case 'requests.finish':
         options.openRequests.finish(effect.requestId, effect);
         return;
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -14,9 +14,11 @@
 import { createEntryView } from '../createEntryView/index.ts';
 import type { Logger } from '../createLogger/index.ts';
 import { createMetrics, type Metrics } from '../createMetrics/index.ts';
+import { createOnceHandler } from '../once/index.ts';
 import { createOpenRequests } from '../openRequests/index.ts';
 import { pollInstances } from '../pollInstances/index.ts';
 import { recordEnd, recordMetrics } from '../recordMetrics/index.ts';
+import { createRoutingHandler } from '../routing/index.ts';
 import { createRuntime, type Runtime } from '../runtime/index.ts';
 import { createTableHandler } from '../table/index.ts';
 
@@ -83,7 +85,20 @@
         metrics,
         findTarget: (targetId) => view.findTarget(targetId),
       }),
+      once: createOnceHandler({
+        platform: ports.platform,
+        services: ports.services,
+        findTarget: (targetId) => view.findTarget(targetId),
+      }),
       table: table.handle,
+      routing: createRoutingHandler({
+        engines: ports.engines,
+        findTarget: (targetId) => view.findTarget(targetId),
+        notifyPeer: () => Promise.resolve(false),
+        onUnfreed: (targetId, reservationId) => {
+          logger.warn('reservation.unfreed', { targetId, reservationId });
+        },
+      }),
     },
     onEvent: (event) => {
       recordMetrics(metrics, { event, openRequests });
