--- a/packages/core/src/membership/_lib/receive.ts
+++ b/packages/core/src/membership/_lib/receive.ts
@@ -71,7 +71,12 @@
   if (update.incarnation !== incarnation) {
     return update.incarnation < incarnation;
   }
-  return update.revision < known.revision;
+  return (
+    update.revision < known.revision ||
+    (update.revision === known.revision &&
+      update.status !== 'dead' &&
+      known.status === 'dead')
+  );
 }
 
 function answer(
--- a/packages/daemon/src/peers/peerOptions.ts
+++ b/packages/daemon/src/peers/peerOptions.ts
@@ -13,6 +13,7 @@
 /** Channel options: one address, no discovery, no retries by the library. */
 export const PEER_CHANNEL_OPTIONS: ChannelOptions = {
   ...PEER_KEEPALIVE_OPTIONS,
+  'grpc.use_local_subchannel_pool': 1,
   'grpc.enable_retries': 0,
   'grpc.service_config_disable_resolution': 1,
   'grpc.initial_reconnect_backoff_ms': 200,
