--- /dev/null
+++ b/bench/slopes/roles.ts
@@ -0,0 +1,72 @@
+import { measureMembership } from './roles/membership.ts';
+import { measureRequests } from './roles/requests.ts';
+import { measureTable } from './roles/table.ts';
+import { measureTimeline } from './roles/timeline.ts';
+import { measureIdle, measureLoaded } from './roles/node.ts';
+
+/** Figures of one role at one size, by name with its unit. */
+export type Figures = Readonly<Record<string, number>>;
+
+/** A role, and the sizes at which it is measured. */
+export interface Role {
+  /** What the size counts. */
+  readonly sizeName: string;
+  readonly sizes: readonly number[];
+  /** Size to work out, in the letter's fleet. */
+  readonly targetSize: number;
+  readonly measure: (size: number) => Figures;
+}
+
+/** Open requests of an entry while the number of targets is varied. */
+const OPEN_REQUESTS = 200;
+
+/** Targets of a fleet while the number of open requests is varied. */
+const TARGETS = 830;
+
+/** Every measured role by name. */
+export const ROLES: Readonly<Record<string, Role>> = {
+  nodeAlone: {
+    sizeName: 'nothing',
+    sizes: [1],
+    targetSize: 1,
+    measure: measureIdle,
+  },
+  daemonLoaded: {
+    sizeName: 'nothing',
+    sizes: [1],
+    targetSize: 1,
+    measure: measureLoaded,
+  },
+  membership: {
+    sizeName: 'members',
+    sizes: [50, 100, 200, 370],
+    targetSize: 370,
+    measure: measureMembership,
+  },
+  tableHolder: {
+    sizeName: 'rows',
+    sizes: [1_000, 5_000, 10_000, 20_000],
+    targetSize: 20_400,
+    measure: measureTable,
+  },
+  targetsKnown: {
+    sizeName: 'targets',
+    sizes: [100, 250, 500, 830],
+    targetSize: TARGETS,
+    measure: (targets) =>
+      measureRequests({ targets, openRequests: OPEN_REQUESTS }),
+  },
+  requestsOpen: {
+    sizeName: 'open requests',
+    sizes: [50, 100, 200, 400],
+    targetSize: OPEN_REQUESTS,
+    measure: (openRequests) =>
+      measureRequests({ targets: TARGETS, openRequests }),
+  },
+  timeline: {
+    sizeName: 'events kept',
+    sizes: [2_000, 5_000, 10_000, 20_000],
+    targetSize: 20_000,
+    measure: measureTimeline,
+  },
+};
