--- a/bench/slopes/child.ts
+++ b/bench/slopes/child.ts
@@ -1,7 +1,8 @@
 import { ROLES } from './roles.ts';
 
-const [role = '', size = '0'] = process.argv.slice(2);
+async function main(): Promise<void> {
+  const [role = '', size = '0'] = process.argv.slice(2);
+  process.send?.((await ROLES[role]?.measure(Number(size))) ?? {});
+}
 
-// Node's own share is measured by processes that load nothing else.
-const figures = ROLES[role]?.measure(Number(size)) ?? {};
-process.send?.(figures);
+void main();
--- a/bench/slopes/main.ts
+++ b/bench/slopes/main.ts
@@ -1,13 +1,12 @@
 /**
  * Measures how the cost of each role of an entry grows, one process a
- * measurement, and renders the tables of docs/CAPACITY.md.
+ * measurement.
  */
 import { fork } from 'node:child_process';
 import { once } from 'node:events';
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 import { fitLine, type LineFit } from './fitLine.ts';
-import { renderCapacity } from './renderCapacity.ts';
 import { ROLES, type Figures } from './roles.ts';
 
 /** A role's figures at all sizes, and the fit of each over the size. */
@@ -67,7 +66,6 @@
   for (const role of Object.keys(ROLES)) results.push(await measureRole(role));
   mkdirSync('bench/results', { recursive: true });
   writeFileSync(RESULTS, `${JSON.stringify(results, null, 2)}\n`);
-  renderCapacity();
   process.exit(0);
 }
 
--- a/bench/slopes/renderCapacity.ts
+++ b/bench/slopes/renderCapacity.ts
@@ -1,55 +1,45 @@
 import { existsSync, readFileSync, writeFileSync } from 'node:fs';
 import { pathToFileURL } from 'node:url';
+import { formatNumber, formatTable } from './formatTable.ts';
+import { rolesTable } from './rolesTable.ts';
 import type { FleetFigures } from '../fleet/measureFleet.ts';
+import type { GrpcProbeFigures } from '../fleet/measureGrpcProbes.ts';
 import type { RoleResult } from './main.ts';
 
-const PAGE = 'docs/CAPACITY.md';
+const PAGES = ['docs/CAPACITY.md', 'docs/MEMBERSHIP.md'];
 const SLOPES = 'bench/results/slopes.json';
 const FLEET = 'bench/results/fleet.json';
 
-/** Writes the measured tables into the page, between their markers. */
+/** Writes the measured tables into the pages, between their markers. */
 export function renderCapacity(): void {
-  if (!existsSync(PAGE)) return;
   const slopes = (readJson(SLOPES) ?? []) as readonly RoleResult[];
-  const { fleet } = (readJson(FLEET) ?? { fleet: [] }) as {
+  const { fleet, grpc } = (readJson(FLEET) ?? { fleet: [], grpc: [] }) as {
     readonly fleet: readonly FleetFigures[];
+    readonly grpc: readonly GrpcProbeFigures[];
   };
-  const page = [
-    ['slopes', slopesTable(slopes)],
-    ['fleet', fleetTable(fleet)],
-  ].reduce(
-    (text, [name = '', table = '']) =>
-      text.replace(
-        new RegExp(`(<!-- ${name}:begin -->)[^]*(<!-- ${name}:end -->)`),
-        `$1\n\n${table}\n\n$2`,
-      ),
-    readFileSync(PAGE, 'utf8'),
-  );
-  writeFileSync(PAGE, page);
+  const tables: Readonly<Record<string, string>> = {
+    roles: slopes.length === 0 ? '' : rolesTable(slopes, fleet),
+    slopes: slopesTable(slopes),
+    fleet: fleetTable(fleet),
+    transport: transportTable(fleet, grpc),
+  };
+  PAGES.filter(existsSync).forEach((page) => {
+    const text = Object.entries(tables).reduce(
+      (done, [name, table]) =>
+        done.replace(
+          new RegExp(`(<!-- ${name}:begin -->)[^]*(<!-- ${name}:end -->)`),
+          `$1\n\n${table}\n\n$2`,
+        ),
+      readFileSync(page, 'utf8'),
+    );
+    writeFileSync(page, text);
+  });
 }
 
 function readJson(path: string): unknown {
   return existsSync(path) ? JSON.parse(readFileSync(path, 'utf8')) : undefined;
 }
 
-function table(
-  head: readonly string[],
-  rows: readonly (readonly string[])[],
-): string {
-  const line = (cells: readonly string[]) => `| ${cells.join(' | ')} |`;
-  return [line(head), line(head.map(() => '---')), ...rows.map(line)].join(
-    '\n',
-  );
-}
-
-function number(value: number | null): string {
-  if (value === null || Number.isNaN(value)) return 'not reached';
-  const digits = Math.abs(value) >= 100 ? 0 : 3;
-  return Number(value.toFixed(digits)).toLocaleString('en-GB', {
-    maximumFractionDigits: 3,
-  });
-}
-
 function slopesTable(results: readonly RoleResult[]): string {
   const rows = results.flatMap(
     ({ role, sizeName, targetSize, sizes, figures, fits }) =>
@@ -57,14 +47,14 @@
         role,
         sizes.length > 1 ? `${sizes.join(', ')} ${sizeName}` : '-',
         name,
-        figures.map((row) => number(row[name] ?? 0)).join(', '),
-        number(intercept),
-        number(slope),
+        figures.map((row) => formatNumber(row[name] ?? 0)).join(', '),
+        formatNumber(intercept),
+        formatNumber(slope),
         `${Math.round(100 * residual)}%`,
-        number(intercept + slope * targetSize),
+        formatNumber(intercept + slope * targetSize),
       ]),
   );
-  return table(
+  return formatTable(
     [
       'role',
       'sizes',
@@ -82,20 +72,20 @@
 function fleetTable(fleet: readonly FleetFigures[]): string {
   const rows = fleet.map((f) => [
     String(f.members),
-    number(f.packetsPerS),
-    number(f.bytesPerS),
-    number(f.cpuPercent),
-    number(f.falseSuspicions),
-    number(f.tableInForceMs),
-    number(f.leavingKnownMs),
-    number(f.firstSuspectMs),
-    number(f.allSuspectMs),
-    number(f.allDeadMs),
-    `${f.centreLost.members}: ${number(f.centreLost.suspectP99Ms)} / ${number(f.centreLost.deadP99Ms)} / ${number(f.centreLost.unaware)}`,
-    number(f.centreLost.bytesPerS),
-    number(f.centreLost.cpuPercent),
+    formatNumber(f.packetsPerS),
+    formatNumber(f.bytesPerS),
+    formatNumber(f.cpuPercent),
+    formatNumber(f.falseSuspicions),
+    formatNumber(f.tableInForceMs),
+    formatNumber(f.leavingKnownMs),
+    formatNumber(f.firstSuspectMs),
+    formatNumber(f.allSuspectMs),
+    formatNumber(f.allDeadMs),
+    `${f.centreLost.members}: ${formatNumber(f.centreLost.suspectP99Ms)} / ${formatNumber(f.centreLost.deadP99Ms)} / ${formatNumber(f.centreLost.unaware)}`,
+    formatNumber(f.centreLost.bytesPerS),
+    formatNumber(f.centreLost.cpuPercent),
   ]);
-  return table(
+  return formatTable(
     [
       'members',
       'packets/s',
@@ -115,6 +105,31 @@
   );
 }
 
+function transportTable(
+  fleet: readonly FleetFigures[],
+  grpc: readonly GrpcProbeFigures[],
+): string {
+  return formatTable(
+    ['transport', 'members', 'B/s', 'CPU %', 'memory a connection, kB'],
+    [
+      ...fleet.map((f) => [
+        'UDP',
+        String(f.members),
+        formatNumber(f.bytesPerS),
+        formatNumber(f.cpuPercent),
+        '-',
+      ]),
+      ...grpc.map((g) => [
+        'gRPC',
+        String(g.members),
+        formatNumber(g.bytesPerS),
+        formatNumber(g.cpuPercent),
+        formatNumber(g.rssBytesPerConnection / 1_000),
+      ]),
+    ],
+  );
+}
+
 if (import.meta.url === pathToFileURL(process.argv[1] ?? '').href) {
   renderCapacity();
 }
--- a/bench/slopes/roles.ts
+++ b/bench/slopes/roles.ts
@@ -1,3 +1,9 @@
+import {
+  measureInstanceLists,
+  measureLoadReads,
+  measureNotifications,
+  measureReservationLists,
+} from './roles/calls.ts';
 import { measureMembership } from './roles/membership.ts';
 import { measureRequests } from './roles/requests.ts';
 import { measureTable } from './roles/table.ts';
@@ -14,7 +20,7 @@
   readonly sizes: readonly number[];
   /** Size to work out, in the letter's fleet. */
   readonly targetSize: number;
-  readonly measure: (size: number) => Figures;
+  readonly measure: (size: number) => Figures | Promise<Figures>;
 }
 
 /** Open requests of an entry while the number of targets is varied. */
@@ -69,4 +75,28 @@
     targetSize: 20_000,
     measure: measureTimeline,
   },
+  instanceList: {
+    sizeName: 'targets, with entries in proportion',
+    sizes: [100, 250, 500, 830],
+    targetSize: TARGETS,
+    measure: measureInstanceLists,
+  },
+  loadReads: {
+    sizeName: 'reads',
+    sizes: [25, 50, 100, 200],
+    targetSize: 1,
+    measure: measureLoadReads,
+  },
+  reservationList: {
+    sizeName: 'reservations on the engine',
+    sizes: [0, 10, 50, 100],
+    targetSize: 10,
+    measure: measureReservationLists,
+  },
+  notifications: {
+    sizeName: 'notifications',
+    sizes: [25, 50, 100, 200],
+    targetSize: 1,
+    measure: measureNotifications,
+  },
 };
