--- a/packages/core/src/membership/_lib/applyUpdates.ts
+++ b/packages/core/src/membership/_lib/applyUpdates.ts
@@ -1,12 +1,11 @@
 import type { Step } from '../../step/index.ts';
 import type {
-  Member,
   MembershipEffect,
   MembershipState,
   MemberUpdate,
 } from '../types.ts';
 import { MAX_HEALTH_PENALTY } from './constants.ts';
-import { copiesFor, suspicionMs } from './fleetSize.ts';
+import { suspicionMs } from './fleetSize.ts';
 import { mergeMember } from './mergeMember.ts';
 
 type Applied = Step<MembershipState, MembershipEffect>;
@@ -57,8 +56,7 @@
   const { entryId } = update;
   const known = state.members.get(entryId);
   const merged = mergeMember(known, update, state.nowMs);
-  if (!merged) return state;
-  if (merged === known) return countHeard(state, update, merged);
+  if (!merged || merged === known) return state;
   return {
     ...state,
     members: new Map(state.members).set(entryId, merged),
@@ -70,30 +68,6 @@
   };
 }
 
-/**
- * Counts an update that was heard again as if it had been sent, so that news
- * that many already know dies down early.
- */
-function countHeard(
-  state: MembershipState,
-  update: MemberUpdate,
-  known: Member,
-): MembershipState {
-  const copies = state.spreading.get(update.entryId);
-  const isSame =
-    update.status === known.status &&
-    update.revision === known.revision &&
-    update.incarnation === known.address.incarnation;
-  if (copies === undefined || !isSame) return state;
-  const spreading = new Map(state.spreading);
-  if (copies + 1 < copiesFor(state.order.length + 1)) {
-    spreading.set(update.entryId, copies + 1);
-  } else {
-    spreading.delete(update.entryId);
-  }
-  return { ...state, spreading };
-}
-
 function withSuspicion(
   state: MembershipState,
   entryId: string,
--- a/packages/core/src/membership/test.ts
+++ b/packages/core/src/membership/test.ts
@@ -94,6 +94,21 @@
     expect(behind.map((m) => m.address.entryId)).to.deep.equal([]);
   });
 
+  it('tells every member of each of many that leave', () => {
+    const fleet = createTestFleet({ size: 150, seed: 3 });
+    fleet.run(2_000);
+    const leavers = [3, 24, 45, 66, 87, 108];
+    const unaware = leavers.map((index) => {
+      fleet.dispatch(index, { type: 'leaving.requested' });
+      fleet.run(2_500);
+      return fleet.members.filter(
+        ({ view }) =>
+          !view?.leaving.some(({ entryId }) => entryId === `e${index}`),
+      ).length;
+    });
+    expect(unaware).to.deep.equal(leavers.map(() => 0));
+  });
+
   it('drops a member that said farewell without suspecting it', () => {
     const fleet = createTestFleet({ size: 20 });
     fleet.run(3_000);
