Run the effects of orders and send routing's messages between entries

Cause: orders were not run at all, and routing's messages to placing entries went nowhere, so long prompts could only be placed where they landed. Change: handlers and peer topics of an entry in modules of their own.

--- /dev/null
+++ b/packages/daemon/src/createEntry/_lib/createHandlers.ts
@@ -0,0 +1,74 @@
+import { randomUUID } from 'node:crypto';
+import { createAttemptRunner } from '../../createAttemptRunner/index.ts';
+import type { EntryView } from '../../createEntryView/index.ts';
+import { createLeavingHandler } from '../../createLeavingHandler/index.ts';
+import type { Metrics } from '../../createMetrics/index.ts';
+import { createOnceHandler } from '../../once/index.ts';
+import type { OpenRequests } from '../../openRequests/index.ts';
+import { createOrdersHandler } from '../../orders/index.ts';
+import { createRoutingHandler } from '../../routing/index.ts';
+import type { EffectHandler } from '../../runtime/index.ts';
+import type { Peering } from '../../startPeering/index.ts';
+import type { TableHandler } from '../../table/index.ts';
+import type { CreateEntryOptions } from '../index.ts';
+import type { NotifyPeer } from './createPeerMessages.ts';
+import { logPauses } from './logEvents.ts';
+
+/** Parts of an entry that run its effects. */
+export interface CreateHandlersOptions extends CreateEntryOptions {
+  readonly metrics: Metrics;
+  readonly openRequests: OpenRequests;
+  readonly peering: Peering;
+  readonly table: TableHandler;
+  readonly findTarget: EntryView['findTarget'];
+  readonly notifyPeer: NotifyPeer;
+}
+
+/**
+ * Creates the handlers of all effects.
+ *
+ * @param options - Parts of the entry.
+ * @returns Handlers by slice.
+ */
+export function createHandlers(
+  options: CreateHandlersOptions,
+): Readonly<Record<string, EffectHandler>> {
+  const { logger, openRequests, metrics, findTarget, settings } = options;
+  const { engines, services, platform } = options.ports;
+  return {
+    clock: logPauses(logger),
+    membership: options.peering.membership.handler,
+    table: options.table.handle,
+    leaving: createLeavingHandler({
+      openRequests,
+      exit: (exitCode, reason) => {
+        logger.info('entry.left', { exitCode, reason });
+        options.onExit?.(exitCode);
+      },
+    }),
+    requests: createAttemptRunner({
+      engines,
+      services,
+      openRequests,
+      metrics,
+      findTarget,
+    }),
+    once: createOnceHandler({ platform, services, findTarget }),
+    orders: createOrdersHandler({
+      platform,
+      engines,
+      findTarget,
+      entryId: settings.entryId,
+      newToken: randomUUID,
+    }),
+    routing: createRoutingHandler({
+      engines,
+      findTarget,
+      notifyPeer: (toEntryId, message) =>
+        options.notifyPeer(toEntryId, 'routing', message),
+      onUnfreed: (targetId, reservationId) => {
+        logger.warn('reservation.unfreed', { targetId, reservationId });
+      },
+    }),
+  };
+}
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -10,33 +10,31 @@
 import type { FastifyInstance } from 'fastify';
 import { startAdminServer } from '../admin/index.ts';
 import { createAdminPorts } from '../createAdminPorts/index.ts';
-import { createAttemptRunner } from '../createAttemptRunner/index.ts';
 import {
   createCallersServer,
   refuseLeaving,
 } from '../createCallersServer/index.ts';
 import { createEntryView, type EntryView } from '../createEntryView/index.ts';
-import { createLeavingHandler } from '../createLeavingHandler/index.ts';
 import type { Logger } from '../createLogger/index.ts';
 import { createMetrics, type Metrics } from '../createMetrics/index.ts';
 import { createTablePeers } from '../createTablePeers/index.ts';
 import { learnFromSeeds } from '../learnFromSeeds/index.ts';
 import type { LoadedSettings } from '../loadSettings/index.ts';
 import { fromPeerUpdate } from '../membership/index.ts';
-import { createOnceHandler } from '../once/index.ts';
 import { createOpenRequests } from '../openRequests/index.ts';
 import { pollInstances } from '../pollInstances/index.ts';
 import { recordEnd, recordMetrics } from '../recordMetrics/index.ts';
 import { registerRelay } from '../relay/index.ts';
-import { createRoutingHandler } from '../routing/index.ts';
 import { createRuntime, type Runtime } from '../runtime/index.ts';
 import { type Peering, startPeering } from '../startPeering/index.ts';
 import { createTableHandler, type TablePeerPort } from '../table/index.ts';
 import { createTimeline } from '../timeline/index.ts';
+import { createHandlers } from './_lib/createHandlers.ts';
 import { createPeerHandlers } from './_lib/createPeerHandlers.ts';
+import { createNotifyPeer, createTopics } from './_lib/createPeerMessages.ts';
 import { describeSelf } from './_lib/describeSelf.ts';
 import { listUnreadyReasons } from './_lib/listUnreadyReasons.ts';
-import { logEvent, logPauses } from './_lib/logEvents.ts';
+import { logEvent } from './_lib/logEvents.ts';
 
 /** What an entry talks to. */
 export interface EntryPorts {
@@ -106,7 +104,7 @@
       runtime: () => runtime,
       table,
       timeline,
-      topics: {},
+      topics: createTopics({ runtime: () => runtime }),
       callersUrl: () => callersUrl,
       maxBodyBytes: settings.callers.maxBodyBytes,
     }),
@@ -116,38 +114,18 @@
     },
   });
   const runtime: Runtime = createRuntime({
-    handlers: {
-      clock: logPauses(logger),
-      membership: peering.membership.handler,
-      leaving: createLeavingHandler({
-        openRequests,
-        exit: (exitCode, reason) => {
-          logger.info('entry.left', { exitCode, reason });
-          options.onExit?.(exitCode);
-        },
-      }),
-      requests: createAttemptRunner({
-        engines: ports.engines,
-        services: ports.services,
-        openRequests,
-        metrics,
-        findTarget: (targetId) => view.findTarget(targetId),
-      }),
-      once: createOnceHandler({
-        platform: ports.platform,
-        services: ports.services,
-        findTarget: (targetId) => view.findTarget(targetId),
-      }),
-      table: table.handle,
-      routing: createRoutingHandler({
-        engines: ports.engines,
-        findTarget: (targetId) => view.findTarget(targetId),
-        notifyPeer: () => Promise.resolve(false),
-        onUnfreed: (targetId, reservationId) => {
-          logger.warn('reservation.unfreed', { targetId, reservationId });
-        },
+    handlers: createHandlers({
+      ...options,
+      metrics,
+      openRequests,
+      peering,
+      table,
+      findTarget: (targetId) => view.findTarget(targetId),
+      notifyPeer: createNotifyPeer({
+        runtime: () => runtime,
+        client: () => peering.client,
       }),
-    },
+    }),
     onEvent: (event) => {
       recordMetrics(metrics, { event, openRequests });
       timeline.record(event);
