Bound the targets that one request takes down, and bound retries

Cause: a request that crashes its target was retried and sent again until all targets were down; retries had no budget. Change: slice `suspects`: one request of an unproven fingerprint runs at a time in an entry; after a crash it runs once more, one entry of the fleet at a time (judged in one stored document by compare-and-swap, reports of one crash merged into few writes), away from other suspects; a second crash blocks it fleet-wide for ten minutes, a third when another request was at both. Crashes of four targets together count as an outage, not as a request's doing. Retries come out of budgets by workspace and target. A request that has tried every target waits half a second and may go to any. Handler, list and clear for operators.

Also in this commit: free engine memory that belongs to dead entries

Cause: an entry killed between reserving and freeing left its reservation on the engine for good. Change: slice `memory`: each engine is watched by one live entry of its data centre (rendezvous over groups of engines); it frees what belongs to an incarnation known dead or replaced, and what is past its lifetime, at once when a death becomes known and every 3 s after. A list older than 5 s (a pause) is not acted on; a false death is taken back. Measured: unit tests only; not run against real engines yet. Conclusion: with a reachable engine, memory is back within one check after the death is known, 3 s later when a free was lost.

--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -15,5 +15,6 @@
 export * from './ran/index.ts';
 export * from './settings/index.ts';
 export * from './table/index.ts';
+export * from './suspect/index.ts';
 export * from './tableRow/index.ts';
 export * from './wire/index.ts';
--- a/packages/core/src/events/index.ts
+++ b/packages/core/src/events/index.ts
@@ -111,6 +111,20 @@
       readonly end: RequestEnd;
       readonly answer: StoredAnswer | undefined;
     }
+  /** The request was in flight when its target crashed. */
+  | {
+      readonly type: 'request.suspected';
+      readonly requestId: string;
+      readonly targetId: string;
+      /** Whether it waits for `retryAllowed`; false when it ends now. */
+      readonly wantsRetry: boolean;
+    }
+  /** A suspect may run again, away from where other suspects run. */
+  | {
+      readonly type: 'request.retryAllowed';
+      readonly requestId: string;
+      readonly avoidedTargetIds: readonly string[];
+    }
   | { readonly type: 'request.callerGone'; readonly requestId: string }
   | {
       readonly type: 'request.ended';
--- a/packages/core/src/reduce/index.ts
+++ b/packages/core/src/reduce/index.ts
@@ -5,6 +5,7 @@
 import { clockSlice } from '../clock/index.ts';
 import { leavingSlice } from '../leaving/index.ts';
 import { membershipSlice } from '../membership/index.ts';
+import { memorySlice } from '../memory/index.ts';
 import { ordersSlice } from '../orders/index.ts';
 import { onceSlice } from '../once/index.ts';
 import { requestsSlice } from '../requests/index.ts';
@@ -22,6 +23,7 @@
   leaving: leavingSlice,
   requests: requestsSlice,
   once: onceSlice,
+  memory: memorySlice,
   suspects: suspectsSlice,
   routing: routingSlice,
   orders: ordersSlice,
--- a/packages/core/src/requests/_lib/asks.ts
+++ b/packages/core/src/requests/_lib/asks.ts
@@ -160,6 +160,9 @@
     event,
     ran: request.outputTokens > 0 ? 'yes' : 'unknown',
     reason: `attempt lost: ${event.report.type}`,
+    crashed: ['absent', 'notSent'].includes(event.report.type)
+      ? request.attempt?.targetId
+      : undefined,
   });
   return { ...step, effects: [...cancelEffects(request), ...step.effects] };
 }
--- a/packages/core/src/requests/_lib/attempts.ts
+++ b/packages/core/src/requests/_lib/attempts.ts
@@ -6,6 +6,7 @@
 import { close, isClaimed, keep } from './close.ts';
 import { ranOfAttempt } from './ran.ts';
 import { retryOrEnd } from './retry.ts';
+import { budgetKeys, payRetries } from './retryBudget.ts';
 import type {
   Destination,
   OpenAttempt,
@@ -103,8 +104,19 @@
     resumes: 0,
   };
   const graceMs = isClaimed(request) ? SETTLE_GRACE_MS : 0;
+  const retryBudgets =
+    attempts > 1
+      ? state.retryBudgets
+      : payRetries(
+          state.retryBudgets,
+          budgetKeys(request.info.workspace, targetId),
+          event.atMs,
+        );
   return {
-    state: keep(state, { ...request, attempts, attempt, outputTokens: 0 }),
+    state: keep(
+      { ...state, retryBudgets },
+      { ...request, attempts, attempt, outputTokens: 0 },
+    ),
     effects: [
       {
         type: 'requests.send',
@@ -176,7 +188,10 @@
   if (mayStillRun(state, event) && ran !== 'no') {
     return ask(state, request, { event, cut: true });
   }
-  return retryOrEnd(state, request, { event, ran, reason: event.end.type });
+  const crashed =
+    event.end.type === 'cut' && event.sent ? event.targetId : undefined;
+  const reason = event.end.type;
+  return retryOrEnd(state, request, { event, ran, reason, crashed });
 }
 
 /**
--- a/packages/core/src/requests/_lib/retry.ts
+++ b/packages/core/src/requests/_lib/retry.ts
@@ -1,5 +1,8 @@
 import type { Ran } from '@endivegate/contracts';
-import type { EventBase, RequestEnd } from '../../events/index.ts';
+import { getEntry } from '../../bucketMap/index.ts';
+import type { EventBase, RequestEnd, SharedEvent } from '../../events/index.ts';
+import { unchanged } from '../../step/index.ts';
+import { budgetKeys, takeRetry, type RetryBudgets } from './retryBudget.ts';
 import { retryDelay } from '../../retryDelay/index.ts';
 import { close, keep } from './close.ts';
 import { combineRan } from './ran.ts';
@@ -14,6 +17,9 @@
 /** Bound of the wait before a second retry; doubled for each one after. */
 export const RETRY_BACKOFF_MS = 100;
 
+/** Time for which a request that has tried every target waits. */
+export const RESTART_WAIT_MS = 500;
+
 /** Longest wait before a retry. */
 export const MAX_RETRY_BACKOFF_MS = 2_000;
 
@@ -22,6 +28,8 @@
   readonly event: EventBase;
   readonly ran: Ran;
   readonly reason: string;
+  /** The target, when it seems to have crashed under the attempt. */
+  readonly crashed: string | undefined;
 }
 
 /**
@@ -42,12 +50,27 @@
 ): RequestsStep {
   const failed = withoutAttempt(request, failure.ran);
   const end = reasonNotToRetry(request, failure);
-  if (end !== undefined) {
-    return close(state, failed, {
+  const retryBudgets =
+    end === undefined ? budgetsAfter(state, request, failure) : undefined;
+  if (end !== undefined || retryBudgets === undefined) {
+    const step = close(state, failed, {
       event: failure.event,
       ran: failed.ran,
-      end,
+      end: end ?? endOfUnanswered(request, failure),
     });
+    return withSuspicion(step, failed, { failure, wantsRetry: false });
+  }
+  return retry({ ...state, retryBudgets }, failed, failure);
+}
+
+function retry(
+  state: RequestsState,
+  failed: OpenRequest,
+  failure: AttemptFailure,
+): RequestsStep {
+  if (failure.crashed !== undefined) {
+    const waiting: RequestsStep = { state: keep(state, failed), effects: [] };
+    return withSuspicion(waiting, failed, { failure, wantsRetry: true });
   }
   const delayMs = backoffMs(failed.lostAttempts, failure.event.random);
   const waiting = { ...failed, retryAtMs: failure.event.atMs + delayMs };
@@ -56,18 +79,104 @@
     : { state: keep(state, waiting), effects: [] };
 }
 
+/** Has a crash judged; raised before the request's end, if it ends. */
+function withSuspicion(
+  step: RequestsStep,
+  request: OpenRequest,
+  options: { readonly failure: AttemptFailure; readonly wantsRetry: boolean },
+): RequestsStep {
+  const { failure, wantsRetry } = options;
+  if (failure.crashed === undefined) return step;
+  const { atMs, random } = failure.event;
+  return {
+    state: step.state,
+    effects: [
+      {
+        type: 'raise',
+        event: {
+          type: 'request.suspected',
+          atMs,
+          random,
+          requestId: request.info.requestId,
+          targetId: failure.crashed,
+          wantsRetry,
+        },
+      },
+      ...step.effects,
+    ],
+  };
+}
+
+/** A target that refused to start costs no retry; undefined when used up. */
+function budgetsAfter(
+  state: RequestsState,
+  request: OpenRequest,
+  failure: AttemptFailure,
+): RetryBudgets | undefined {
+  if (failure.ran === 'no') return state.retryBudgets;
+  const targetId = request.attempt?.targetId ?? '';
+  return takeRetry(
+    state.retryBudgets,
+    budgetKeys(request.info.workspace, targetId),
+    failure.event.atMs,
+  );
+}
+
+/**
+ * Asks for a target for a suspect that may run again.
+ *
+ * @param state - State of the slice.
+ * @param event - The permission.
+ * @returns The step that raises `request.retryWanted`.
+ */
+export function retryAllowed(
+  state: RequestsState,
+  event: Extract<SharedEvent, { readonly type: 'request.retryAllowed' }>,
+): RequestsStep {
+  const request = getEntry(state.open, event.requestId);
+  if (request === undefined || request.attempt !== undefined) {
+    return unchanged(state);
+  }
+  const { avoidedTargetIds } = event;
+  return wantRetry(state, request, event, avoidedTargetIds);
+}
+
+/**
+ * Lets a request wait a little when it has tried every target; one that
+ * crashed may have come back by then.
+ *
+ * @param state - State of the slice.
+ * @param request - A request that some target may have run without an answer.
+ * @param event - The refusal.
+ * @returns The step; the next retry may go to any target.
+ */
+export function retryAnywhere(
+  state: RequestsState,
+  request: OpenRequest,
+  event: EventBase,
+): RequestsStep {
+  const waiting: OpenRequest = {
+    ...request,
+    excludedTargetIds: [],
+    retryAtMs: event.atMs + RESTART_WAIT_MS,
+  };
+  return { state: keep(state, waiting), effects: [] };
+}
+
 /**
  * Asks routing for a target for the next attempt.
  *
  * @param state - State of the slice.
  * @param request - A request without an open attempt.
  * @param event - The event that causes it.
+ * @param avoidedTargetIds - Targets to keep away from this time.
  * @returns The step that raises `request.retryWanted`.
  */
 export function wantRetry(
   state: RequestsState,
   request: OpenRequest,
   event: EventBase,
+  avoidedTargetIds: readonly string[] = [],
 ): RequestsStep {
   return {
     state: keep(state, { ...request, retryAtMs: undefined }),
@@ -79,7 +188,9 @@
           atMs: event.atMs,
           random: event.random,
           requestId: request.info.requestId,
-          excludedTargetIds: request.excludedTargetIds,
+          excludedTargetIds: [
+            ...new Set([...request.excludedTargetIds, ...avoidedTargetIds]),
+          ],
           isolated: request.lostAttempts > 0,
         },
       },
--- a/packages/core/src/requests/_lib/types.ts
+++ b/packages/core/src/requests/_lib/types.ts
@@ -1,6 +1,7 @@
 import type { Ran, StoredAnswer } from '@endivegate/contracts';
 import type { BucketMap } from '../../bucketMap/index.ts';
 import type { RequestEnd } from '../../events/index.ts';
+import type { RetryBudgets } from './retryBudget.ts';
 import type { RequestInfo } from '../../request/index.ts';
 import type { RaiseEffect } from '../../slice/index.ts';
 import type { Step } from '../../step/index.ts';
@@ -50,6 +51,7 @@
   readonly open: BucketMap<OpenRequest>;
   /** Plain services; they have no stream to ask about or to resume. */
   readonly serviceTargetIds: ReadonlySet<string>;
+  readonly retryBudgets: RetryBudgets;
 }
 
 /** What the daemon does for a request. */
--- a/packages/core/src/requests/index.ts
+++ b/packages/core/src/requests/index.ts
@@ -13,6 +13,7 @@
 } from './_lib/attempts.ts';
 import { endUnclaimed, noteContention } from './_lib/claims.ts';
 import { close, keep } from './_lib/close.ts';
+import { retryAllowed, retryAnywhere } from './_lib/retry.ts';
 import { checkDeadlines, ranSoFar } from './_lib/ticks.ts';
 import type {
   OpenRequest,
@@ -38,7 +39,11 @@
  * and tells the caller at the deadline at the latest.
  */
 export const requestsSlice: Slice<RequestsState, never, RequestsEffect> = {
-  initial: { open: emptyBucketMap(), serviceTargetIds: new Set() },
+  initial: {
+    open: emptyBucketMap(),
+    serviceTargetIds: new Set(),
+    retryBudgets: emptyBucketMap(),
+  },
   reduce: reduceRequests,
 };
 
@@ -59,6 +64,8 @@
       return endUnclaimed(state, event);
     case 'request.refused':
       return endRefused(state, event);
+    case 'request.retryAllowed':
+      return retryAllowed(state, event);
     case 'request.callerGone':
       return endUnwanted(state, event);
     case 'attempt.firstToken':
@@ -103,6 +110,9 @@
   const request = getEntry(state.open, event.requestId);
   if (request === undefined) return unchanged(state);
   const { reason, retryAfterMs } = event;
+  if (reason === 'targetsRefused' && request.lostAttempts > 0) {
+    return retryAnywhere(state, request, event);
+  }
   const ran = ranSoFar(request);
   return close(state, request, {
     event,
--- a/packages/core/src/requests/test.ts
+++ b/packages/core/src/requests/test.ts
@@ -251,4 +251,50 @@
     ];
     expect([run(flow(true)), run(flow(false))]).toMatchSnapshot();
   });
+
+  it('retries no more than its budget allows, and tells the others at once', () => {
+    const requests = Array.from({ length: 150 }, (_, i) => `q${i}`);
+    const inputs = requests.flatMap((requestId): Input[] => [
+      { type: 'request.received', request: requestInfo({ requestId }) },
+      { ...dispatched('e1'), requestId } as Input,
+      {
+        ...ended(`${requestId}.1`, { type: 'failed', reason: 'sick' }),
+        requestId,
+      } as Input,
+    ]);
+    const result = run(inputs);
+    const retries = result.log.filter(
+      (item) => (item as { type: string }).type === 'request.retryWanted',
+    );
+    // The burst of 100, and a tenth of a retry for each of the 149 attempts
+    // that come after the first retry.
+    expect(retries.length).to.equal(114);
+    expect(finishOf(result).length).to.equal(36);
+    expect(new Set(finishOf(result))).to.deep.equal(
+      new Set(['yes {"type":"failed","reason":"failed"}']),
+    );
+  });
+
+  it('has a crash judged before it sends a request again', () => {
+    const service = { targetId: 's1', targetKind: 'service' } as Target;
+    const result = run([
+      { type: 'targets.changed', targets: [service] },
+      received,
+      dispatched('s1'),
+      ended('r1.1', cut, { targetId: 's1' }),
+      {
+        type: 'request.retryAllowed',
+        requestId: 'r1',
+        avoidedTargetIds: ['s2'],
+      },
+      {
+        type: 'request.refused',
+        requestId: 'r1',
+        reason: 'targetsRefused',
+        retryAfterMs: undefined,
+      },
+      { type: 'clock.ticked', atMs: 1_000 },
+    ]);
+    expect(result).toMatchSnapshot();
+  });
 });
--- a/packages/daemon/src/createAdminPorts/index.ts
+++ b/packages/daemon/src/createAdminPorts/index.ts
@@ -9,13 +9,13 @@
   type MergedTimeline,
   type RootState,
 } from '@endivegate/core';
-import * as TE from 'fp-ts/lib/TaskEither.js';
 import type { AdminPorts } from '../admin/index.ts';
 import { createTableAdmin } from '../createTableAdmin/index.ts';
 import type { PeerClient } from '../peers/index.ts';
 import type { Runtime } from '../runtime/index.ts';
 import type { TableHandler } from '../table/index.ts';
 import { readFleetTimeline, type Timeline } from '../timeline/index.ts';
+import { createSuspectsPorts } from '../suspects/index.ts';
 import { createOncePorts } from './_lib/createOncePorts.ts';
 
 /** Options of {@link createAdminPorts}. */
@@ -51,10 +51,7 @@
     tableStatus: () => describeTableStatus(runtime.state()),
     members: () => describeMembers(runtime.state()),
     once: createOncePorts(platform),
-    suspects: {
-      list: () => ({ suspects: [] }),
-      clear: () => TE.left({ type: 'notFound', reason: 'no such suspect' }),
-    },
+    suspects: createSuspectsPorts(platform, runtime),
     orders: () => describeOrders(runtime.state().orders),
     timeline: (query) => async () => {
       const filter = { ...query, sinceWallMs: query.sinceUnixMs };
--- a/packages/daemon/src/createEntry/_lib/createHandlers.ts
+++ b/packages/daemon/src/createEntry/_lib/createHandlers.ts
@@ -3,12 +3,14 @@
 import type { EntryView } from '../../createEntryView/index.ts';
 import { createLeavingHandler } from '../../createLeavingHandler/index.ts';
 import type { Metrics } from '../../createMetrics/index.ts';
+import { createMemoryHandler } from '../../memory/index.ts';
 import { createOnceHandler } from '../../once/index.ts';
 import type { OpenRequests } from '../../openRequests/index.ts';
 import { createOrdersHandler } from '../../orders/index.ts';
 import { createRoutingHandler } from '../../routing/index.ts';
 import type { EffectHandler } from '../../runtime/index.ts';
 import type { Peering } from '../../startPeering/index.ts';
+import type { SuspectsHandler } from '../../suspects/index.ts';
 import type { TableHandler } from '../../table/index.ts';
 import type { CreateEntryOptions } from '../index.ts';
 import type { NotifyPeer } from './createPeerMessages.ts';
@@ -20,6 +22,7 @@
   readonly openRequests: OpenRequests;
   readonly peering: Peering;
   readonly table: TableHandler;
+  readonly suspects: SuspectsHandler;
   readonly findTarget: EntryView['findTarget'];
   readonly notifyPeer: NotifyPeer;
 }
@@ -53,6 +56,14 @@
       metrics,
       findTarget,
     }),
+    suspects: options.suspects.handle,
+    memory: createMemoryHandler({
+      engines,
+      findTarget,
+      onFreed: (targetId, reservationId) => {
+        logger.info('memory.freed', { targetId, reservationId });
+      },
+    }),
     once: createOnceHandler({ platform, services, findTarget }),
     orders: createOrdersHandler({
       platform,
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -27,6 +27,7 @@
 import { registerRelay } from '../relay/index.ts';
 import { createRuntime, type Runtime } from '../runtime/index.ts';
 import { type Peering, startPeering } from '../startPeering/index.ts';
+import { createSuspectsHandler } from '../suspects/index.ts';
 import { createTableHandler, type TablePeerPort } from '../table/index.ts';
 import { createTimeline } from '../timeline/index.ts';
 import { createHandlers } from './_lib/createHandlers.ts';
@@ -113,6 +114,7 @@
       runtime.dispatch({ type: 'leaving.requested' });
     },
   });
+  const suspects = createSuspectsHandler({ platform: ports.platform });
   const runtime: Runtime = createRuntime({
     handlers: createHandlers({
       ...options,
@@ -120,6 +122,7 @@
       openRequests,
       peering,
       table,
+      suspects,
       findTarget: (targetId) => view.findTarget(targetId),
       notifyPeer: createNotifyPeer({
         runtime: () => runtime,
@@ -181,6 +184,7 @@
   });
   const operatorsPort = (admin.server.address() as AddressInfo).port;
   const stopTimers = startTimers({ ...options, runtime, peering });
+  const stopFollowing = suspects.follow(runtime);
   logger.info('entry.listening', {
     port,
     operatorsPort,
@@ -199,6 +203,7 @@
     },
     stop: async () => {
       stopTimers();
+      stopFollowing();
       server.server.closeAllConnections();
       admin.server.closeAllConnections();
       await Promise.all([server.close(), admin.close(), peering.close()]);
