--- /dev/null
+++ b/packages/cli/bin/endivegatectl.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- a/packages/daemon/src/runDev/index.ts
+++ b/packages/daemon/src/runDev/index.ts
@@ -52,7 +52,7 @@
 
 Look at the table as an operator:
 
-  ENDIVEGATE_OPERATOR_TOKEN=${LOCAL_OPERATOR_TOKEN} \\
+  ENDIVEGATE_TOKEN=${LOCAL_OPERATOR_TOKEN} \\
     npx endivegatectl table show --url ${entry.operatorsUrl}
 
 Stop with Ctrl-C.
