Find the followers of a request without reading all requests

Cause: slice `suspects` read every open request at each first token and at each pulse, so that the cost of a request grew with the number of open ones. Change: followers are kept by fingerprint; the pulse reads requests only while a suspect waits; the values of a bucketed map are collected in one loop. Conclusion: the cost of an event does not grow with the open requests; that of a pulse still does.

--- a/packages/core/src/bucketMap/index.ts
+++ b/packages/core/src/bucketMap/index.ts
@@ -85,10 +85,13 @@
  * @returns Its values, bucket by bucket.
  */
 export function bucketValues<V>(map: BucketMap<V>): readonly V[] {
-  if (map.size === 0) return [];
-  return map.buckets.flatMap((bucket) =>
-    bucket.size === 0 ? [] : [...bucket.values()],
-  );
+  const values: V[] = [];
+  if (map.size === 0) return values;
+  // Runs for every pulse over all open requests.
+  for (const bucket of map.buckets) {
+    for (const value of bucket.values()) values.push(value);
+  }
+  return values;
 }
 
 function replaceBucket<V>(
--- a/packages/core/src/suspects/_lib/flights.ts
+++ b/packages/core/src/suspects/_lib/flights.ts
@@ -1,5 +1,4 @@
 import {
-  bucketValues,
   deleteEntry,
   emptyBucketMap,
   getEntry,
@@ -29,10 +28,12 @@
   effects: SuspectsStep['effects'] = [],
 ): SuspectsStep {
   const { requestId } = flight.request;
-  return {
-    state: { ...state, flights: setEntry(state.flights, requestId, flight) },
-    effects,
-  };
+  const waiting =
+    flight.phase === 'waiting'
+      ? setEntry(state.waiting, requestId, true as const)
+      : deleteEntry(state.waiting, requestId);
+  const flights = setEntry(state.flights, requestId, flight);
+  return { state: { ...state, flights, waiting }, effects };
 }
 
 /**
@@ -92,7 +93,9 @@
     return letIn(state, flightOf(request, 'free'), event);
   }
   if (getEntry(state.leaders, fingerprint) !== undefined) {
-    return keep(state, flightOf(request, 'following'));
+    const ids = [...(getEntry(state.followers, fingerprint) ?? []), requestId];
+    const followers = setEntry(state.followers, fingerprint, ids);
+    return keep({ ...state, followers }, flightOf(request, 'following'));
   }
   const leaders = setEntry(state.leaders, fingerprint, requestId);
   return letIn({ ...state, leaders }, flightOf(request, 'leading'), event);
@@ -122,8 +125,9 @@
     ),
     provenBefore: isFull ? state.proven : state.provenBefore,
     leaders: deleteEntry(state.leaders, fingerprint),
+    followers: deleteEntry(state.followers, fingerprint),
   };
-  const released = followersOf(next, fingerprint).map(
+  const released = followersOf(state, fingerprint).map(
     (flight) => (current: SuspectsState) =>
       letIn(current, { ...flight, phase: 'free' }, event),
   );
@@ -144,16 +148,24 @@
   enter: (state: SuspectsState, request: RequestInfo) => SuspectsStep,
 ): SuspectsStep {
   const { requestId, fingerprint } = flight.request;
-  const flights = deleteEntry(state.flights, requestId);
-  const next: SuspectsState = { ...state, flights };
+  const next: SuspectsState = {
+    ...state,
+    flights: deleteEntry(state.flights, requestId),
+    waiting: deleteEntry(state.waiting, requestId),
+  };
   if (getEntry(state.leaders, fingerprint) !== requestId) {
     return { state: next, effects: [] };
   }
+  const [successor, ...rest] = followersOf(next, fingerprint);
+  const restIds = rest.map((other) => other.request.requestId);
   const leaderless: SuspectsState = {
     ...next,
     leaders: deleteEntry(state.leaders, fingerprint),
+    followers:
+      restIds.length === 0
+        ? deleteEntry(state.followers, fingerprint)
+        : setEntry(state.followers, fingerprint, restIds),
   };
-  const successor = followersOf(leaderless, fingerprint)[0];
   return successor === undefined
     ? { state: leaderless, effects: [] }
     : enter(leaderless, successor.request);
@@ -170,10 +182,11 @@
   state: SuspectsState,
   fingerprint: string,
 ): readonly Flight[] {
-  return bucketValues(state.flights).filter(
-    ({ phase, request }) =>
-      phase === 'following' && request.fingerprint === fingerprint,
-  );
+  const ids = getEntry(state.followers, fingerprint) ?? [];
+  return ids.flatMap((requestId) => {
+    const flight = getEntry(state.flights, requestId);
+    return flight?.phase === 'following' ? [flight] : [];
+  });
 }
 
 /**
--- a/packages/core/src/suspects/_lib/trials.ts
+++ b/packages/core/src/suspects/_lib/trials.ts
@@ -121,6 +121,7 @@
   state: SuspectsState,
   event: EventBase,
 ): SuspectsStep {
+  if (state.waiting.size === 0) return unchanged(state);
   const due = bucketValues(state.flights).filter(
     ({ phase, nextAtMs }) => phase === 'waiting' && nextAtMs <= event.atMs,
   );
--- a/packages/core/src/suspects/_lib/types.ts
+++ b/packages/core/src/suspects/_lib/types.ts
@@ -46,6 +46,10 @@
   readonly flights: BucketMap<Flight>;
   /** Leading request of each fingerprint that has not answered yet. */
   readonly leaders: BucketMap<string>;
+  /** Requests that wait for the leading one, by fingerprint. */
+  readonly followers: BucketMap<readonly string[]>;
+  /** Requests in phase `waiting`. */
+  readonly waiting: BucketMap<true>;
   /** Fingerprints that gave a first token, in two generations. */
   readonly proven: BucketMap<true>;
   readonly provenBefore: BucketMap<true>;
--- a/packages/core/src/suspects/index.ts
+++ b/packages/core/src/suspects/index.ts
@@ -42,6 +42,8 @@
   initial: {
     flights: emptyBucketMap(),
     leaders: emptyBucketMap(),
+    followers: emptyBucketMap(),
+    waiting: emptyBucketMap(),
     proven: emptyBucketMap(),
     provenBefore: emptyBucketMap(),
     known: new Map(),
