--- a/packages/daemon/src/createEntry/_lib/logEvents.ts
+++ b/packages/daemon/src/createEntry/_lib/logEvents.ts
@@ -1,6 +1,10 @@
+import type { EntryAddress } from '@endivegate/contracts';
 import type { RootEffect, RootEvent } from '@endivegate/core';
 import type { Logger } from '../../createLogger/index.ts';
 
+/** Entries that one log line names. */
+const MAX_LOGGED_IDS = 20;
+
 /**
  * Logs the events that an operator looks for.
  *
@@ -31,8 +35,9 @@
     case 'members.changed':
       logger.info('members.changed', {
         live: event.live.length,
-        leaving: event.leaving.length,
-        dead: event.dead.length,
+        leaving: listIds(event.leaving),
+        suspected: listIds(event.suspected),
+        dead: listIds(event.dead),
       });
       return;
     case 'table.installed':
@@ -45,6 +50,12 @@
   }
 }
 
+function listIds(entries: readonly EntryAddress[]): string {
+  const ids = entries.slice(0, MAX_LOGGED_IDS).map(({ entryId }) => entryId);
+  const omitted = entries.length - ids.length;
+  return omitted === 0 ? ids.join(' ') : `${ids.join(' ')} +${omitted}`;
+}
+
 /**
  * Creates the handler that logs pauses of the process.
  *
--- a/packages/daemon/src/parseCommand/index.ts
+++ b/packages/daemon/src/parseCommand/index.ts
@@ -38,9 +38,9 @@
 
 Exit codes:
   0  stopped as asked, or nothing found
-  1  findings in a checked file, or the entry could not start
+  1  findings in a checked file, the entry could not start, or requests were
+     still open when it had to exit
   2  wrong command line
-  3  streams were cut because the time to drain ran out
 `;
 
 /**
