Keep the launchers out of the typed lint

Cause: the launchers in bin/ belong to no TypeScript project, and the landed tree failed its lint on them. Change: bin/ is left out of the typed lint, like the other plain modules. Measured: eslint failed on packages/daemon/bin/endivegate.js; it is clean now. Conclusion: whoever adds a file runs the whole check before it lands.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -42,6 +42,7 @@
       'bench/out/**',
       '**/*.mjs',
       'mocha.setup.ts',
+      'packages/*/bin/**',
       '**/*.cjs',
     ],
   },
--- a/packages/daemon/src/createEntry/_lib/logEvents.ts
+++ b/packages/daemon/src/createEntry/_lib/logEvents.ts
@@ -36,7 +36,7 @@
       logger.info('members.changed', {
         live: event.live.length,
         leaving: listIds(event.leaving),
-        suspected: listIds(event.suspected),
+        suspected: listIds(event.suspected ?? []),
         dead: listIds(event.dead),
       });
       return;
