Leave at once when alone, and hold an accepted edit through an outage

Cause: a lone entry lingered 15 s at Ctrl-C for callers that nobody else could take; the leaving slice copied the set of all open requests at each request; nothing tried an outage right after an edit over real sockets.

--- a/packages/core/src/leaving/index.ts
+++ b/packages/core/src/leaving/index.ts
@@ -1,3 +1,10 @@
+import {
+  type BucketMap,
+  bucketValues,
+  deleteEntry,
+  emptyBucketMap,
+  setEntry,
+} from '../bucketMap/index.ts';
 import type { EventBase } from '../events/index.ts';
 import type { RaiseEffect, Slice } from '../slice/index.ts';
 import { unchanged, type Step } from '../step/index.ts';
@@ -16,7 +23,7 @@
   readonly phase: 'running' | 'leaving' | 'finished';
   readonly nowMs: number;
   readonly requestedAtMs: number;
-  readonly openRequestIds: ReadonlySet<string>;
+  readonly openRequestIds: BucketMap<string>;
   readonly selfId: string;
   /** Whether another live entry can take new requests. */
   readonly hasPeers: boolean;
@@ -50,7 +57,7 @@
   phase: 'running',
   nowMs: 0,
   requestedAtMs: 0,
-  openRequestIds: new Set(),
+  openRequestIds: emptyBucketMap(),
   selfId: '',
   hasPeers: false,
   lingerMs: LEAVING_SPREAD_MS,
@@ -98,14 +105,13 @@
 };
 
 function withOpen(state: LeavingState, requestId: string): LeavingState {
-  const openRequestIds = new Set(state.openRequestIds).add(requestId);
+  const openRequestIds = setEntry(state.openRequestIds, requestId, requestId);
   return { ...state, openRequestIds };
 }
 
 function withoutOpen(state: LeavingState, requestId: string): LeavingState {
-  if (!state.openRequestIds.has(requestId)) return state;
-  const openRequestIds = new Set(state.openRequestIds);
-  openRequestIds.delete(requestId);
+  const openRequestIds = deleteEntry(state.openRequestIds, requestId);
+  if (openRequestIds === state.openRequestIds) return state;
   return { ...state, openRequestIds };
 }
 
@@ -127,7 +133,9 @@
   if (elapsedMs >= state.drainTimeoutMs) {
     return exit(next, event, 'drainTimedOut');
   }
-  if (elapsedMs >= state.lingerMs && state.openRequestIds.size === 0) {
+  // Without another entry there is nobody to relay late requests to.
+  const lingerMs = state.hasPeers ? state.lingerMs : 0;
+  if (elapsedMs >= lingerMs && state.openRequestIds.size === 0) {
     return exit(next, event, 'drained');
   }
   return unchanged(next);
@@ -146,7 +154,7 @@
       {
         type: 'leaving.exit',
         reason,
-        openRequestIds: [...state.openRequestIds],
+        openRequestIds: bucketValues(state.openRequestIds),
       },
     ],
   };
--- a/packages/core/src/leaving/test.ts
+++ b/packages/core/src/leaving/test.ts
@@ -74,6 +74,21 @@
     expect(after.effects).toMatchSnapshot();
   });
 
+  it('does not wait for late requests when there is no other entry', () => {
+    const alone = play([
+      [0, started],
+      [0, configured],
+      [0, members([self])],
+      [10, received('r1')],
+      [20, requested],
+      [100, ticked],
+      [110, ended('r1')],
+      [200, ticked],
+    ]);
+    expect(alone.effects).to.have.length(2);
+    expect(alone.effects[1]).to.include({ reason: 'drained' });
+  });
+
   it('names the requests it cuts at the drain time, or when told twice', () => {
     const open = [...setUp, [10, received('r1')], [20, requested]] as const;
     expect(play([...open, [60_020, ticked]]).effects).toMatchSnapshot();
--- a/packages/daemon/src/startLocalFleet/test.ts
+++ b/packages/daemon/src/startLocalFleet/test.ts
@@ -3,6 +3,7 @@
 import type { Entry } from '../createEntry/index.ts';
 import {
   LOCAL_MODEL,
+  LOCAL_OPERATOR_TOKEN,
   LOCAL_WORKSPACE_TOKEN,
   type LocalFleet,
   startLocalFleet,
@@ -92,6 +93,39 @@
     expect(fleet.ledger.runs()).to.have.length(1);
   });
 
+  it('brings an accepted edit into force everywhere although the store goes down', async () => {
+    const [editor] = fleet.entries as [Entry, ...Entry[]];
+    const reply = await request(`${editor.operatorsUrl}/v1/table/edits`, {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${LOCAL_OPERATOR_TOKEN}`,
+        'content-type': 'application/json',
+      },
+      body: JSON.stringify({
+        editToken: 'edit-0001',
+        author: 'test',
+        changes: [
+          {
+            section: 'rows',
+            address: ['*', '*', '*'],
+            cell: 'weight',
+            before: 1,
+            after: 2,
+          },
+        ],
+      }),
+    });
+    const { number } = (await reply.body.json()) as { number: number };
+    await fleet.platform.setFaults({ isDown: true });
+    const numbers = () =>
+      fleet.entries.map((entry) => entry.runtime.state().table.number);
+    while (numbers().some((inForce) => inForce !== number)) {
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    await fleet.platform.setFaults({ isDown: false });
+    expect(numbers()).to.deep.equal([2, 2, 2]);
+  });
+
   it('lets an entry leave without cutting a stream', async () => {
     const [leaver, ...others] = fleet.entries as [Entry, Entry, Entry];
     const open = ask(leaver, 60);
