Tell of a later process under one id once, and not of a dead one

Cause: each packet that named a later start of the entry's own id emitted membership.superseded; the daemon asks to leave on it, and a second request to leave exits at once and cuts off what is open. A record of a dead earlier process whose clock was ahead would have done so too. Change: emitted once for each incarnation, and never for a dead one. Measured: new test, four effects before, one after.

--- a/packages/core/src/membership/_lib/applyUpdates.ts
+++ b/packages/core/src/membership/_lib/applyUpdates.ts
@@ -90,8 +90,7 @@
     return { state, effects: [] };
   }
   if (update.incarnation > self.incarnation) {
-    const { incarnation } = update;
-    return { state, effects: [{ type: 'membership.superseded', incarnation }] };
+    return seeSuccessor(state, update);
   }
   const refuted = update.status !== 'alive' || update.revision > state.revision;
   if (!refuted || update.revision < state.revision) {
@@ -107,3 +106,15 @@
     effects: [],
   };
 }
+
+/** Tells of a later process under this id once, and only while it lives. */
+function seeSuccessor(state: MembershipState, update: MemberUpdate): Applied {
+  const { incarnation, status } = update;
+  if (status === 'dead' || incarnation <= state.supersededBy) {
+    return { state, effects: [] };
+  }
+  return {
+    state: { ...state, supersededBy: incarnation },
+    effects: [{ type: 'membership.superseded', incarnation }],
+  };
+}
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -19,6 +19,7 @@
   self: undefined,
   revision: 0,
   leaving: false,
+  supersededBy: 0,
   gone: false,
   nowMs: 0,
   members: new Map(),
--- a/packages/core/src/membership/test.ts
+++ b/packages/core/src/membership/test.ts
@@ -1,7 +1,13 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { mergeMember } from './_lib/mergeMember.ts';
-import type { Member, MemberUpdate } from './index.ts';
+import {
+  membershipSlice,
+  type Member,
+  type MembershipState,
+  type MemberStatus,
+  type MemberUpdate,
+} from './index.ts';
 import { createTestFleet, testAddress, type TestFleet } from './test.fleet.ts';
 
 /** Number of members that see all others live. */
@@ -140,6 +146,48 @@
     expect(fleet.member(0).view?.live).to.deep.include(restartedAddress(2));
   });
 
+  it('tells of a later process under its id once, and not of a dead one', () => {
+    const self = testAddress(0);
+    const tell = (status: MemberStatus, incarnation: number) => ({
+      type: 'membership.fetched' as const,
+      atMs: 1,
+      random: 0,
+      updates: [
+        {
+          entryId: self.entryId,
+          incarnation,
+          revision: 0,
+          status,
+          leaving: false,
+          address: undefined,
+        },
+      ],
+    });
+    const events = [
+      { type: 'entry.started' as const, atMs: 0, random: 0, self },
+      tell('dead', 9),
+      tell('alive', 3),
+      tell('alive', 3),
+      tell('suspect', 3),
+    ];
+    const { effects } = events.reduce<{
+      state: MembershipState;
+      effects: readonly unknown[];
+    }>(
+      (done, event) => {
+        const step = membershipSlice.reduce(done.state, event);
+        return {
+          state: step.state,
+          effects: [...done.effects, ...step.effects],
+        };
+      },
+      { state: membershipSlice.initial, effects: [] },
+    );
+    expect(effects).to.deep.equal([
+      { type: 'membership.superseded', incarnation: 3 },
+    ]);
+  });
+
   it('marks a member as leaving when the list says so first', () => {
     const fleet = createTestFleet({ size: 10 });
     fleet.run(3_000);
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -66,6 +66,8 @@
   readonly self: EntryAddress | undefined;
   readonly revision: number;
   readonly leaving: boolean;
+  /** Incarnation of a later process under this entry's id; 0 for none. */
+  readonly supersededBy: number;
   /** Whether the entry said that it exits; it sends nothing more. */
   readonly gone: boolean;
   readonly nowMs: number;
@@ -133,5 +135,5 @@
       readonly number: number;
       readonly from: EntryAddress;
     }
-  /** A later process runs under this entry's id. */
+  /** A later process runs under this entry's id; told once for each. */
   | { readonly type: 'membership.superseded'; readonly incarnation: number };
