Lint the launchers as files of no project

Cause: npm test fails on main: the two launchers in bin/ belong to no tsconfig, and the type-checked linter cannot parse them. Change: the linter's project service takes packages/*/bin/*.js into its default project, so that they stay linted. Measured: eslint . red before (two parsing errors), clean after. Conclusion: no file is left out of the lint.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -50,7 +50,7 @@
   {
     languageOptions: {
       parserOptions: {
-        projectService: true,
+        projectService: { allowDefaultProject: ['packages/*/bin/*.js'] },
         tsconfigRootDir: import.meta.dirname,
       },
     },
