Keep longer prompts out of the short lane unless it is 6 s sooner

Profile: prefix look-ups and rendezvous hashes were repeated for each candidate engine. Change: the cost of leaving a lane is 6 s; a prompt that would miss its deadline in its lane may leave it at once; orders, preferences and prefix look-ups are worked out once.

--- a/packages/core/src/planLanes/index.ts
+++ b/packages/core/src/planLanes/index.ts
@@ -81,22 +81,30 @@
 export const MIN_LANE_ENGINES = 4;
 
 /**
- * Divides a model's engines into lanes; equal lists give equal lanes.
+ * Orders a model's engines as lanes use them; every entry gets the same order.
  *
  * @param model - The model; engines are ordered differently for each.
  * @param engineIds - Its engines, in any order.
- * @param plan - Sizes of the lanes.
- * @returns The engines of each lane.
+ * @returns The engines in their order.
  */
-export function divideLanes(
+export function orderEngines(
   model: string,
   engineIds: readonly string[],
-  plan: LanePlan,
-): Lanes {
-  const ordered = engineIds
+): readonly string[] {
+  return engineIds
     .map((id) => ({ id, score: scoreRendezvous(model, id) }))
     .toSorted((a, b) => b.score - a.score)
     .map(({ id }) => id);
+}
+
+/**
+ * Divides a model's engines into lanes.
+ *
+ * @param ordered - Its engines, as `orderEngines` orders them.
+ * @param plan - Sizes of the lanes.
+ * @returns The engines of each lane.
+ */
+export function divideLanes(ordered: readonly string[], plan: LanePlan): Lanes {
   const longFrom = Math.max(
     plan.shortEngines,
     ordered.length - plan.longEngines,
--- a/packages/core/src/planLanes/test.ts
+++ b/packages/core/src/planLanes/test.ts
@@ -3,6 +3,7 @@
 import {
   DEFAULT_WORK,
   divideLanes,
+  orderEngines,
   planLanes,
   type LanePlan,
 } from './index.ts';
@@ -49,10 +50,13 @@
     fc.assert(
       fc.property(fc.integer({ min: 1, max: 40 }), work, (count, shares) => {
         const plan = planLanes(count, shares);
-        const lanes = divideLanes('m', ids(count), plan);
+        const lanes = divideLanes(orderEngines('m', ids(count)), plan);
         const all = [...lanes.short, ...lanes.middle, ...lanes.long];
         expect(all.toSorted()).to.deep.equal(ids(count).toSorted());
-        const again = divideLanes('m', ids(count).toReversed(), plan);
+        const again = divideLanes(
+          orderEngines('m', ids(count).toReversed()),
+          plan,
+        );
         expect(again).to.deep.equal(lanes);
       }),
       { seed: 4, numRuns: 100 },
--- a/packages/core/src/routing/_lib/engines.ts
+++ b/packages/core/src/routing/_lib/engines.ts
@@ -3,10 +3,12 @@
 import type { RequestInfo } from '../../request/index.ts';
 import {
   divideLanes,
+  orderEngines,
   planLanes,
   DEFAULT_WORK,
   type Lanes,
 } from '../../planLanes/index.ts';
+import { scoreRendezvous } from '../../scoreRendezvous/index.ts';
 import type { EngineView, RoutedRequest, RoutingState } from './types.ts';
 
 /** An engine of which nothing is known. */
@@ -73,9 +75,32 @@
 
 /** Returns a model's engines by lane, as this entry has been told. */
 export function lanesOf(state: RoutingState, model: string): Lanes {
-  const ids = servingTargets(state, model).map((target) => target.targetId);
-  const plan = state.lanes.get(model) ?? planLanes(ids.length, DEFAULT_WORK);
-  return divideLanes(model, ids, plan);
+  const ordered = state.engineOrders.get(model) ?? [];
+  const plan =
+    state.lanes.get(model) ?? planLanes(ordered.length, DEFAULT_WORK);
+  return divideLanes(ordered, plan);
+}
+
+/** Spread of the preferences by which entries differ in their choices. */
+const PREFERENCE_MS = 25;
+
+/** Works out what depends on the list of targets and on this entry's id. */
+export function orderTargets(state: RoutingState): RoutingState {
+  const models = [...new Set(state.targets.flatMap(({ serves }) => serves))];
+  const engineOrders = models.map((model) => {
+    const ids = servingTargets(state, model).map(({ targetId }) => targetId);
+    return [model, orderEngines(model, ids)] as const;
+  });
+  const selfId = state.self?.entryId ?? '';
+  const preferencesMs = state.targets.map(({ targetId }) => {
+    const score = scoreRendezvous(selfId, targetId);
+    return [targetId, PREFERENCE_MS / (1 + score)] as const;
+  });
+  return {
+    ...state,
+    engineOrders: new Map(engineOrders),
+    preferencesMs: new Map(preferencesMs),
+  };
 }
 
 /** Work of this entry at one engine. */
--- a/packages/core/src/routing/_lib/predict.ts
+++ b/packages/core/src/routing/_lib/predict.ts
@@ -1,9 +1,7 @@
 import { estimatePrefillMs } from '../../costModel/index.ts';
 import type { RequestInfo } from '../../request/index.ts';
-import { scoreRendezvous } from '../../scoreRendezvous/index.ts';
 import type { Lanes } from '../../planLanes/index.ts';
 import { costsOf, viewOf, workAt, type OwnWork } from './engines.ts';
-import { cachedTokensAt } from './prefixes.ts';
 import type { RoutingState } from './types.ts';
 
 /** Time for which a prefill chunk of another prompt holds up a short one. */
@@ -14,12 +12,9 @@
 const SHORT_IN_LONG_MS = 400;
 
 /** Extra wait assumed where a longer prompt leaves its lane. */
-const HEAVY_IN_SHORT_MS = 3_000;
+const HEAVY_IN_SHORT_MS = 6_000;
 const HEAVY_IN_LONG_MS = 6_000;
 
-/** Spread of the preferences by which entries differ in their choices. */
-const PREFERENCE_MS = 25;
-
 /** Time of a batch step. */
 const STEP_MS = 15;
 
@@ -42,11 +37,13 @@
     readonly targetId: string;
     readonly lanes: Lanes;
     readonly work: ReadonlyMap<string, OwnWork>;
+    /** Leading tokens that engines are expected to have cached. */
+    readonly cached: ReadonlyMap<string, number>;
     readonly atMs: number;
   },
 ): Prediction {
   const { targetId, lanes, work, atMs } = context;
-  const cachedTokens = cachedTokensAt(state, request, { targetId, atMs });
+  const cachedTokens = context.cached.get(targetId) ?? 0;
   const prefillMs = estimatePrefillMs(
     costsOf(state, request.service),
     request.promptTokens,
@@ -57,13 +54,13 @@
   const waitMs = waitAt(state, request, { targetId, own, atMs });
   const firstTokenMs = waitMs + prefillMs * view.slowness + STEP_MS;
   const leavingLaneMs = laneCostMs(request, lanes, targetId);
-  const preference = preferenceMs(state, targetId);
+  const preferenceMs = state.preferencesMs.get(targetId) ?? 0;
   return {
     targetId,
     waitMs,
     firstTokenMs,
     cachedTokens,
-    score: firstTokenMs + leavingLaneMs + preference,
+    score: firstTokenMs + leavingLaneMs + preferenceMs,
   };
 }
 
@@ -123,9 +120,3 @@
   if (lanes.long.includes(targetId)) return HEAVY_IN_LONG_MS;
   return lanes.short.includes(targetId) ? HEAVY_IN_SHORT_MS : 0;
 }
-
-/** Sends different entries to different engines where all else is equal. */
-function preferenceMs(state: RoutingState, targetId: string): number {
-  const score = scoreRendezvous(state.self?.entryId ?? '', targetId);
-  return PREFERENCE_MS / (1 + score);
-}
--- a/packages/core/src/routing/_lib/prefixes.ts
+++ b/packages/core/src/routing/_lib/prefixes.ts
@@ -27,23 +27,22 @@
   });
 }
 
-/** Returns how many leading tokens an engine is expected to have cached. */
-export function cachedTokensAt(
+/** Returns how many leading tokens each engine is expected to have cached. */
+export function cachedTokensByTarget(
   state: RoutingState,
   request: RequestInfo,
-  at: { readonly targetId: string; readonly atMs: number },
-): number {
+  atMs: number,
+): ReadonlyMap<string, number> {
   const { prefixHashes, promptTokens } = request;
-  const longest = sampledHashes(prefixHashes).findLast(({ hash }) =>
-    getEntry(state.prefixes, hash)?.some(
-      (holder) =>
-        holder.targetId === at.targetId &&
-        at.atMs - holder.atMs < PREFIX_LIFETIME_MS,
-    ),
+  return new Map(
+    sampledHashes(prefixHashes).flatMap(({ hash, blocks }) => {
+      const part = (blocks / prefixHashes.length) * TRUSTED_PART;
+      const cachedTokens = Math.floor(promptTokens * part);
+      return (getEntry(state.prefixes, hash) ?? [])
+        .filter((holder) => atMs - holder.atMs < PREFIX_LIFETIME_MS)
+        .map(({ targetId }) => [targetId, cachedTokens] as const);
+    }),
   );
-  if (!longest) return 0;
-  const part = longest.blocks / prefixHashes.length;
-  return Math.floor(promptTokens * part * TRUSTED_PART);
 }
 
 /** Remembers that an engine has prefilled a prompt. */
--- a/packages/core/src/routing/_lib/queue.ts
+++ b/packages/core/src/routing/_lib/queue.ts
@@ -1,14 +1,9 @@
 import { estimateDecodeMs } from '../../costModel/index.ts';
 import type { EventBase } from '../../events/index.ts';
 import type { RequestInfo } from '../../request/index.ts';
-import {
-  candidatesFor,
-  costsOf,
-  lanesOf,
-  ownWorkByTarget,
-  type OwnWork,
-} from './engines.ts';
+import { candidatesFor, costsOf, lanesOf, ownWorkByTarget } from './engines.ts';
 import { advanceVirtualTime, compareQueued } from './fairQueue.ts';
+import { cachedTokensByTarget } from './prefixes.ts';
 import { predict, type Prediction } from './predict.ts';
 import { andThen, dispatchTo, refuse } from './requests.ts';
 import type { RoutedRequest, RoutingState, RoutingStep } from './types.ts';
@@ -106,7 +101,7 @@
   stamp: EventBase,
   routed: RoutedRequest,
 ): RoutingStep {
-  const best = bestPrediction(state, stamp.atMs, routed);
+  const best = choose(state, stamp, routed);
   if (!best) {
     return refuse(state, stamp, {
       requestId: routed.request.requestId,
@@ -115,9 +110,7 @@
       retryAfterMs: MIN_RETRY_AFTER_MS,
     });
   }
-  const finishAtMs =
-    stamp.atMs + best.firstTokenMs + decodeMsOf(state, routed.request);
-  const overdueMs = finishAtMs - routed.request.deadlineAtMs;
+  const overdueMs = overdueAt(state, stamp, routed, best);
   if (overdueMs > 0) return refuseLate(state, stamp, routed, overdueMs);
   if (!hasRoom(routed.request, best)) return { state, effects: [] };
   const advanced = advanceVirtualTime(
@@ -130,27 +123,57 @@
   return dispatchTo(advanced, stamp, predicted, targetId);
 }
 
+/** Returns by how much a request would miss its deadline at a target. */
+function overdueAt(
+  state: RoutingState,
+  { atMs }: EventBase,
+  { request }: RoutedRequest,
+  { firstTokenMs }: Prediction,
+): number {
+  const finishMs = firstTokenMs + decodeMsOf(state, request);
+  return atMs + finishMs - request.deadlineAtMs;
+}
+
 function hasRoom(request: RequestInfo, best: Prediction): boolean {
   const { lengthClass } = request;
   if (lengthClass === 'huge') return true;
   return best.waitMs <= MAX_ENGINE_WAIT_MS[lengthClass];
 }
 
-/** Returns the target with the lowest predicted first token. */
-export function bestPrediction(
+/** Chooses the engine by score; out of its lane where it would be late else. */
+function choose(
+  state: RoutingState,
+  stamp: EventBase,
+  routed: RoutedRequest,
+): Prediction | undefined {
+  const all = predictAll(state, stamp.atMs, routed);
+  const best = leastBy(all, ({ score }) => score);
+  if (!best || overdueAt(state, stamp, routed, best) <= 0) return best;
+  return leastBy(all, ({ firstTokenMs }) => firstTokenMs);
+}
+
+function leastBy(
+  predictions: readonly Prediction[],
+  measure: (prediction: Prediction) => number,
+): Prediction | undefined {
+  return predictions.reduce<Prediction | undefined>(
+    (least, next) => (least && measure(least) <= measure(next) ? least : next),
+    undefined,
+  );
+}
+
+/** Predicts a request's first token at every engine it may be sent to. */
+function predictAll(
   state: RoutingState,
   atMs: number,
   routed: Pick<RoutedRequest, 'request' | 'excludedTargetIds'>,
-): Prediction | undefined {
+): readonly Prediction[] {
   const { request, excludedTargetIds } = routed;
   const lanes = lanesOf(state, request.service);
-  const work: ReadonlyMap<string, OwnWork> = ownWorkByTarget(state, atMs);
-  return candidatesFor(state, request, { excludedTargetIds, atMs })
-    .map(({ targetId }) =>
-      predict(state, request, { targetId, lanes, work, atMs }),
-    )
-    .reduce<Prediction | undefined>(
-      (best, next) => (best && best.score <= next.score ? best : next),
-      undefined,
-    );
+  const work = ownWorkByTarget(state, atMs);
+  const cached = cachedTokensByTarget(state, request, atMs);
+  return candidatesFor(state, request, { excludedTargetIds, atMs }).map(
+    ({ targetId }) =>
+      predict(state, request, { targetId, lanes, work, cached, atMs }),
+  );
 }
--- a/packages/core/src/routing/_lib/types.ts
+++ b/packages/core/src/routing/_lib/types.ts
@@ -101,6 +101,10 @@
   readonly live: readonly EntryAddress[];
   readonly targets: readonly Target[];
   readonly rows: RowIndex;
+  /** Engines of each model in the order in which lanes use them. */
+  readonly engineOrders: ReadonlyMap<string, readonly string[]>;
+  /** Cost that makes this entry prefer other engines than others do. */
+  readonly preferencesMs: ReadonlyMap<string, number>;
   readonly requests: ReadonlyMap<string, RoutedRequest>;
   readonly engines: ReadonlyMap<string, EngineView>;
   readonly costs: ReadonlyMap<string, CostModel>;
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -3,7 +3,12 @@
 import type { SharedEvent } from '../events/index.ts';
 import type { Slice } from '../slice/index.ts';
 import { admit, readmit } from './_lib/admit.ts';
-import { keepView, servingTargets, viewOf } from './_lib/engines.ts';
+import {
+  keepView,
+  orderTargets,
+  servingTargets,
+  viewOf,
+} from './_lib/engines.ts';
 import { dropIdleFlows } from './_lib/fairQueue.ts';
 import { noteAttemptEnd, noteFirstToken } from './_lib/learn.ts';
 import { deliverToSelf, handleMessage, reportDemand } from './_lib/messages.ts';
@@ -54,6 +59,8 @@
     live: [],
     targets: [],
     rows: indexRows([]),
+    engineOrders: new Map(),
+    preferencesMs: new Map(),
     requests: new Map(),
     engines: new Map(),
     costs: new Map(),
@@ -80,14 +87,14 @@
 ): RoutingStep {
   switch (event.type) {
     case 'entry.started':
-      return withEffects({ ...state, self: event.self }, []);
+      return withEffects(orderTargets({ ...state, self: event.self }), []);
     case 'table.installed':
       return withEffects(
         replaceLimits({ ...state, rows: indexRows(event.rows) }),
         [],
       );
     case 'targets.changed':
-      return drain({ ...state, targets: event.targets }, event);
+      return drain(orderTargets({ ...state, targets: event.targets }), event);
     case 'members.changed':
       return noteMembers(state, event);
     case 'clock.ticked':
--- a/packages/core/src/routing/test.ts
+++ b/packages/core/src/routing/test.ts
@@ -37,7 +37,7 @@
 });
 
 const stamp = { atMs: 1, random: 0.5 };
-const targetsChanged: SharedEvent = {
+const targetsChanged: SharedEvent & { readonly type: 'targets.changed' } = {
   ...stamp,
   type: 'targets.changed',
   targets: [
@@ -163,4 +163,41 @@
     });
     expect(late.effects).toMatchSnapshot();
   });
+
+  it('ejects failing engines, but never more than its share of them', () => {
+    const ids = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6', 'e7'];
+    const failed = (targetId: string, n: number): readonly SharedEvent[] => {
+      const requestId = `${targetId}-${n}`;
+      return [
+        arrived(requestId),
+        {
+          ...stamp,
+          type: 'attempt.ended',
+          requestId,
+          attemptId: `${requestId}.1`,
+          targetId,
+          end: { type: 'cut', reason: 'reset' },
+          outputTokens: 0,
+          sent: true,
+        },
+      ];
+    };
+    const { state } = run([
+      { ...targetsChanged, targets: ids.map((id) => target(id)) },
+      ...ids.flatMap((id) => [1, 2, 3].flatMap((n) => failed(id, n))),
+    ]);
+    const out = ids.filter(
+      (id) => (state.engines.get(id)?.ejectedUntilMs ?? 0) > stamp.atMs,
+    );
+    expect(out).to.deep.equal(['e1', 'e2']);
+  });
+
+  it('refuses at once what cannot be in time, with a time to come back', () => {
+    const hopeless: SharedEvent = {
+      ...stamp,
+      type: 'request.arrived',
+      request: { ...request('r1'), deadlineAtMs: stamp.atMs + 50 },
+    };
+    expect(run([targetsChanged, hopeless]).raised).toMatchSnapshot();
+  });
 });
