--- a/packages/daemon/src/createAttemptRunner/index.ts
+++ b/packages/daemon/src/createAttemptRunner/index.ts
@@ -253,6 +253,8 @@
 
   function cancel(effect: EffectOf<'requests.cancel'>): void {
     const open = options.openRequests.find(effect.requestId);
+    // A call cannot be taken back; its end settles the claim of its key.
+    if (open?.work.type === 'call') return;
     open?.attempts.get(effect.attemptId)?.abort();
     open?.attempts.delete(effect.attemptId);
     const target = options.findTarget(effect.targetId);
--- /dev/null
+++ b/packages/daemon/src/createAttemptRunner/test.ts
@@ -0,0 +1,100 @@
+import type { ServiceAnswer, Target, TargetError } from '@endivegate/contracts';
+import type { RequestInfo } from '@endivegate/core';
+import { expect } from 'chai';
+import * as E from 'fp-ts/lib/Either.js';
+import { createEngineHttpPort } from '../adapters/index.ts';
+import { createMetrics } from '../createMetrics/index.ts';
+import { createOpenRequests } from '../openRequests/index.ts';
+import type { Runtime, UnstampedEvent } from '../runtime/index.ts';
+import { createAttemptRunner } from './index.ts';
+
+const ledger: Target = {
+  targetId: 'ledger-1',
+  targetKind: 'service',
+  url: 'http://127.0.0.1:1',
+  region: 'r',
+  dataCentre: 'd',
+  serves: ['ledger'],
+  kvCapacityTokens: 0,
+  checksFencing: false,
+  hasKeyLookup: true,
+  leaving: false,
+};
+
+const info: RequestInfo = {
+  requestId: 'request-1',
+  workspace: 'w',
+  service: 'ledger',
+  kind: 'call',
+  promptTokens: 0,
+  maxOutputTokens: 0,
+  lengthClass: 'short',
+  arrivedAtMs: 0,
+  deadlineAtMs: 1_000,
+  priority: 5,
+  fingerprint: 'f',
+  prefixHashes: [],
+  idempotencyKey: 'key-1',
+  repeatable: false,
+};
+
+const attempt = {
+  requestId: info.requestId,
+  attemptId: 'request-1.1',
+  targetId: ledger.targetId,
+};
+
+describe('createAttemptRunner', () => {
+  it('reports the end of a call that outlived its request', async () => {
+    const events: UnstampedEvent[] = [];
+    const runtime = {
+      dispatch: (event: UnstampedEvent) => events.push(event),
+    } as unknown as Runtime;
+    let answerWith: (
+      answer: E.Either<TargetError, ServiceAnswer>,
+    ) => void = () => undefined;
+    const openRequests = createOpenRequests();
+    const run = createAttemptRunner({
+      engines: createEngineHttpPort(),
+      services: {
+        call: () => () =>
+          new Promise((resolve) => {
+            answerWith = resolve;
+          }),
+        lookUpKey: () => () => Promise.resolve(E.right({ type: 'absent' })),
+      },
+      openRequests,
+      metrics: createMetrics(),
+      findTarget: () => ledger,
+    });
+    openRequests.add({
+      info,
+      work: {
+        type: 'call',
+        method: 'POST',
+        path: '/payouts',
+        contentType: undefined,
+        body: new Uint8Array(),
+      },
+      sink: { writeToken: () => Promise.resolve(), finish: () => undefined },
+    });
+
+    const send = { ...attempt, timeoutMs: 1_000, reservationId: undefined };
+    run({ ...send, type: 'requests.send' }, runtime);
+    run({ ...attempt, type: 'requests.cancel' }, runtime);
+    openRequests.finish(info.requestId, {
+      ran: 'unknown',
+      end: { type: 'timedOut' },
+    });
+    answerWith(E.left({ type: 'timedOut' }));
+    await new Promise((resolve) => setImmediate(resolve));
+
+    expect(events).to.have.length(1);
+    expect(events[0]).to.deep.include({
+      ...attempt,
+      type: 'attempt.ended',
+      end: { type: 'timedOut' },
+      sent: true,
+    });
+  });
+});
