Refuse to run the fault benchmark over another run's ports

Cause: two runs at once shared ports; the second one's entries could not listen, its callers reached the first one's entries, and the checker reported 108 and 103 violations of truthfulRan and wholeAnswer that were not real. Measured: that run's log of entry-1 says EADDRINUSE. Its figures are void.

--- a/bench/_lib/untilOk.ts
+++ b/bench/_lib/untilOk.ts
@@ -29,7 +29,13 @@
   throw new Error(`${url} was not ready in ${timeoutMs} ms`);
 }
 
-async function isOk(url: string): Promise<boolean> {
+/**
+ * Tells whether a URL answers with status 200 now.
+ *
+ * @param url - The URL.
+ * @returns Whether it does.
+ */
+export async function isOk(url: string): Promise<boolean> {
   try {
     const response = await request(url);
     await response.body.dump();
--- a/bench/faults/main.ts
+++ b/bench/faults/main.ts
@@ -24,6 +24,7 @@
   --seed N        Seed of the first run (1)
   --seconds N     Time under load and faults of each run (20)
   --faults LIST   Kinds to inject, comma separated; "none" for none (all)
+  --first-port N  First port of the entries (8401)
   --out DIR       Directory of results and logs (bench/out/faults)
   --help          This text
 
@@ -91,6 +92,7 @@
   readonly kinds: readonly FaultKind[];
   readonly durationMs: number;
   readonly outDir: string;
+  readonly firstPort: number;
 }): Promise<FaultRun> {
   const { seed, durationMs } = options;
   const recorder = createRecorder();
@@ -99,6 +101,7 @@
   const system = await startSystem({
     seed,
     recorder,
+    firstPort: options.firstPort,
     outDir: join(options.outDir, `seed-${seed}`),
   });
   try {
@@ -177,6 +180,7 @@
       seed: { type: 'string', default: '1' },
       seconds: { type: 'string', default: '20' },
       faults: { type: 'string', default: FAULT_KINDS.join(',') },
+      'first-port': { type: 'string', default: '8401' },
       out: { type: 'string', default: 'bench/out/faults' },
       help: { type: 'boolean', default: false },
     },
@@ -194,6 +198,7 @@
       kinds,
       durationMs: Number(values.seconds) * MS_PER_SECOND,
       outDir: values.out,
+      firstPort: Number(values['first-port']),
     });
     const file = join(values.out, `history-${result.seed}.json`);
     await writeFile(file, JSON.stringify(result, null, 1));
--- a/bench/faults/startSystem.ts
+++ b/bench/faults/startSystem.ts
@@ -16,7 +16,7 @@
   stopAll,
   TRIAL_MODEL,
 } from '../_lib/trialSystem.ts';
-import { untilOk } from '../_lib/untilOk.ts';
+import { isOk, untilOk } from '../_lib/untilOk.ts';
 import type { Recorder } from './createRecorder.ts';
 
 /** One entry process, which may be killed and started again. */
@@ -43,6 +43,8 @@
   readonly seed: number;
   readonly outDir: string;
   readonly recorder: Recorder;
+  /** First of the ports that the entries listen on. */
+  readonly firstPort: number;
 }
 
 /** Time the table gives a prompt. */
@@ -52,7 +54,9 @@
 export const CALL_DEADLINE_MS = 6_000;
 
 const HOST = '127.0.0.1';
-const FIRST_PORT = { callers: 8_401, operators: 8_411, peers: 8_421 } as const;
+/** Ports of an entry, from the first port of the run on. */
+const PORT_OFFSET = { callers: 0, operators: 10, peers: 20 } as const;
+
 const NUMBERS = [0, 1, 2];
 const PLACE = { region: 'region-1', host: HOST } as const;
 
@@ -88,7 +92,7 @@
 export async function startSystem(
   options: StartSystemOptions,
 ): Promise<FaultSystem> {
-  const { outDir, recorder, seed } = options;
+  const { firstPort, outDir, recorder, seed } = options;
   const engines = await Promise.all(
     [1, 2, 3, 4].map((number) =>
       startEngineStandIn({
@@ -110,14 +114,19 @@
   const targets = [...engines, ledger].map(({ target }) => target);
   const platform = await startPlatformStandIn({
     seed,
-    instances: { entries: NUMBERS.map(entryAddress), targets },
+    instances: {
+      entries: NUMBERS.map((number) => entryAddress(number, firstPort)),
+      targets,
+    },
   });
   await mkdir(outDir, { recursive: true });
   const tableFile = join(outDir, 'table.json');
   await writeFile(tableFile, JSON.stringify(table));
   await loadTable(platform.url, tableFile);
   const entries = await Promise.all(
-    NUMBERS.map((number) => startOne(number, platform.url, outDir)),
+    NUMBERS.map((number) =>
+      startOne(number, { platformUrl: platform.url, outDir, firstPort }),
+    ),
   );
   return {
     entries,
@@ -135,14 +144,21 @@
 
 async function startOne(
   number: number,
-  platformUrl: string,
-  outDir: string,
+  options: {
+    readonly platformUrl: string;
+    readonly outDir: string;
+    readonly firstPort: number;
+  },
 ): Promise<EntryProcess> {
+  const { firstPort, outDir } = options;
   const name = `entry-${number + 1}`;
   const settingsFile = join(outDir, `${name}.json`);
-  const settings = settingsOf(number, platformUrl);
+  const settings = settingsOf(number, options);
   await writeFile(settingsFile, JSON.stringify(settings));
-  const url = `http://${HOST}:${FIRST_PORT.callers + number}`;
+  const url = `http://${HOST}:${firstPort + PORT_OFFSET.callers + number}`;
+  if (await isOk(`${url}/healthz`)) {
+    throw new Error(`${url} is taken by another process; see --first-port`);
+  }
   const start = (): TrialProcess => startEntry(name, settingsFile, { outDir });
   const entry: EntryProcess = {
     name,
@@ -158,30 +174,37 @@
   return entry;
 }
 
-function settingsOf(number: number, platformUrl: string): object {
+function settingsOf(
+  number: number,
+  options: { readonly platformUrl: string; readonly firstPort: number },
+): object {
+  const { firstPort, platformUrl } = options;
   return {
     entryId: `entry-${number + 1}`,
     ...PLACE,
     dataCentre: `dc-${number + 1}`,
-    callers: { port: FIRST_PORT.callers + number },
+    callers: { port: firstPort + PORT_OFFSET.callers + number },
     operators: {
-      port: FIRST_PORT.operators + number,
+      port: firstPort + PORT_OFFSET.operators + number,
       token: { env: 'ENDIVEGATE_OPERATOR_TOKEN' },
     },
-    peers: { port: FIRST_PORT.peers + number },
+    peers: { port: firstPort + PORT_OFFSET.peers + number },
     platform: { url: platformUrl },
     log: { level: 'info' },
   };
 }
 
-function entryAddress(number: number): InstanceList['entries'][number] {
+function entryAddress(
+  number: number,
+  firstPort: number,
+): InstanceList['entries'][number] {
   return {
     entryId: `entry-${number + 1}`,
     incarnation: 0,
     ...PLACE,
     dataCentre: `dc-${number + 1}`,
-    httpPort: FIRST_PORT.callers + number,
-    peerPort: FIRST_PORT.peers + number,
+    httpPort: firstPort + PORT_OFFSET.callers + number,
+    peerPort: firstPort + PORT_OFFSET.peers + number,
     leaving: false,
   };
 }
