Let two entries a data centre read the instance list for the others

Change: the targets slice decides when to read; two readers in each data centre read every 2 s and tell the others what changed (topic instances, up to four tries); the others read at their start and then every 300 s.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -41,6 +41,7 @@
 export * from './orders/index.ts';
 export * from './parseTableCell/index.ts';
 export * from './pickHomes/index.ts';
+export * from './pickPerDataCentre/index.ts';
 export * from './pickTableSources/index.ts';
 export * from './pickTableWatchers/index.ts';
 export * from './planEngines/index.ts';
--- a/packages/core/src/pickTableWatchers/index.ts
+++ b/packages/core/src/pickTableWatchers/index.ts
@@ -1,5 +1,5 @@
 import type { EntryAddress } from '@endivegate/contracts';
-import { scoreRendezvous } from '../scoreRendezvous/index.ts';
+import { pickPerDataCentre } from '../pickPerDataCentre/index.ts';
 
 const WATCH_KEY = 'table-watch';
 
@@ -32,20 +32,5 @@
   options: PickTableWatchersOptions = {},
 ): readonly string[] {
   const { watchersPerDataCentre } = { ...DEFAULTS, ...options };
-  const dataCentres = [...new Set(live.map(dataCentreKey))];
-  return dataCentres.flatMap((key) =>
-    live
-      .filter((entry) => dataCentreKey(entry) === key)
-      .map(({ entryId }) => ({
-        entryId,
-        score: scoreRendezvous(WATCH_KEY, entryId),
-      }))
-      .sort((a, b) => b.score - a.score)
-      .slice(0, watchersPerDataCentre)
-      .map(({ entryId }) => entryId),
-  );
-}
-
-function dataCentreKey(entry: EntryAddress): string {
-  return `${entry.region}/${entry.dataCentre}`;
+  return pickPerDataCentre(WATCH_KEY, live, { count: watchersPerDataCentre });
 }
--- /dev/null
+++ b/packages/core/src/targets/_lib/diffTargets.ts
@@ -0,0 +1,50 @@
+import type { Target, TargetsUpdate } from '@endivegate/contracts';
+
+type TargetsById = ReadonlyMap<string, Target>;
+
+/**
+ * Compares a list of targets with those known.
+ *
+ * @param known - Targets by id.
+ * @param targets - The whole list as read now.
+ * @returns What changed; both parts empty when nothing did.
+ */
+export function diffTargets(
+  known: TargetsById,
+  targets: readonly Target[],
+): TargetsUpdate {
+  const ids = new Set(targets.map(({ targetId }) => targetId));
+  return {
+    changed: targets.filter(
+      (target) => !isSameTarget(known.get(target.targetId), target),
+    ),
+    removedIds: [...known.keys()].filter((targetId) => !ids.has(targetId)),
+  };
+}
+
+/**
+ * Applies an update to the targets known.
+ *
+ * @param known - Targets by id, left as they are.
+ * @param update - What changed.
+ * @returns The targets after the update, `known` itself when nothing changes.
+ */
+export function applyTargetsUpdate(
+  known: TargetsById,
+  update: TargetsUpdate,
+): TargetsById {
+  const changed = update.changed.filter(
+    (target) => !isSameTarget(known.get(target.targetId), target),
+  );
+  const removed = update.removedIds.filter((targetId) => known.has(targetId));
+  if (changed.length === 0 && removed.length === 0) return known;
+  const removedIds = new Set(removed);
+  return new Map([
+    ...[...known].filter(([targetId]) => !removedIds.has(targetId)),
+    ...changed.map((target) => [target.targetId, target] as const),
+  ]);
+}
+
+function isSameTarget(known: Target | undefined, target: Target): boolean {
+  return known === target || JSON.stringify(known) === JSON.stringify(target);
+}
--- a/packages/core/src/targets/index.ts
+++ b/packages/core/src/targets/index.ts
@@ -1,43 +1,183 @@
-import type { Target } from '@endivegate/contracts';
-import type { EventBase } from '../events/index.ts';
-import type { Slice } from '../slice/index.ts';
-import { unchanged } from '../step/index.ts';
+import type {
+  EntryAddress,
+  Target,
+  TargetsUpdate,
+} from '@endivegate/contracts';
+import type { EventBase, SharedEvent } from '../events/index.ts';
+import {
+  dataCentreKey,
+  pickPerDataCentre,
+} from '../pickPerDataCentre/index.ts';
+import type { RaiseEffect, Slice } from '../slice/index.ts';
+import { type Step, unchanged } from '../step/index.ts';
+import { applyTargetsUpdate, diffTargets } from './_lib/diffTargets.ts';
 
-/** Targets by id, as the instance list last named them. */
+/** Time between two reads of the instance list by a reader, plus jitter. */
+export const TARGETS_READ_PERIOD_MS = 2_000;
+
+/** Time between two reads by the other entries, plus jitter. */
+export const TARGETS_REFRESH_PERIOD_MS = 300_000;
+
+const READER_DUTY = 'instance-list';
+
+/** Targets by id, and how this entry learns of them. */
 export interface TargetsState {
   readonly byId: ReadonlyMap<string, Target>;
+  readonly self: EntryAddress | undefined;
+  /** Whether this entry reads the list for its data centre. */
+  readonly isReader: boolean;
+  /** Entries of this data centre that this entry tells of changes. */
+  readonly followerIds: readonly string[];
+  readonly isReading: boolean;
+  readonly hasList: boolean;
+  readonly nextReadAtMs: number;
 }
 
-/** The platform's instance list was read. */
-export type TargetsEvent = EventBase & {
-  readonly type: 'targets.listed';
-  readonly targets: readonly Target[];
+/** Events of the targets slice. */
+export type TargetsEvent = EventBase &
+  (
+    | {
+        /** The platform's instance list was read. */
+        readonly type: 'targets.listed';
+        readonly targets: readonly Target[];
+      }
+    | { readonly type: 'targets.listFailed' }
+    /** A reader of the list told what it saw change. */
+    | { readonly type: 'targets.updated'; readonly update: TargetsUpdate }
+  );
+
+/** Effects of the targets slice. */
+export type TargetsEffect =
+  /** Read the list; answered by `targets.listed` or `targets.listFailed`. */
+  | { readonly type: 'targets.read' }
+  | {
+      readonly type: 'targets.share';
+      readonly toEntryIds: readonly string[];
+      readonly update: TargetsUpdate;
+    };
+
+type TargetsStep = Step<TargetsState, TargetsEffect | RaiseEffect>;
+
+const initial: TargetsState = {
+  byId: new Map(),
+  self: undefined,
+  isReader: true,
+  followerIds: [],
+  isReading: false,
+  hasList: false,
+  nextReadAtMs: 0,
 };
 
-/** Keeps the list of targets and raises `targets.changed` when it differs. */
-export const targetsSlice: Slice<TargetsState, TargetsEvent, never> = {
-  initial: { byId: new Map() },
+/**
+ * Keeps the list of targets and raises `targets.changed` when it differs.
+ *
+ * Two entries of each data centre read the platform's list and tell the others
+ * what changed, so that its bytes do not grow with the fleet. The others read
+ * it when they start, and then rarely, in case an update was lost.
+ */
+export const targetsSlice: Slice<TargetsState, TargetsEvent, TargetsEffect> = {
+  initial,
   reduce: (state, event) => {
-    if (event.type !== 'targets.listed') return unchanged(state);
-    if (isSameList(state, event.targets)) return unchanged(state);
-    return {
-      state: { byId: new Map(event.targets.map((t) => [t.targetId, t])) },
-      effects: [
-        { type: 'raise', event: { ...event, type: 'targets.changed' } },
-      ],
-    };
+    switch (event.type) {
+      case 'entry.started':
+        return unchanged({ ...state, self: event.self });
+      case 'members.changed':
+        return unchanged(assignDuty(state, event));
+      case 'clock.ticked':
+        return readWhenDue(state, event);
+      case 'targets.listed':
+        return takeList(state, event);
+      case 'targets.listFailed':
+        return unchanged(scheduleRead({ ...state, isReading: false }, event));
+      case 'targets.updated':
+        return install(
+          state,
+          event,
+          applyTargetsUpdate(state.byId, event.update),
+        );
+      default:
+        return unchanged(state);
+    }
   },
 };
 
-function isSameList(state: TargetsState, targets: readonly Target[]): boolean {
-  return (
-    state.byId.size === targets.length &&
-    targets.every((target) =>
-      isSameTarget(state.byId.get(target.targetId), target),
-    )
+function assignDuty(
+  state: TargetsState,
+  event: Extract<SharedEvent, { readonly type: 'members.changed' }>,
+): TargetsState {
+  const { self } = state;
+  if (self === undefined) return state;
+  const near = event.live.filter(
+    (entry) => dataCentreKey(entry) === dataCentreKey(self),
+  );
+  const readerIds = pickPerDataCentre(READER_DUTY, near);
+  const isReader = readerIds.includes(self.entryId);
+  const followerIds = near
+    .map(({ entryId }) => entryId)
+    .filter((entryId) => !readerIds.includes(entryId));
+  const next = { ...state, isReader, followerIds };
+  // A new reader begins at once; it may have missed what the old one saw.
+  return isReader && !state.isReader
+    ? { ...next, nextReadAtMs: event.atMs }
+    : next;
+}
+
+function readWhenDue(state: TargetsState, event: EventBase): TargetsStep {
+  if (state.isReading || event.atMs < state.nextReadAtMs) {
+    return unchanged(state);
+  }
+  return {
+    state: { ...state, isReading: true },
+    effects: [{ type: 'targets.read' }],
+  };
+}
+
+function takeList(
+  state: TargetsState,
+  event: Extract<TargetsEvent, { readonly type: 'targets.listed' }>,
+): TargetsStep {
+  const update = diffTargets(state.byId, event.targets);
+  const read = { ...state, isReading: false, hasList: true };
+  const installed = install(
+    scheduleRead(read, event),
+    event,
+    applyTargetsUpdate(state.byId, update),
   );
+  const isNews = installed.state.byId !== state.byId && state.hasList;
+  if (!isNews || !state.isReader || state.followerIds.length === 0) {
+    return installed;
+  }
+  return {
+    state: installed.state,
+    effects: [
+      ...installed.effects,
+      { type: 'targets.share', toEntryIds: state.followerIds, update },
+    ],
+  };
+}
+
+function scheduleRead(state: TargetsState, event: EventBase): TargetsState {
+  const isOften = state.isReader || !state.hasList;
+  const periodMs = isOften ? TARGETS_READ_PERIOD_MS : TARGETS_REFRESH_PERIOD_MS;
+  const jitter = 0.75 + event.random / 2;
+  return { ...state, nextReadAtMs: event.atMs + periodMs * jitter };
 }
 
-function isSameTarget(known: Target | undefined, target: Target): boolean {
-  return JSON.stringify(known) === JSON.stringify(target);
+function install(
+  state: TargetsState,
+  event: EventBase,
+  byId: TargetsState['byId'],
+): TargetsStep {
+  if (byId === state.byId) return unchanged(state);
+  const { atMs, random } = event;
+  const targets = [...byId.values()];
+  return {
+    state: { ...state, byId },
+    effects: [
+      {
+        type: 'raise',
+        event: { type: 'targets.changed', atMs, random, targets },
+      },
+    ],
+  };
 }
--- a/packages/daemon/src/createEntry/_lib/createHandlers.ts
+++ b/packages/daemon/src/createEntry/_lib/createHandlers.ts
@@ -4,6 +4,7 @@
 import { createLeavingHandler } from '../../createLeavingHandler/index.ts';
 import type { Metrics } from '../../createMetrics/index.ts';
 import { createMemoryHandler } from '../../memory/index.ts';
+import { createTargetsHandler } from '../../createTargetsHandler/index.ts';
 import { createOnceHandler } from '../../once/index.ts';
 import type { OpenRequests } from '../../openRequests/index.ts';
 import { createOrdersHandler } from '../../orders/index.ts';
@@ -25,6 +26,8 @@
   readonly suspects: SuspectsHandler;
   readonly findTarget: EntryView['findTarget'];
   readonly notifyPeer: NotifyPeer;
+  /** Told when the instance list could not be read. */
+  readonly onListUnread: (error: { readonly type: string }) => void;
 }
 
 /**
@@ -42,6 +45,12 @@
     clock: logPauses(logger),
     membership: options.peering.membership.handler,
     table: options.table.handle,
+    targets: createTargetsHandler({
+      platform,
+      onError: options.onListUnread,
+      notifyPeer: (toEntryId, update) =>
+        options.notifyPeer(toEntryId, 'instances', update),
+    }),
     leaving: createLeavingHandler({
       openRequests,
       exit: (exitCode, reason) => {
--- a/packages/daemon/src/createEntry/_lib/createPeerMessages.ts
+++ b/packages/daemon/src/createEntry/_lib/createPeerMessages.ts
@@ -1,11 +1,14 @@
-import { routingMessageSchema } from '@endivegate/contracts';
+import {
+  routingMessageSchema,
+  targetsUpdateSchema,
+} from '@endivegate/contracts';
 import * as E from 'fp-ts/lib/Either.js';
 import { z } from 'zod';
 import type { NotifyTopic, PeerClient } from '../../peers/index.ts';
 import type { Runtime } from '../../runtime/index.ts';
 
 /** Topics of the messages between entries. */
-export type PeerTopic = 'routing' | 'suspects';
+export type PeerTopic = 'routing' | 'instances';
 
 /** Sends a message to another entry; resolves whether it was delivered. */
 export type NotifyPeer = (
@@ -57,5 +60,11 @@
       });
     },
   };
-  return { routing: routing };
+  const instances: NotifyTopic<typeof targetsUpdateSchema> = {
+    schema: targetsUpdateSchema,
+    handle: (update) => {
+      options.runtime().dispatch({ type: 'targets.updated', update });
+    },
+  };
+  return { routing, instances };
 }
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -22,7 +22,6 @@
 import type { LoadedSettings } from '../loadSettings/index.ts';
 import { fromPeerUpdate } from '../membership/index.ts';
 import { createOpenRequests } from '../openRequests/index.ts';
-import { pollInstances } from '../pollInstances/index.ts';
 import { recordEnd, recordMetrics } from '../recordMetrics/index.ts';
 import { registerRelay } from '../relay/index.ts';
 import { createRuntime, type Runtime } from '../runtime/index.ts';
@@ -115,6 +114,11 @@
     },
   });
   const suspects = createSuspectsHandler({ platform: ports.platform });
+  const askSeeds = createAskSeeds({
+    seeds: settings.peers.seeds,
+    runtime: () => runtime,
+    peering,
+  });
   const runtime: Runtime = createRuntime({
     handlers: createHandlers({
       ...options,
@@ -124,6 +128,11 @@
       table,
       suspects,
       findTarget: (targetId) => view.findTarget(targetId),
+      onListUnread: (error) => {
+        logger.warn('instances.unread', { reason: error.type });
+        const { members } = runtime.state().membership;
+        if (members.size === 0) askSeeds();
+      },
       notifyPeer: createNotifyPeer({
         runtime: () => runtime,
         client: () => peering.client,
@@ -183,7 +192,7 @@
     }),
   });
   const operatorsPort = (admin.server.address() as AddressInfo).port;
-  const stopTimers = startTimers({ ...options, runtime, peering });
+  const stopTimers = startTimers({ runtime, askSeeds });
   const stopFollowing = suspects.follow(runtime);
   logger.info('entry.listening', {
     port,
@@ -241,41 +250,34 @@
   });
 }
 
-function startTimers(
-  entry: CreateEntryOptions & {
-    readonly runtime: Runtime;
-    readonly peering: Peering;
-  },
-): () => void {
-  const { runtime, peering, settings, logger } = entry;
+function startTimers(entry: {
+  readonly runtime: Runtime;
+  readonly askSeeds: () => void;
+}): () => void {
   const ticks = setInterval(() => {
-    runtime.dispatch({ type: 'clock.ticked' });
+    entry.runtime.dispatch({ type: 'clock.ticked' });
   }, TICK_PERIOD_MS);
-  const askSeeds = () =>
-    learnFromSeeds({
-      seeds: settings.peers.seeds,
-      client: peering.client,
+  entry.askSeeds();
+  return () => {
+    clearInterval(ticks);
+  };
+}
+
+function createAskSeeds(entry: {
+  readonly seeds: readonly string[];
+  readonly runtime: () => Runtime;
+  readonly peering: Peering;
+}): () => void {
+  return () => {
+    void learnFromSeeds({
+      seeds: entry.seeds,
+      client: entry.peering.client,
       onMembers: (updates) => {
-        runtime.dispatch({
+        entry.runtime().dispatch({
           type: 'membership.fetched',
           updates: updates.flatMap((wire) => fromPeerUpdate(wire) ?? []),
         });
       },
     });
-  const stopPolling = pollInstances({
-    platform: entry.ports.platform,
-    onList: (list) => {
-      runtime.dispatch({ type: 'targets.listed', targets: list.targets });
-      runtime.dispatch({ type: 'membership.listed', entries: list.entries });
-    },
-    onError: (error) => {
-      logger.warn('instances.unread', { reason: error.type });
-      if (runtime.state().membership.members.size === 0) void askSeeds();
-    },
-  });
-  void askSeeds();
-  return () => {
-    clearInterval(ticks);
-    stopPolling();
   };
 }
