Count platform calls by purpose and spare a store that is down

Cause: nothing counted or bounded an entry's use of the key-value service. Measured: after 30 failures, at most 37 of 370 entries probe in the first second (test bound).

--- /dev/null
+++ b/packages/core/src/admitStoreCall/test.ts
@@ -0,0 +1,65 @@
+import { expect } from 'chai';
+import { recordStoreReply } from '../recordStoreReply/index.ts';
+import {
+  INITIAL_STORE_GATE,
+  STORE_DOWN_FAILURES,
+  type StoreGate,
+} from '../storeGate/index.ts';
+import { admitStoreCall } from './index.ts';
+
+const failTimes = (count: number, random: number): StoreGate =>
+  Array.from({ length: count }).reduce<StoreGate>(
+    (gate) => recordStoreReply(gate, { isAnswered: false, atMs: 0, random }),
+    INITIAL_STORE_GATE,
+  );
+
+describe('admitStoreCall', () => {
+  it('keeps to the budget of a purpose and leaves the others alone', () => {
+    const spent = Array.from({ length: 500 }).reduce<{
+      readonly gate: StoreGate;
+      readonly admitted: number;
+    }>(
+      (done) => {
+        const next = admitStoreCall(done.gate, { purpose: 'table', atMs: 0 });
+        const isAdmitted = next.admission.type === 'admitted';
+        return {
+          gate: next.gate,
+          admitted: done.admitted + (isAdmitted ? 1 : 0),
+        };
+      },
+      { gate: INITIAL_STORE_GATE, admitted: 0 },
+    );
+    expect(spent.admitted).to.equal(120);
+    expect(
+      [
+        admitStoreCall(spent.gate, { purpose: 'table', atMs: 0 }),
+        admitStoreCall(spent.gate, { purpose: 'claims', atMs: 0 }),
+        admitStoreCall(spent.gate, { purpose: 'table', atMs: 200 }),
+      ].map(({ admission }) => admission),
+    ).toMatchSnapshot();
+  });
+
+  it('probes a store that is down with one call at a time', () => {
+    const down = failTimes(STORE_DOWN_FAILURES, 0.5);
+    const early = admitStoreCall(down, { purpose: 'claims', atMs: 100 });
+    const probe = admitStoreCall(down, { purpose: 'claims', atMs: 250 });
+    const beside = admitStoreCall(probe.gate, { purpose: 'table', atMs: 260 });
+    const back = recordStoreReply(probe.gate, {
+      isAnswered: true,
+      atMs: 300,
+      random: 0,
+    });
+    const after = admitStoreCall(back, { purpose: 'table', atMs: 310 });
+    expect(
+      [early, probe, beside, after].map(({ admission }) => admission.type),
+    ).to.deep.equal(['down', 'admitted', 'down', 'admitted']);
+  });
+
+  it('spreads the first calls of 370 entries after a long outage', () => {
+    const probes = Array.from({ length: 370 }, (_, index) =>
+      failTimes(30, index / 370),
+    ).map(({ probeAtMs }) => probeAtMs);
+    const firstSecond = probes.filter((atMs) => atMs < 1_000).length;
+    expect(firstSecond).to.be.at.most(37);
+  });
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -59,3 +59,6 @@
 export * from './orders/index.ts';
 export * from './planEngines/index.ts';
 export * from './describeOrders/index.ts';
+export * from './admitStoreCall/index.ts';
+export * from './recordStoreReply/index.ts';
+export * from './storeGate/index.ts';
