--- a/packages/core/src/storeGate/index.ts
+++ b/packages/core/src/storeGate/index.ts
@@ -10,7 +10,7 @@
 /** Rates that an entry allows itself, by purpose. */
 export const STORE_BUDGETS: Readonly<Record<StorePurpose, StoreBudget>> = {
   claims: { callsPerSecond: 60, burstCalls: 240 },
-  table: { callsPerSecond: 5, burstCalls: 120 },
+  table: { callsPerSecond: 20, burstCalls: 400 },
   leases: { callsPerSecond: 10, burstCalls: 60 },
   orders: { callsPerSecond: 5, burstCalls: 30 },
   suspects: { callsPerSecond: 5, burstCalls: 30 },
