--- a/packages/core/src/splitTable/index.ts
+++ b/packages/core/src/splitTable/index.ts
@@ -7,6 +7,7 @@
   type TableSection,
 } from '@endivegate/contracts';
 import {
+  fromRecord,
   fromTableRecords,
   recordKey,
   toTableRecords,
@@ -46,6 +47,9 @@
   maxBytes: TABLE_CHUNK_MAX_BYTES,
 };
 
+/** Size of a chunk's value without its records, at most. */
+const CHUNK_FRAME_BYTES = 64;
+
 /** Length of the content hash in a key, in hex digits. */
 const HASH_DIGITS = 32;
 
@@ -140,9 +144,9 @@
 ): readonly (readonly TableRecord[])[] {
   const groups: TableRecord[][] = [];
   let group: TableRecord[] = [];
-  let groupBytes = 0;
+  let groupBytes = CHUNK_FRAME_BYTES;
   records.forEach((record) => {
-    const bytes = Buffer.byteLength(JSON.stringify(chunkOf([record])));
+    const bytes = Buffer.byteLength(JSON.stringify(fromRecord(record))) + 1;
     if (group.length > 0 && groupBytes + bytes > bounds.maxBytes) close();
     group.push(record);
     groupBytes += bytes;
@@ -154,7 +158,7 @@
   function close(): void {
     groups.push(group);
     group = [];
-    groupBytes = 0;
+    groupBytes = CHUNK_FRAME_BYTES;
   }
 }
 
--- a/packages/core/src/tableRecords/index.ts
+++ b/packages/core/src/tableRecords/index.ts
@@ -65,18 +65,14 @@
 
 function toRecord(section: TableSection, value: object): TableRecord {
   const fields = ADDRESS_FIELDS[section];
-  const entries = Object.entries(value) as [string, TableCellValue][];
-  const address = fields.map((field) =>
-    String(entries.find(([name]) => name === field)?.[1]),
+  const cells = new Map<string, TableCellValue>([[RECORD_CELL, true]]);
+  Object.entries(value as Record<string, TableCellValue | undefined>).forEach(
+    ([name, cell]) => {
+      if (cell !== undefined && !fields.includes(name)) cells.set(name, cell);
+    },
   );
-  const cells = entries.filter(([name, cell]) => {
-    return !fields.includes(name) && (cell as unknown) !== undefined;
-  });
-  return {
-    section,
-    address,
-    cells: new Map([[RECORD_CELL, true], ...cells]),
-  };
+  const named = value as Readonly<Record<string, unknown>>;
+  return { section, address: fields.map((name) => String(named[name])), cells };
 }
 
 /**
@@ -101,7 +97,13 @@
   };
 }
 
-function fromRecord(record: TableRecord): unknown {
+/**
+ * Returns the value that a record stands for, its cells in canonical order.
+ *
+ * @param record - A record.
+ * @returns The value; not yet checked against a schema.
+ */
+export function fromRecord(record: TableRecord): unknown {
   const fields = ADDRESS_FIELDS[record.section];
   const cells = [...record.cells]
     .filter(([name, value]) => name !== RECORD_CELL && value !== null)
--- a/packages/core/src/validateTable/index.ts
+++ b/packages/core/src/validateTable/index.ts
@@ -88,8 +88,11 @@
       ? recordKey(section, address)
       : undefined;
   });
+  const firsts = new Map(
+    keys.map((key, index) => [key, index] as const).toReversed(),
+  );
   return keys.flatMap((key, index) => {
-    const first = keys.indexOf(key);
+    const first = firsts.get(key) ?? index;
     if (key === undefined || first === index) return [];
     const message = `same address as ${section}[${first}]`;
     return [{ path: [section, index], message }];
--- a/packages/daemon/src/createAdminPorts/index.ts
+++ b/packages/daemon/src/createAdminPorts/index.ts
@@ -4,7 +4,11 @@
   TableStatusBody,
   TimelineBody,
 } from '@endivegate/contracts';
-import type { MergedTimeline, RootState } from '@endivegate/core';
+import {
+  describeOrders,
+  type MergedTimeline,
+  type RootState,
+} from '@endivegate/core';
 import * as TE from 'fp-ts/lib/TaskEither.js';
 import type { AdminPorts } from '../admin/index.ts';
 import { createTableAdmin } from '../createTableAdmin/index.ts';
@@ -51,7 +55,7 @@
       list: () => ({ suspects: [] }),
       clear: () => TE.left({ type: 'notFound', reason: 'no such suspect' }),
     },
-    orders: () => ({ models: [], engines: [] }),
+    orders: () => describeOrders(runtime.state().orders),
     timeline: (query) => async () => {
       const filter = { ...query, sinceWallMs: query.sinceUnixMs };
       const members = runtime.state().membership;
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -7,6 +7,8 @@
   ServicePort,
 } from '@endivegate/contracts';
 import { decideNewRequest, listLiveEntries } from '@endivegate/core';
+import { createOrdersHandler } from '../orders/index.ts';
+import { createMeteredPlatform } from '../store/index.ts';
 import type { FastifyInstance } from 'fastify';
 import { startAdminServer } from '../admin/index.ts';
 import { createAdminPorts } from '../createAdminPorts/index.ts';
@@ -78,10 +80,14 @@
  * @throws If a port cannot be bound.
  */
 export async function createEntry(options: CreateEntryOptions): Promise<Entry> {
-  const { settings, ports, logger } = options;
+  const { settings, logger } = options;
   const listenHost = settings.listenHost ?? settings.host;
   const unbound = describeSelf(settings, Date.now());
   const metrics = createMetrics();
+  const ports: EntryPorts = {
+    ...options.ports,
+    platform: createMeteredPlatform(options.ports.platform, metrics),
+  };
   const timeline = createTimeline({ entryId: unbound.entryId });
   const openRequests = createOpenRequests({
     onFinish: ({ info }, result) => {
@@ -133,6 +139,13 @@
         metrics,
         findTarget: (targetId) => view.findTarget(targetId),
       }),
+      orders: createOrdersHandler({
+        platform: ports.platform,
+        engines: ports.engines,
+        findTarget: (targetId) => view.findTarget(targetId),
+        entryId: unbound.entryId,
+        newToken: randomUUID,
+      }),
       once: createOnceHandler({
         platform: ports.platform,
         services: ports.services,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -10,3 +10,7 @@
 export * from './runtime/index.ts';
 export * from './timeline/index.ts';
 export * from './seedTable/index.ts';
+export * from './table/changeTable/index.ts';
+export * from './table/editTable/index.ts';
+export * from './table/readTable/index.ts';
+export * from './table/replaceTable/index.ts';
