--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -7,38 +7,35 @@
   ServicePort,
 } from '@endivegate/contracts';
 import { decideNewRequest, listLiveEntries } from '@endivegate/core';
-import { createOrdersHandler } from '../orders/index.ts';
 import { createMeteredPlatform } from '../store/index.ts';
 import type { FastifyInstance } from 'fastify';
 import { startAdminServer } from '../admin/index.ts';
 import { createAdminPorts } from '../createAdminPorts/index.ts';
-import { createAttemptRunner } from '../createAttemptRunner/index.ts';
 import {
   createCallersServer,
   refuseLeaving,
 } from '../createCallersServer/index.ts';
 import { createEntryView, type EntryView } from '../createEntryView/index.ts';
-import { createLeavingHandler } from '../createLeavingHandler/index.ts';
 import type { Logger } from '../createLogger/index.ts';
 import { createMetrics, type Metrics } from '../createMetrics/index.ts';
 import { createTablePeers } from '../createTablePeers/index.ts';
 import { learnFromSeeds } from '../learnFromSeeds/index.ts';
 import type { LoadedSettings } from '../loadSettings/index.ts';
 import { fromPeerUpdate } from '../membership/index.ts';
-import { createOnceHandler } from '../once/index.ts';
 import { createOpenRequests } from '../openRequests/index.ts';
 import { pollInstances } from '../pollInstances/index.ts';
 import { recordEnd, recordMetrics } from '../recordMetrics/index.ts';
 import { registerRelay } from '../relay/index.ts';
-import { createRoutingHandler } from '../routing/index.ts';
 import { createRuntime, type Runtime } from '../runtime/index.ts';
 import { type Peering, startPeering } from '../startPeering/index.ts';
 import { createTableHandler, type TablePeerPort } from '../table/index.ts';
 import { createTimeline } from '../timeline/index.ts';
+import { createHandlers } from './_lib/createHandlers.ts';
 import { createPeerHandlers } from './_lib/createPeerHandlers.ts';
+import { createNotifyPeer, createTopics } from './_lib/createPeerMessages.ts';
 import { describeSelf } from './_lib/describeSelf.ts';
 import { listUnreadyReasons } from './_lib/listUnreadyReasons.ts';
-import { logEvent, logPauses } from './_lib/logEvents.ts';
+import { logEvent } from './_lib/logEvents.ts';
 
 /** What an entry talks to. */
 export interface EntryPorts {
@@ -112,7 +109,7 @@
       runtime: () => runtime,
       table,
       timeline,
-      topics: {},
+      topics: createTopics({ runtime: () => runtime }),
       callersUrl: () => callersUrl,
       maxBodyBytes: settings.callers.maxBodyBytes,
     }),
@@ -122,45 +119,19 @@
     },
   });
   const runtime: Runtime = createRuntime({
-    handlers: {
-      clock: logPauses(logger),
-      membership: peering.membership.handler,
-      leaving: createLeavingHandler({
-        openRequests,
-        exit: (exitCode, reason) => {
-          logger.info('entry.left', { exitCode, reason });
-          options.onExit?.(exitCode);
-        },
-      }),
-      requests: createAttemptRunner({
-        engines: ports.engines,
-        services: ports.services,
-        openRequests,
-        metrics,
-        findTarget: (targetId) => view.findTarget(targetId),
-      }),
-      orders: createOrdersHandler({
-        platform: ports.platform,
-        engines: ports.engines,
-        findTarget: (targetId) => view.findTarget(targetId),
-        entryId: unbound.entryId,
-        newToken: randomUUID,
-      }),
-      once: createOnceHandler({
-        platform: ports.platform,
-        services: ports.services,
-        findTarget: (targetId) => view.findTarget(targetId),
-      }),
-      table: table.handle,
-      routing: createRoutingHandler({
-        engines: ports.engines,
-        findTarget: (targetId) => view.findTarget(targetId),
-        notifyPeer: () => Promise.resolve(false),
-        onUnfreed: (targetId, reservationId) => {
-          logger.warn('reservation.unfreed', { targetId, reservationId });
-        },
+    handlers: createHandlers({
+      ...options,
+      ports,
+      metrics,
+      openRequests,
+      peering,
+      table,
+      findTarget: (targetId) => view.findTarget(targetId),
+      notifyPeer: createNotifyPeer({
+        runtime: () => runtime,
+        client: () => peering.client,
       }),
-    },
+    }),
     onEvent: (event) => {
       recordMetrics(metrics, { event, openRequests });
       timeline.record(event);
@@ -215,7 +186,7 @@
     }),
   });
   const operatorsPort = (admin.server.address() as AddressInfo).port;
-  const stopTimers = startTimers({ ...options, runtime, peering });
+  const stopTimers = startTimers({ ...options, ports, runtime, peering });
   logger.info('entry.listening', {
     port,
     operatorsPort,
