--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -7,6 +7,7 @@
   ServicePort,
 } from '@endivegate/contracts';
 import { decideNewRequest, listLiveEntries } from '@endivegate/core';
+import { createMeteredPlatform } from '../store/index.ts';
 import type { FastifyInstance } from 'fastify';
 import { startAdminServer } from '../admin/index.ts';
 import { createAdminPorts } from '../createAdminPorts/index.ts';
@@ -76,10 +77,14 @@
  * @throws If a port cannot be bound.
  */
 export async function createEntry(options: CreateEntryOptions): Promise<Entry> {
-  const { settings, ports, logger } = options;
+  const { settings, logger } = options;
   const listenHost = settings.listenHost ?? settings.host;
   const unbound = describeSelf(settings, Date.now());
   const metrics = createMetrics();
+  const ports: EntryPorts = {
+    ...options.ports,
+    platform: createMeteredPlatform(options.ports.platform, metrics),
+  };
   const timeline = createTimeline({ entryId: unbound.entryId });
   const openRequests = createOpenRequests({
     onFinish: ({ info }, result) => {
@@ -122,6 +127,7 @@
   const runtime: Runtime = createRuntime({
     handlers: createHandlers({
       ...options,
+      ports,
       metrics,
       openRequests,
       peering,
