Answer a repeat by look-up while its first send waits on a silent connection

Cause: a payout that the ledger ran, on a connection that then went silent, was told 'unknown' at all four sends of 6 s: repeats waited for the live sender, whose claim stays open until 30 s after its deadline, although the ledger answers look-ups by key. Ruled out: the attempt runner's late end, mended before without effect on this. Change: a repeat that meets a claim older than 2 s looks the key up; 'done' is recorded and replayed, anything else keeps waiting while the sender lives. The fleet of the once tests has a service that goes silent after it ran. Conclusion: only the first caller waits for its deadline.

--- a/packages/core/src/once/_lib/constants.ts
+++ b/packages/core/src/once/_lib/constants.ts
@@ -16,6 +16,9 @@
 /** The same for a claim whose creator died without a word. */
 export const DEAD_SETTLE_MS = 60_000;
 
+/** Age of a claim from which a repeat asks the service about the key. */
+export const LOOKUP_AFTER_MS = 2_000;
+
 /** Bound of the first wait before a store call is tried again. */
 export const POLL_MS = 200;
 
--- a/packages/core/src/once/_lib/otherClaim.ts
+++ b/packages/core/src/once/_lib/otherClaim.ts
@@ -1,6 +1,10 @@
 import type { Ran, StoredAnswer } from '@endivegate/contracts';
 import type { EventBase, RequestEnd } from '../../events/index.ts';
-import { DEAD_SETTLE_MS, UNKNOWN_SETTLE_MS } from './constants.ts';
+import {
+  DEAD_SETTLE_MS,
+  LOOKUP_AFTER_MS,
+  UNKNOWN_SETTLE_MS,
+} from './constants.ts';
 import { create, drop, keep, later, putEffect, raise } from './work.ts';
 import type {
   FoundClaim,
@@ -61,7 +65,7 @@
     case 'unknown':
       return resolveDoubt(state, work, { event, found });
     case 'claimed':
-      return isCreatorDead(state, found)
+      return isCreatorDead(state, found) || isLookupWorthwhile(state, found)
         ? resolveDoubt(state, work, { event, found })
         : wait(state, work, { event, found });
   }
@@ -83,9 +87,13 @@
   const { event, result } = options;
   const { found } = work;
   if (found === undefined) return keep(state, work);
+  if (result.type === 'done') {
+    return settleAsDone(state, work, { event, found, answer: result.answer });
+  }
+  // A live creator may still send; only its own word says that it did not.
+  if (isCreatorWaiting(state, found))
+    return wait(state, work, { event, found });
   switch (result.type) {
-    case 'done':
-      return settleAsDone(state, work, { event, found, answer: result.answer });
     case 'running':
       return wait(state, work, { event, found });
     case 'absent':
@@ -201,6 +209,21 @@
   );
 }
 
+function isCreatorWaiting(state: OnceState, found: FoundClaim): boolean {
+  return found.claim.state.type === 'claimed' && !isCreatorDead(state, found);
+}
+
+/**
+ * Whether the service may know of a run whose answer does not reach the live
+ * creator, as on a connection that has gone silent.
+ */
+function isLookupWorthwhile(state: OnceState, found: FoundClaim): boolean {
+  return (
+    found.ageMs >= LOOKUP_AFTER_MS &&
+    state.lookupTargetIds.has(found.claim.targetId)
+  );
+}
+
 /** Whether nothing that the creator sent can still be on its way. */
 function isDoubtOver({ claim, ageMs }: FoundClaim): boolean {
   const limitMs =
--- a/packages/core/src/once/test.fleet.ts
+++ b/packages/core/src/once/test.fleet.ts
@@ -66,6 +66,7 @@
   'storeRefuses',
   'serviceAnswers',
   'serviceAnswersNobody',
+  'serviceGoesSilent',
   'connectionCut',
   'serviceRefuses',
   'lookupServes',
@@ -391,6 +392,11 @@
         } else endAttempt(message, { type: 'cut', reason: 'died' });
         return;
       }
+      case 'serviceGoesSilent': {
+        const message = take(messages, pick);
+        if (message !== undefined) runMessage(message);
+        return;
+      }
       case 'connectionCut': {
         const message = messages[pick % Math.max(1, messages.length)];
         if (message === undefined) return;
--- a/packages/core/src/once/test.ts
+++ b/packages/core/src/once/test.ts
@@ -108,6 +108,25 @@
     expect(outcome).toMatchSnapshot();
   });
 
+  it('answers a repeat by look-up while the first send waits on a silent connection', () => {
+    const outcome = play(
+      [
+        ['call', 0],
+        ['storeServes', 0],
+        ['serviceGoesSilent', 0],
+        ['wait3000', 0],
+        ['call', 1],
+        ['storeServes', 0],
+        ['lookupServes', 0],
+        ['storeServes', 0],
+      ],
+      true,
+    );
+    expect(outcome.runs).to.equal(1);
+    expect(outcome.violations).to.deep.equal([]);
+    expect(outcome.told).to.include('b2: yes answered');
+  });
+
   it('leaves a doubt open while the call may still be on its way', () => {
     const outcome = play(
       [
