Keep isolated retries on targets of their own

Change: an isolated request waits while every engine it may use runs another isolated one of this entry; it does not hold up the lane behind it. Measured: new test: of three isolated requests on two engines two run apart, the third waits, a fourth ordinary one passes; all three ran at once before. Conclusion: apart within an entry; between entries the store's trials count. Huge prompts, placed by their placing entry, are not kept apart.

--- a/packages/core/src/routing/_lib/admit.ts
+++ b/packages/core/src/routing/_lib/admit.ts
@@ -81,6 +81,7 @@
   retry: {
     readonly requestId: string;
     readonly excludedTargetIds: readonly string[];
+    readonly isolated: boolean;
   },
 ): RoutingStep {
   const known = state.requests.get(retry.requestId);
@@ -90,6 +91,7 @@
     phase: 'waiting',
     targetId: undefined,
     excludedTargetIds: retry.excludedTargetIds,
+    isolated: retry.isolated,
     reservationId: undefined,
     parts: [],
     grantedParts: 0,
@@ -122,6 +124,7 @@
     phase: 'waiting',
     targetId: undefined,
     excludedTargetIds: [],
+    isolated: false,
     costMs: estimatePrefillMs(
       costsOf(state, request.service),
       request.promptTokens,
--- a/packages/core/src/routing/_lib/queue.ts
+++ b/packages/core/src/routing/_lib/queue.ts
@@ -56,7 +56,9 @@
         const lane = laneOf(routed.request);
         if (full.has(lane)) return refuseIfLate(current, stamp, routed);
         const step = tryDispatch(current, stamp, routed);
-        if (step.effects.length === 0) full.add(lane);
+        // One that waits to run apart does not keep those behind it waiting.
+        const isFull = step.effects.length === 0 && !routed.isolated;
+        if (isFull) full.add(lane);
         return step;
       }),
     { state, effects: [] },
@@ -101,7 +103,11 @@
   stamp: EventBase,
   routed: RoutedRequest,
 ): RoutingStep {
-  const best = choose(state, stamp, routed);
+  const isolatedIds = isolatedTargetIds(state, routed);
+  const best = choose(state, stamp, withExcluded(routed, isolatedIds));
+  if (!best && isolatedIds.length > 0 && choose(state, stamp, routed)) {
+    return refuseIfLate(state, stamp, routed);
+  }
   if (!best) {
     return refuse(state, stamp, {
       requestId: routed.request.requestId,
@@ -123,6 +129,28 @@
   return dispatchTo(advanced, stamp, predicted, targetId);
 }
 
+/** Returns the targets that an isolated request must keep away from. */
+function isolatedTargetIds(
+  state: RoutingState,
+  routed: RoutedRequest,
+): readonly string[] {
+  if (!routed.isolated) return [];
+  return [...state.requests.values()].flatMap((other) =>
+    other.isolated && other !== routed && other.targetId !== undefined
+      ? [other.targetId]
+      : [],
+  );
+}
+
+function withExcluded(
+  routed: RoutedRequest,
+  targetIds: readonly string[],
+): RoutedRequest {
+  if (targetIds.length === 0) return routed;
+  const excludedTargetIds = [...routed.excludedTargetIds, ...targetIds];
+  return { ...routed, excludedTargetIds };
+}
+
 /** Returns by how much a request would miss its deadline at a target. */
 function overdueAt(
   state: RoutingState,
--- a/packages/core/src/routing/_lib/types.ts
+++ b/packages/core/src/routing/_lib/types.ts
@@ -37,6 +37,8 @@
   readonly phase: RoutedPhase;
   readonly targetId: string | undefined;
   readonly excludedTargetIds: readonly string[];
+  /** Whether it may run only where no other isolated request runs. */
+  readonly isolated: boolean;
   /** Estimated engine time. */
   readonly costMs: number;
   /** Virtual start time of weighted fair queueing. */
--- a/packages/core/src/routing/test.ts
+++ b/packages/core/src/routing/test.ts
@@ -96,6 +96,26 @@
     expect(state.requests.size).to.equal(0);
   });
 
+  it('runs isolated requests on different targets and lets others pass them', () => {
+    const isolated = (requestId: string): SharedEvent => ({
+      ...stamp,
+      type: 'request.retryWanted',
+      requestId,
+      excludedTargetIds: [],
+      isolated: true,
+    });
+    const ids = ['r1', 'r2', 'r3'];
+    const before = run([targetsChanged, ...ids.map((id) => arrived(id))]);
+    const { raised } = [...ids.map(isolated), arrived('r4')].reduce(
+      (done, event) => {
+        const step = routingSlice.reduce(done.state, event);
+        return { state: step.state, raised: [...done.raised, ...step.effects] };
+      },
+      { state: before.state, raised: [] as unknown[] },
+    );
+    expect(raised).toMatchSnapshot();
+  });
+
   it('forgets a request that ended', () => {
     const { state } = run([
       targetsChanged,
