Begin an answer that is sent whole again after an engine is lost

Change: the callers' API tells whether an answer is streamed; the runner drops the held tokens of the lost attempt when the request is sent again. Measured: new test: the first stream is cut after a token, the second is whole, the caller gets the second only.

--- a/packages/daemon/src/createAttemptRunner/index.ts
+++ b/packages/daemon/src/createAttemptRunner/index.ts
@@ -88,6 +88,7 @@
       endWithoutTarget(effect, runtime);
       return;
     }
+    restartAnswer(attempt.open);
     const connection = openConnection(attempt, runtime);
     const outcome =
       attempt.open.work.type === 'prompt'
@@ -293,6 +294,16 @@
   };
 }
 
+/**
+ * Forgets the tokens of an earlier attempt. Only an answer that is sent whole
+ * is ever begun again after tokens, since its caller has seen none of them.
+ */
+function restartAnswer(open: OpenRequest): void {
+  if (open.outputTokens === 0) return;
+  open.outputTokens = 0;
+  open.sink.restart();
+}
+
 /** Makes room for a new connection of an attempt, dropping the one before. */
 function replaceController(attempt: Attempt): AbortController {
   const controller = new AbortController();
--- a/packages/daemon/src/createAttemptRunner/test.ts
+++ b/packages/daemon/src/createAttemptRunner/test.ts
@@ -1,4 +1,10 @@
-import type { ServiceAnswer, Target, TargetError } from '@endivegate/contracts';
+import type {
+  EngineStreamItem,
+  ServiceAnswer,
+  ServicePort,
+  Target,
+  TargetError,
+} from '@endivegate/contracts';
 import type { RequestInfo } from '@endivegate/core';
 import { expect } from 'chai';
 import * as E from 'fp-ts/lib/Either.js';
@@ -76,7 +82,11 @@
         contentType: undefined,
         body: new Uint8Array(),
       },
-      sink: { writeToken: () => Promise.resolve(), finish: () => undefined },
+      sink: {
+        writeToken: () => Promise.resolve(),
+        restart: () => undefined,
+        finish: () => undefined,
+      },
     });
 
     const send = { ...attempt, timeoutMs: 1_000, reservationId: undefined };
@@ -97,4 +107,76 @@
       sent: true,
     });
   });
+
+  it('begins an answer that is sent whole again on another engine', async () => {
+    const engine: Target = { ...ledger, targetKind: 'engine', serves: ['m'] };
+    const streams: EngineStreamItem[][] = [
+      [{ type: 'token', offset: 0, text: 'lost' }],
+      [
+        { type: 'token', offset: 0, text: 'whole' },
+        { type: 'end', finishReason: 'stop', outputTokens: 1 },
+      ],
+    ];
+    const events: UnstampedEvent[] = [];
+    const runtime = {
+      dispatch: (event: UnstampedEvent) => events.push(event),
+    } as unknown as Runtime;
+    const openRequests = createOpenRequests();
+    const run = createAttemptRunner({
+      engines: {
+        ...createEngineHttpPort(),
+        submit: () => () => Promise.resolve(E.right(streamOf(streams.shift()))),
+      },
+      services: {} as ServicePort,
+      openRequests,
+      metrics: createMetrics(),
+      findTarget: () => engine,
+    });
+    let text = '';
+    openRequests.add({
+      info: { ...info, streamed: false },
+      work: { type: 'prompt', prompt: 'Who is next?' },
+      sink: {
+        writeToken: (token) => {
+          text += token;
+          return Promise.resolve();
+        },
+        restart: () => {
+          text = '';
+        },
+        finish: () => undefined,
+      },
+    });
+    const ends = () =>
+      events.flatMap((event) =>
+        event.type === 'attempt.ended' ? [event.end.type] : [],
+      );
+    const send = async (attemptId: string): Promise<void> => {
+      const before = ends().length;
+      run(
+        {
+          ...attempt,
+          attemptId,
+          timeoutMs: 1_000,
+          reservationId: undefined,
+          type: 'requests.send',
+        },
+        runtime,
+      );
+      while (ends().length === before) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+    };
+
+    await send('request-1.1');
+    await send('request-1.2');
+    expect(ends()).to.deep.equal(['cut', 'done']);
+    expect(text).to.equal('whole');
+  });
 });
+
+async function* streamOf(
+  items: readonly EngineStreamItem[] = [],
+): AsyncGenerator<EngineStreamItem> {
+  for (const item of items) yield await Promise.resolve(item);
+}
--- a/packages/daemon/src/createCallersServer/_lib/streamSink.ts
+++ b/packages/daemon/src/createCallersServer/_lib/streamSink.ts
@@ -48,6 +48,7 @@
       start();
       await writeEvent(response, shape.chunk(text));
     },
+    restart: () => undefined,
     finish: (result) => {
       if (result.end.type !== 'answered' && !response.headersSent) {
         const description = describeEnd(result.end);
--- a/packages/daemon/src/createCallersServer/_lib/wholeSink.ts
+++ b/packages/daemon/src/createCallersServer/_lib/wholeSink.ts
@@ -19,12 +19,15 @@
 export function createWholeSink(
   options: WholeSinkOptions & { readonly shape: AnswerShape },
 ): AnswerSink {
-  const texts: string[] = [];
+  let texts: string[] = [];
   return {
     writeToken: (text) => {
       texts.push(text);
       return Promise.resolve();
     },
+    restart: () => {
+      texts = [];
+    },
     finish: (result) => {
       if (sendFailure(result, options)) return;
       void options.reply
@@ -45,6 +48,7 @@
 export function createCallSink(options: WholeSinkOptions): AnswerSink {
   return {
     writeToken: () => Promise.resolve(),
+    restart: () => undefined,
     finish: (result) => {
       if (sendFailure(result, options)) return;
       void options.reply
--- a/packages/daemon/src/createCallersServer/routes/prompts.ts
+++ b/packages/daemon/src/createCallersServer/routes/prompts.ts
@@ -135,6 +135,7 @@
     priority: row.priority,
     idempotencyKey: undefined,
     repeatable: true,
+    streamed: body.stream === true,
   };
 }
 
--- a/packages/daemon/src/openRequests/index.ts
+++ b/packages/daemon/src/openRequests/index.ts
@@ -28,6 +28,8 @@
 export interface AnswerSink {
   /** Hands on one token; resolves when the caller can take more. */
   readonly writeToken: (text: string) => Promise<void>;
+  /** Drops the tokens held back so far; only for answers sent whole. */
+  readonly restart: () => void;
   /** Hands on the end; called once. */
   readonly finish: (result: RequestResult) => void;
 }
