Write open claims' outcomes before a drained entry exits

Cause: an entry exited once its requests had ended; outcomes of calls that were still being written became doubts.

--- a/packages/daemon/src/createEntry/_lib/createHandlers.ts
+++ b/packages/daemon/src/createEntry/_lib/createHandlers.ts
@@ -16,6 +16,7 @@
 import type { CreateEntryOptions } from '../index.ts';
 import type { NotifyPeer } from './createPeerMessages.ts';
 import { logPauses } from './logEvents.ts';
+import { waitForNone } from './waitForNone.ts';
 
 /** Parts of an entry that run its effects. */
 export interface CreateHandlersOptions extends CreateEntryOptions {
@@ -26,6 +27,8 @@
   readonly suspects: SuspectsHandler;
   readonly findTarget: EntryView['findTarget'];
   readonly notifyPeer: NotifyPeer;
+  /** Claims whose outcome is still to be written. */
+  readonly countOpenClaims: () => number;
   /** Told when the instance list could not be read. */
   readonly onListUnread: (error: { readonly type: string }) => void;
 }
@@ -54,8 +57,15 @@
     leaving: createLeavingHandler({
       openRequests,
       exit: (exitCode, reason) => {
-        logger.info('entry.left', { exitCode, reason });
-        options.onExit?.(exitCode);
+        const exit = (openClaimCount: number) => {
+          logger.info('entry.left', { exitCode, reason, openClaimCount });
+          options.onExit?.(exitCode);
+        };
+        if (reason === 'drained') {
+          void waitForNone(options.countOpenClaims).then(exit);
+        } else {
+          exit(options.countOpenClaims());
+        }
       },
     }),
     requests: createAttemptRunner({
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -6,7 +6,11 @@
   PlatformPort,
   ServicePort,
 } from '@endivegate/contracts';
-import { decideNewRequest, listLiveEntries } from '@endivegate/core';
+import {
+  countOpenClaims,
+  decideNewRequest,
+  listLiveEntries,
+} from '@endivegate/core';
 import { createMeteredPlatform } from '../store/index.ts';
 import type { FastifyInstance } from 'fastify';
 import { startAdminServer } from '../admin/index.ts';
@@ -134,6 +138,7 @@
       table,
       suspects,
       findTarget: (targetId) => view.findTarget(targetId),
+      countOpenClaims: () => countOpenClaims(runtime.state().once),
       onListUnread: (error) => {
         logger.warn('instances.unread', { reason: error.type });
         const { members } = runtime.state().membership;
