Look up the targets of a model instead of searching all of them

Change: the routing slice groups targets by model when the list changes. Conclusion: a placement costs what its own model's engines cost.

--- a/packages/core/src/routing/_lib/engines.ts
+++ b/packages/core/src/routing/_lib/engines.ts
@@ -50,9 +50,23 @@
   state: RoutingState,
   service: string,
 ): readonly Target[] {
-  return state.targets.filter(
-    (target) => !target.leaving && target.serves.includes(service),
-  );
+  return state.servingTargets.get(service) ?? [];
+}
+
+function groupByService(
+  targets: readonly Target[],
+): ReadonlyMap<string, readonly Target[]> {
+  const groups = new Map<string, Target[]>();
+  targets
+    .filter(({ leaving }) => !leaving)
+    .forEach((target) => {
+      target.serves.forEach((service) => {
+        const group = groups.get(service);
+        if (group) group.push(target);
+        else groups.set(service, [target]);
+      });
+    });
+  return groups;
 }
 
 /** Returns the targets that a request may be sent to, healthy ones if any. */
@@ -86,9 +100,9 @@
 
 /** Works out what depends on the list of targets and on this entry's id. */
 export function orderTargets(state: RoutingState): RoutingState {
-  const models = [...new Set(state.targets.flatMap(({ serves }) => serves))];
-  const engineOrders = models.map((model) => {
-    const ids = servingTargets(state, model).map(({ targetId }) => targetId);
+  const groups = groupByService(state.targets);
+  const engineOrders = [...groups].map(([model, engines]) => {
+    const ids = engines.map(({ targetId }) => targetId);
     return [model, orderEngines(model, ids)] as const;
   });
   const selfId = state.self?.entryId ?? '';
@@ -98,6 +112,7 @@
   });
   return {
     ...state,
+    servingTargets: groups,
     engineOrders: new Map(engineOrders),
     preferencesMs: new Map(preferencesMs),
   };
--- a/packages/core/src/routing/_lib/types.ts
+++ b/packages/core/src/routing/_lib/types.ts
@@ -102,6 +102,8 @@
   readonly self: EntryAddress | undefined;
   readonly live: readonly EntryAddress[];
   readonly targets: readonly Target[];
+  /** Targets that may get new work, by model or service name. */
+  readonly servingTargets: ReadonlyMap<string, readonly Target[]>;
   readonly rows: RowIndex;
   /** Engines of each model in the order in which lanes use them. */
   readonly engineOrders: ReadonlyMap<string, readonly string[]>;
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -59,6 +59,7 @@
     live: [],
     targets: [],
     rows: indexRows([]),
+    servingTargets: new Map(),
     engineOrders: new Map(),
     preferencesMs: new Map(),
     requests: new Map(),
