--- a/bench/slopes/rolesTable.ts
+++ b/bench/slopes/rolesTable.ts
@@ -9,8 +9,11 @@
 const EVENTS_PER_REQUEST = 6;
 const CHANGES_PER_S = 480 / 86_400;
 
-/** Period of the reads of the instance list. */
-const LIST_PERIOD_S = 2;
+/** Period of the reads of the instance list by most entries. */
+const LIST_PERIOD_S = 300;
+
+/** The same by the two readers of a data centre. */
+const READER_LIST_PERIOD_S = 2;
 
 /** Reads of engines' load that an entry makes. */
 const LOAD_READS_PER_S = 10;
@@ -117,6 +120,15 @@
       ((ENTRIES / DEMAND_PERIOD_S) * slope('notifications', 'cpuUs')) /
       US_PER_PERCENT,
   };
+  const reader: RoleCost = {
+    name: 'reader of the instance list, beside the above',
+    stateBytes: 0,
+    bytesPerS: at('instanceList', 'bytesPerRead') / READER_LIST_PERIOD_S,
+    cpuPercent:
+      at('instanceList', 'cpuUsPerRead') /
+      READER_LIST_PERIOD_S /
+      US_PER_PERCENT,
+  };
   const sum: RoleCost = {
     name: 'plain entry: sum of the above',
     stateBytes: total(duties, 'stateBytes'),
@@ -124,7 +136,7 @@
     cpuPercent: total(duties, 'cpuPercent'),
   };
   const code = at('daemonLoaded', 'rssBytes') - at('nodeAlone', 'rssBytes');
-  const rows = [...duties, sum, placing].map((cost) => [
+  const rows = [...duties, sum, placing, reader].map((cost) => [
     cost.name,
     formatNumber(cost.stateBytes / 1_000_000),
     formatNumber(cost.bytesPerS),
