--- a/packages/daemon/src/createEntryView/index.ts
+++ b/packages/daemon/src/createEntryView/index.ts
@@ -21,8 +21,11 @@
 
 /** What is read from an entry's state to answer callers. */
 export interface EntryView {
+  /** Returns the workspace that a bearer token belongs to. */
   readonly findWorkspace: (token: string) => string | undefined;
+  /** Returns the cells that apply to a prompt. */
   readonly resolvePromptRow: (key: TableRowKey) => EffectiveRow;
+  /** Returns the cells that apply to a call of a plain service. */
   readonly resolveCallRow: (key: TableRowKey) => EffectiveRow;
   readonly models: () => readonly string[];
   readonly services: () => readonly string[];
