Honour platform.timeoutMs, and close the ports when an entry stops

Cause: the setting was read and never used; a watch that waits 25 s at the store kept a process alive after entry.left. Change: the platform's settings go to its adapter; stop closes the adapters. Conclusion: a planned stop ends when the log says so.

--- a/packages/daemon/src/runServe/index.ts
+++ b/packages/daemon/src/runServe/index.ts
@@ -23,23 +23,26 @@
  * @param options - What to tell when the entry has left.
  * @returns The running entry.
  */
-export function startHttpEntry(
+export async function startHttpEntry(
   loaded: LoadedSettings,
   options: StartHttpEntryOptions = {},
 ): Promise<Entry> {
-  const { settings } = loaded;
-  const { entryId, log } = settings;
+  const { entryId, log, platform } = loaded.settings;
   const logger = options.logger ?? createLogger({ entryId, level: log.level });
-  return createEntry({
-    ...loaded,
-    ...options,
-    logger,
-    ports: {
-      engines: createEngineHttpPort(),
-      services: createServiceHttpPort(),
-      platform: createPlatformHttpPort({ url: settings.platform.url }),
+  const ports = {
+    engines: createEngineHttpPort(),
+    services: createServiceHttpPort(),
+    platform: createPlatformHttpPort(platform),
+  };
+  const entry = await createEntry({ ...loaded, ...options, logger, ports });
+  return {
+    ...entry,
+    stop: async () => {
+      await entry.stop();
+      // A watch that waits at the store would keep the process alive.
+      await Promise.all(Object.values(ports).map((port) => port.close()));
     },
-  });
+  };
 }
 
 /**
