Give large workspaces more homes, and spread callers over them

Cause: every workspace had two homes whatever its load, although countHomes stood ready, and every answer of /v1/entries named the same home first, so all callers without a data centre of their own went to one entry. Change: homesOf counts by the weight of a workspace's row for every service and kind; entry view and limits use it alike; answers begin at another home each time (the view's random source is an argument). No load measurement over several entries yet.

--- /dev/null
+++ b/packages/core/src/rotate/test.ts
@@ -0,0 +1,12 @@
+import { expect } from 'chai';
+import { rotate } from './index.ts';
+
+describe('rotate', () => {
+  it('begins at each item for an equal part of the numbers', () => {
+    const firsts = [0, 0.3, 0.34, 0.6, 0.67, 0.99].map(
+      (random) => rotate(['a', 'b', 'c'], random)[0],
+    );
+    expect(firsts).to.deep.equal(['a', 'a', 'b', 'b', 'c', 'c']);
+    expect(rotate([], 0.5)).to.deep.equal([]);
+  });
+});
--- a/packages/core/src/routing/_lib/limited.ts
+++ b/packages/core/src/routing/_lib/limited.ts
@@ -19,6 +19,7 @@
   type CoordinatedLimit,
   type LimitUse,
 } from '../../limits/index.ts';
+import { homesOf } from '../../homesOf/index.ts';
 import { pickHomes } from '../../pickHomes/index.ts';
 import type { RequestInfo } from '../../request/index.ts';
 import { DEFAULT_CELLS, resolveRow } from '../../resolveRow/index.ts';
@@ -213,7 +214,7 @@
   const limit = address && limitOf(state, address);
   if (!limit) return undefined;
   const selfId = state.self?.entryId ?? '';
-  const homes = homesOf(state, address.workspace);
+  const homes = homesInRegions(state, address.workspace);
   const [coordinator] = pickHomes(address.workspace, homes, { count: 1 });
   return {
     limit,
@@ -225,15 +226,16 @@
 }
 
 /** Homes of a workspace in all regions; together they share its limits. */
-function homesOf(
+function homesInRegions(
   state: RoutingState,
   workspace: string,
 ): readonly EntryAddress[] {
   const regions = [...new Set(state.live.map(({ region }) => region))];
   return regions.flatMap((region) =>
-    pickHomes(
+    homesOf(
       workspace,
       state.live.filter((entry) => entry.region === region),
+      state.rows,
     ),
   );
 }
--- a/packages/daemon/src/createEntryView/index.ts
+++ b/packages/daemon/src/createEntryView/index.ts
@@ -12,10 +12,11 @@
   DEFAULT_CELLS,
   DEFAULT_PROMPT_CELLS,
   findWorkspace,
+  homesOf,
   indexRows,
   orderHomes,
-  pickHomes,
   resolveRow,
+  rotate,
   type RootState,
 } from '@endivegate/core';
 
@@ -51,6 +52,8 @@
   readonly liveEntries: () => readonly EntryAddress[];
   /** Time for which callers keep an answer about entries. */
   readonly entriesTtlMs: number;
+  /** Uniform in [0, 1); spreads callers over the homes. */
+  readonly random?: () => number;
 }
 
 /**
@@ -73,6 +76,11 @@
   }));
   const rows = () => rowIndex(options.state().table.document);
 
+  const random = options.random ?? Math.random;
+  const homes = (workspace: string) =>
+    homesOf(workspace, entriesInReach(options), rows());
+  const orderedHomes = (workspace: string, dataCentre: string | undefined) =>
+    orderHomes(rotate(homes(workspace), random()), dataCentre);
   const workspaceOf = (token: string) =>
     findWorkspace(options.state().table, sha256Hex(token));
 
@@ -82,9 +90,10 @@
       const token = readBearerToken(headers);
       const workspace = token === undefined ? undefined : workspaceOf(token);
       if (workspace === undefined) return [];
-      const homes = homesOf(workspace, options);
-      const isHome = homes.some((home) => home.entryId === self.entryId);
-      return isHome ? [] : orderHomes(homes, self.dataCentre);
+      const isHome = homes(workspace).some(
+        (home) => home.entryId === self.entryId,
+      );
+      return isHome ? [] : orderedHomes(workspace, self.dataCentre);
     },
     resolvePromptRow: (key) =>
       resolveRow(rows(), key, { defaults: DEFAULT_PROMPT_CELLS }),
@@ -94,21 +103,19 @@
     services: () => served(options.state().targets).services,
     findTarget: (targetId) => options.state().targets.byId.get(targetId),
     entriesFor: (workspace, dataCentre) => ({
-      entries: orderHomes(homesOf(workspace, options), dataCentre).map(
-        describeEntry,
-      ),
+      entries: orderedHomes(workspace, dataCentre).map(describeEntry),
       ttlMs: options.entriesTtlMs,
     }),
   };
 }
 
-function homesOf(
-  workspace: string,
+/** Entries that may serve callers here: those of the region, if any. */
+function entriesInReach(
   options: CreateEntryViewOptions,
 ): readonly EntryAddress[] {
   const live = options.liveEntries();
   const near = live.filter((entry) => entry.region === options.self.region);
-  return pickHomes(workspace, near.length > 0 ? near : live);
+  return near.length > 0 ? near : live;
 }
 
 function describeEntry(entry: EntryAddress): EntriesBody['entries'][number] {
--- a/packages/daemon/src/startLocalFleet/test.ts
+++ b/packages/daemon/src/startLocalFleet/test.ts
@@ -73,7 +73,9 @@
         }>;
       }),
     );
-    const ids = bodies.map(({ entries }) => entries.map((e) => e.entryId));
+    const ids = bodies.map(({ entries }) =>
+      entries.map((e) => e.entryId).toSorted(),
+    );
     expect(ids[0]).to.have.length(2);
     expect(ids[1]).to.deep.equal(ids[0]);
     expect(new Set(bodies[0]?.entries.map((e) => e.dataCentre)).size).to.equal(
