Answer an ask or a resume whose target has left the list

Cause: while a request was open, its target could leave the list; an ask or a resume then had no outcome, and the request waited for its deadline. Measured: new test: neither effect led to an event before; each does now.

--- a/packages/daemon/src/createAttemptRunner/index.ts
+++ b/packages/daemon/src/createAttemptRunner/index.ts
@@ -1,24 +1,30 @@
 import type {
+  AttemptReport,
   EnginePort,
   EngineStream,
   ServicePort,
-  StoredAnswer,
   Target,
   TargetError,
 } from '@endivegate/contracts';
-import {
-  enginePriorityOf,
-  type AttemptEnd,
-  type RootEffect,
-} from '@endivegate/core';
+import { enginePriorityOf, type RootEffect } from '@endivegate/core';
 import * as E from 'fp-ts/lib/Either.js';
 import type { Metrics } from '../createMetrics/index.ts';
-import type { OpenRequest, OpenRequests } from '../openRequests/index.ts';
+import type { OpenRequests } from '../openRequests/index.ts';
 import type { EffectHandler, Runtime } from '../runtime/index.ts';
 import { restoreAnswer, storeAnswer } from '../storedAnswer/index.ts';
 import type { EffectOf } from './_lib/effects.ts';
 import { readStream, type StreamOutcome } from './_lib/readStream.ts';
-import { type SilenceWatch, watchSilence } from './_lib/watchSilence.ts';
+import { watchSilence } from './_lib/watchSilence.ts';
+import {
+  type Attempt,
+  type AttemptOutcome,
+  type Connection,
+  outcomeOfError,
+  replaceController,
+  restartAnswer,
+  TARGET_UNLISTED,
+  UNLISTED_REASON,
+} from './_lib/attempt.ts';
 
 /** Options of {@link createAttemptRunner}. */
 export interface CreateAttemptRunnerOptions {
@@ -33,28 +39,6 @@
 
 const DEFAULT_SILENCE_TIMEOUT_MS = 2_000;
 
-/** One attempt with all that its I/O needs. */
-interface Attempt {
-  readonly requestId: string;
-  readonly attemptId: string;
-  readonly target: Target;
-  readonly open: OpenRequest;
-}
-
-/** One connection of an attempt; a resumed attempt has several in turn. */
-interface Connection {
-  readonly runtime: Runtime;
-  readonly controller: AbortController;
-  readonly silence: SilenceWatch;
-}
-
-/** What an attempt came to. */
-interface AttemptOutcome {
-  readonly end: AttemptEnd;
-  readonly sent: boolean;
-  readonly answer?: StoredAnswer | undefined;
-}
-
 /**
  * Creates the handler that runs the effects of the requests slice.
  *
@@ -85,7 +69,7 @@
   function send(effect: EffectOf<'requests.send'>, runtime: Runtime): void {
     const attempt = findAttempt(effect);
     if (attempt === undefined) {
-      endWithoutTarget(effect, runtime);
+      endUnlisted(effect, runtime);
       return;
     }
     restartAnswer(attempt.open);
@@ -120,7 +104,10 @@
 
   function resume(effect: EffectOf<'requests.resume'>, runtime: Runtime): void {
     const attempt = findAttempt(effect);
-    if (attempt === undefined) return;
+    if (attempt === undefined) {
+      endUnlisted(effect, runtime);
+      return;
+    }
     const connection = openConnection(attempt, runtime);
     const resumed = options.engines.resume(
       attempt.target,
@@ -236,22 +223,45 @@
   }
 
   function ask(effect: EffectOf<'requests.ask'>, runtime: Runtime): void {
+    const { requestId, attemptId } = effect;
+    const report = (told: AttemptReport | TargetError): void => {
+      runtime.dispatch({
+        type: 'attempt.reported',
+        requestId,
+        attemptId,
+        report: told,
+      });
+    };
     const attempt = findAttempt(effect);
-    if (attempt === undefined) return;
-    const { requestId, attemptId, target } = attempt;
+    if (attempt === undefined) {
+      report(TARGET_UNLISTED);
+      return;
+    }
     void options.engines
-      .ask(target, attemptId, effect.timeoutMs)()
+      .ask(attempt.target, attemptId, effect.timeoutMs)()
       .then((reply) => {
-        const report = E.isLeft(reply) ? reply.left : reply.right;
-        runtime.dispatch({
-          type: 'attempt.reported',
-          requestId,
-          attemptId,
-          report,
-        });
+        report(E.isLeft(reply) ? reply.left : reply.right);
       });
   }
 
+  /** Ends an attempt whose target has left the list. */
+  function endUnlisted(
+    effect: EffectOf<'requests.send' | 'requests.resume'>,
+    runtime: Runtime,
+  ): void {
+    const { requestId, attemptId, targetId } = effect;
+    const wasSent = effect.type === 'requests.resume';
+    runtime.dispatch({
+      type: 'attempt.ended',
+      requestId,
+      attemptId,
+      targetId,
+      end: wasSent ? { type: 'cut', reason: UNLISTED_REASON } : TARGET_UNLISTED,
+      outputTokens: options.openRequests.find(requestId)?.outputTokens ?? 0,
+      sent: wasSent,
+    });
+  }
+
   function cancel(effect: EffectOf<'requests.cancel'>): void {
     const open = options.openRequests.find(effect.requestId);
     // A call cannot be taken back; its end settles the claim of its key.
@@ -293,44 +303,3 @@
     }
   };
 }
-
-/**
- * Forgets the tokens of an earlier attempt. Only an answer that is sent whole
- * is ever begun again after tokens, since its caller has seen none of them.
- */
-function restartAnswer(open: OpenRequest): void {
-  if (open.outputTokens === 0) return;
-  open.outputTokens = 0;
-  open.sink.restart();
-}
-
-/** Makes room for a new connection of an attempt, dropping the one before. */
-function replaceController(attempt: Attempt): AbortController {
-  const controller = new AbortController();
-  const before = attempt.open.attempts.get(attempt.attemptId);
-  attempt.open.attempts.set(attempt.attemptId, controller);
-  before?.abort();
-  return controller;
-}
-
-function outcomeOfError(error: TargetError): AttemptOutcome {
-  return {
-    end: error,
-    sent: error.type !== 'notSent',
-  };
-}
-
-function endWithoutTarget(
-  effect: EffectOf<'requests.send'>,
-  runtime: Runtime,
-): void {
-  runtime.dispatch({
-    type: 'attempt.ended',
-    requestId: effect.requestId,
-    attemptId: effect.attemptId,
-    targetId: effect.targetId,
-    end: { type: 'notSent', reason: 'target is not listed any more' },
-    outputTokens: 0,
-    sent: false,
-  });
-}
--- a/packages/daemon/src/createAttemptRunner/test.ts
+++ b/packages/daemon/src/createAttemptRunner/test.ts
@@ -173,6 +173,25 @@
     expect(ends()).to.deep.equal(['cut', 'done']);
     expect(text).to.equal('whole');
   });
+
+  it('answers for a target that has left the list', () => {
+    const events: UnstampedEvent[] = [];
+    const runtime = {
+      dispatch: (event: UnstampedEvent) => events.push(event),
+    } as unknown as Runtime;
+    const run = createAttemptRunner({
+      engines: createEngineHttpPort(),
+      services: {} as ServicePort,
+      openRequests: createOpenRequests(),
+      metrics: createMetrics(),
+      findTarget: () => undefined,
+    });
+    const send = { ...attempt, timeoutMs: 1_000, reservationId: undefined };
+    run({ ...send, type: 'requests.send' }, runtime);
+    run({ ...attempt, type: 'requests.ask', timeoutMs: 1_000 }, runtime);
+    run({ ...attempt, type: 'requests.resume', fromOffset: 3 }, runtime);
+    expect(events).toMatchSnapshot();
+  });
 });
 
 async function* streamOf(
