Keep the time a caller has to send its request

Cause: a caller that sent part of a body was never cut off: the HTTP server keeps a request time-out below its header time-out only when both are given at its creation, and its check ran every 30 s. Change: both time-outs and the interval of the check are given at creation. Conclusion: a slow sender holds a connection for its time only.

--- a/packages/daemon/src/createCallersServer/index.ts
+++ b/packages/daemon/src/createCallersServer/index.ts
@@ -22,6 +22,9 @@
   receiveTimeoutMs: 30_000,
 };
 
+/** Checks for callers that send too slowly, in their time to send. */
+const CHECKS_PER_RECEIVE_TIMEOUT = 8;
+
 /**
  * Creates the HTTP server that callers use; it is not listening yet.
  *
@@ -37,7 +40,14 @@
   const server = fastify({
     bodyLimit: limits.maxBodyBytes,
     requestTimeout: limits.receiveTimeoutMs,
-    http: { maxHeaderSize: limits.maxHeaderBytes },
+    http: {
+      maxHeaderSize: limits.maxHeaderBytes,
+      // The shorter of two time-outs is not kept while the other is longer.
+      headersTimeout: limits.receiveTimeoutMs,
+      requestTimeout: limits.receiveTimeoutMs,
+      connectionsCheckingInterval:
+        limits.receiveTimeoutMs / CHECKS_PER_RECEIVE_TIMEOUT,
+    },
     genReqId: context.newRequestId,
     forceCloseConnections: 'idle',
   });
--- a/packages/daemon/src/createCallersServer/test.ts
+++ b/packages/daemon/src/createCallersServer/test.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events';
+import { type AddressInfo, connect } from 'node:net';
 import { DEFAULT_CELLS, DEFAULT_PROMPT_CELLS } from '@endivegate/core';
 import type { RequestEnd } from '@endivegate/core';
 import { expect } from 'chai';
@@ -37,7 +39,10 @@
     newRequestId,
     maxOpenRequests: 2,
   };
-  const server = createCallersServer(context, { maxBodyBytes: 2_000 });
+  const server = createCallersServer(context, {
+    maxBodyBytes: 2_000,
+    receiveTimeoutMs: 200,
+  });
   return { server, events, openRequests };
 }
 
@@ -185,6 +190,21 @@
     expect([reply.statusCode, reply.json<object>()]).toMatchSnapshot();
   });
 
+  it('does not wait for a caller that never sends its whole body', async () => {
+    const { server, events } = createTestServer(answerTokens);
+    await server.listen({ host: '127.0.0.1', port: 0 });
+    const { port } = server.server.address() as AddressInfo;
+    const socket = connect(port, '127.0.0.1');
+    socket.write(
+      'POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\ncontent-length: 9\r\n\r\n{',
+    );
+    const [answer] = (await once(socket, 'data')) as [Buffer];
+    expect(answer.toString()).to.match(/^HTTP\/1.1 408 /);
+    expect(events).to.deep.equal([]);
+    socket.destroy();
+    await server.close();
+  });
+
   it('tells models, entries, readiness and metrics', async () => {
     const { server } = createTestServer(answerTokens);
     const urls = ['/v1/models', '/v1/entries', '/healthz', '/readyz'];
