--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,11 +3,12 @@
 
 /** Packages a package may not import from: imports point downwards only. */
 const forbiddenImports = {
-  contracts: ['core', 'stand-ins', 'daemon', 'cli'],
-  core: ['stand-ins', 'daemon', 'cli'],
-  'stand-ins': ['daemon', 'cli'],
-  daemon: ['cli'],
-  cli: ['stand-ins', 'daemon'],
+  contracts: ['core', 'stand-ins', 'gateway', 'daemon', 'cli', 'platform'],
+  core: ['stand-ins', 'gateway', 'daemon', 'cli', 'platform'],
+  'stand-ins': ['gateway', 'daemon', 'cli'],
+  gateway: ['stand-ins', 'daemon', 'cli', 'platform'],
+  daemon: ['cli', 'platform'],
+  cli: ['stand-ins', 'daemon', 'platform'],
 };
 
 /** Node's ES module loader resolves only these paths of fp-ts. */
@@ -40,6 +41,7 @@
       '**/dist/**',
       '**/generated/**',
       'bench/out/**',
+    'target/**',
       '**/*.mjs',
       'mocha.setup.ts',
       'packages/*/bin/**',
--- /dev/null
+++ b/packages/core/src/forwarding/engineLoad/index.ts
@@ -0,0 +1,239 @@
+import type { Step } from '../../step/index.ts';
+
+/** A request that this entry has at a target. */
+export interface Flight {
+  readonly flightId: string;
+  readonly targetId: string;
+  /** Targets that read parts of its prompt besides `targetId`. */
+  readonly helperIds: readonly string[];
+  /** Expected reading time of each part. */
+  readonly partReadMs: number;
+  /** Tokens that it occupies at `targetId`. */
+  readonly memoryTokens: number;
+  readonly contextTokens: number;
+  /** Longest pause between its events that is on time; 0 for plain calls. */
+  readonly gapTargetMs: number;
+  readonly startedAtMs: number;
+  /** Whether its first token has come. */
+  readonly isWriting: boolean;
+}
+
+/** What one entry, or all of them, have at a target. */
+export interface TargetLoad {
+  /** Requests that hold or wait for a slot. */
+  readonly requests: number;
+  /** Reading still to be done. */
+  readonly readMs: number;
+  /** Parts of prompts that are being read or wait for it. */
+  readonly readers: number;
+  readonly writers: number;
+  readonly contextTokens: number;
+  readonly memoryTokens: number;
+  /** Smallest gap target of the requests there; Infinity without any. */
+  readonly gapTargetMs: number;
+}
+
+/** Load of targets by id. */
+export type LoadByTarget = ReadonlyMap<string, TargetLoad>;
+
+/** What a peer last told. */
+export interface PeerLoad {
+  readonly atMs: number;
+  readonly loads: LoadByTarget;
+}
+
+/** Own requests and what peers told of theirs. */
+export interface LoadState {
+  readonly flights: ReadonlyMap<string, Flight>;
+  readonly peers: ReadonlyMap<string, PeerLoad>;
+}
+
+/** Events of the load; times are of the monotonic clock. */
+export type LoadEvent =
+  | { readonly type: 'load.started'; readonly flight: Flight }
+  | {
+      readonly type: 'load.firstToken';
+      readonly flightId: string;
+    }
+  | { readonly type: 'load.ended'; readonly flightId: string }
+  | {
+      readonly type: 'load.heard';
+      readonly peer: string;
+      readonly atMs: number;
+      readonly loads: LoadByTarget;
+    }
+  | { readonly type: 'load.peerGone'; readonly peer: string };
+
+/** Load of a target that has nothing to do. */
+export const NO_LOAD: TargetLoad = {
+  requests: 0,
+  readMs: 0,
+  readers: 0,
+  writers: 0,
+  contextTokens: 0,
+  memoryTokens: 0,
+  gapTargetMs: Infinity,
+};
+
+/** What a peer told counts for this long; peers tell several times a second. */
+export const PEER_LOAD_LIFETIME_MS = 1500;
+
+/** Load before the first request. */
+export const initialLoad: LoadState = { flights: new Map(), peers: new Map() };
+
+/**
+ * Keeps what this entry and its peers have at each target.
+ *
+ * @param state - The load.
+ * @param event - What happened.
+ * @returns The next load; there are no effects.
+ *
+ * @example
+ * reduceLoad(initialLoad, { type: 'load.started', flight });
+ */
+export function reduceLoad(
+  state: LoadState,
+  event: LoadEvent,
+): Step<LoadState, never> {
+  return { state: nextLoad(state, event), effects: [] };
+}
+
+/**
+ * Sums the load of this entry's own requests by target.
+ *
+ * @param state - The load.
+ * @param nowMs - Monotonic time.
+ * @returns Targets with at least one request or part.
+ *
+ * @example
+ * ownLoads(state, performance.now());
+ */
+export function ownLoads(state: LoadState, nowMs: number): LoadByTarget {
+  const flights = [...state.flights.values()];
+  const parts = flights.flatMap((flight) => [
+    { targetId: flight.targetId, load: loadOfFlight(flight, nowMs) },
+    ...(flight.isWriting ? [] : flight.helperIds).map((targetId) => ({
+      targetId,
+      load: loadOfPart(flight, nowMs),
+    })),
+  ]);
+  return sumByTarget(parts);
+}
+
+/**
+ * Sums the load of all entries by target, peers' figures aged by their time.
+ *
+ * @param state - The load.
+ * @param nowMs - Monotonic time.
+ * @returns Targets with at least one request or part.
+ *
+ * @example
+ * allLoads(state, performance.now()).get('engine-1') ?? NO_LOAD;
+ */
+export function allLoads(state: LoadState, nowMs: number): LoadByTarget {
+  const own = [...ownLoads(state, nowMs)].map(([targetId, load]) => ({
+    targetId,
+    load,
+  }));
+  const heard = [...state.peers.values()]
+    .filter((peer) => nowMs - peer.atMs < PEER_LOAD_LIFETIME_MS)
+    .flatMap((peer) =>
+      [...peer.loads].map(([targetId, load]) => ({
+        targetId,
+        load: ageLoad(load, nowMs - peer.atMs),
+      })),
+    );
+  return sumByTarget([...own, ...heard]);
+}
+
+function nextLoad(state: LoadState, event: LoadEvent): LoadState {
+  switch (event.type) {
+    case 'load.started':
+      return {
+        ...state,
+        flights: new Map(state.flights).set(
+          event.flight.flightId,
+          event.flight,
+        ),
+      };
+    case 'load.firstToken': {
+      const flight = state.flights.get(event.flightId);
+      if (flight === undefined) return state;
+      const writing = { ...flight, isWriting: true };
+      return {
+        ...state,
+        flights: new Map(state.flights).set(event.flightId, writing),
+      };
+    }
+    case 'load.ended': {
+      const flights = new Map(state.flights);
+      flights.delete(event.flightId);
+      return { ...state, flights };
+    }
+    case 'load.heard':
+      return {
+        ...state,
+        peers: new Map(state.peers).set(event.peer, {
+          atMs: event.atMs,
+          loads: event.loads,
+        }),
+      };
+    case 'load.peerGone': {
+      const peers = new Map(state.peers);
+      peers.delete(event.peer);
+      return { ...state, peers };
+    }
+  }
+}
+
+function loadOfFlight(flight: Flight, nowMs: number): TargetLoad {
+  return {
+    requests: 1,
+    readMs: remainingReadMs(flight, nowMs),
+    readers: flight.isWriting ? 0 : 1,
+    writers: flight.isWriting ? 1 : 0,
+    contextTokens: flight.contextTokens,
+    memoryTokens: flight.memoryTokens,
+    gapTargetMs: flight.gapTargetMs > 0 ? flight.gapTargetMs : Infinity,
+  };
+}
+
+function loadOfPart(flight: Flight, nowMs: number): TargetLoad {
+  return {
+    ...NO_LOAD,
+    readMs: remainingReadMs(flight, nowMs),
+    readers: 1,
+  };
+}
+
+/** Reading that is left if it began when the request was sent. */
+function remainingReadMs(flight: Flight, nowMs: number): number {
+  if (flight.isWriting) return 0;
+  return Math.max(flight.partReadMs - (nowMs - flight.startedAtMs), 0);
+}
+
+function ageLoad(load: TargetLoad, ageMs: number): TargetLoad {
+  return { ...load, readMs: Math.max(load.readMs - ageMs, 0) };
+}
+
+function sumByTarget(
+  parts: readonly { readonly targetId: string; readonly load: TargetLoad }[],
+): LoadByTarget {
+  const sums = new Map<string, TargetLoad>();
+  parts.forEach(({ targetId, load }) => {
+    sums.set(targetId, addLoads(sums.get(targetId) ?? NO_LOAD, load));
+  });
+  return sums;
+}
+
+function addLoads(a: TargetLoad, b: TargetLoad): TargetLoad {
+  return {
+    requests: a.requests + b.requests,
+    readMs: a.readMs + b.readMs,
+    readers: a.readers + b.readers,
+    writers: a.writers + b.writers,
+    contextTokens: a.contextTokens + b.contextTokens,
+    memoryTokens: a.memoryTokens + b.memoryTokens,
+    gapTargetMs: Math.min(a.gapTargetMs, b.gapTargetMs),
+  };
+}
--- /dev/null
+++ b/packages/core/src/forwarding/gatewayReduce/index.ts
@@ -0,0 +1,78 @@
+import { createReduce } from '../../createReduce/index.ts';
+import {
+  type BudgetEvent,
+  type BudgetState,
+  initialBudget,
+  reduceBudget,
+} from '../retryBudget/index.ts';
+import {
+  initialSuspects,
+  reduceSuspects,
+  type SuspectsEvent,
+  type SuspectsState,
+} from '../crashSuspects/index.ts';
+import {
+  initialLoad,
+  type LoadEvent,
+  type LoadState,
+  reduceLoad,
+} from '../engineLoad/index.ts';
+import {
+  initialPeers,
+  type PeersEffect,
+  type PeersEvent,
+  type PeersState,
+  reducePeers,
+} from '../peerList/index.ts';
+import {
+  initialRoster,
+  reduceRoster,
+  type RosterEffect,
+  type RosterEvent,
+  type RosterState,
+} from '../targetRoster/index.ts';
+import type { Reducer } from '../../step/index.ts';
+
+/** What a forwarding gateway believes. */
+export interface GatewayState {
+  readonly roster: RosterState;
+  readonly load: LoadState;
+  readonly peers: PeersState;
+  readonly budget: BudgetState;
+  readonly suspects: SuspectsState;
+}
+
+/** Every event that changes what a gateway believes. */
+export type GatewayEvent =
+  RosterEvent | LoadEvent | PeersEvent | BudgetEvent | SuspectsEvent;
+
+/** Changes of belief, to be logged. */
+export type GatewayEffect = RosterEffect | PeersEffect;
+
+/** State of a gateway before its first event. */
+export const initialGatewayState: GatewayState = {
+  roster: initialRoster,
+  load: initialLoad,
+  peers: initialPeers,
+  budget: initialBudget,
+  suspects: initialSuspects,
+};
+
+/**
+ * Reduces one event over all slices of a gateway.
+ *
+ * @param state - State of the gateway.
+ * @param event - What happened.
+ * @returns The next state and the changes to log.
+ *
+ * @example
+ * gatewayReduce(initialGatewayState, { type: 'roster.ticked', atMs: 0 });
+ */
+export const gatewayReduce: Reducer<GatewayState, GatewayEvent, GatewayEffect> =
+  createReduce({
+    roster: { initial: initialRoster, reduce: reduceRoster },
+    load: { initial: initialLoad, reduce: reduceLoad },
+    peers: { initial: initialPeers, reduce: reducePeers },
+    budget: { initial: initialBudget, reduce: reduceBudget },
+    suspects: { initial: initialSuspects, reduce: reduceSuspects },
+  });
--- /dev/null
+++ b/packages/core/src/forwarding/index.ts
@@ -0,0 +1,12 @@
+/** Decisions of the forwarding gateway: pure functions and one reducer. */
+export * from './crashSuspects/index.ts';
+export * from './decideNext/index.ts';
+export * from './engineLoad/index.ts';
+export * from './engineTimes/index.ts';
+export * from './gatewayReduce/index.ts';
+export * from './peerList/index.ts';
+export * from './pickTarget/index.ts';
+export * from './planPrompt/index.ts';
+export * from './retryBudget/index.ts';
+export * from './routeTable/index.ts';
+export * from './targetRoster/index.ts';
--- /dev/null
+++ b/packages/gateway/src/announceEntry/index.ts
@@ -0,0 +1,104 @@
+import * as E from 'fp-ts/lib/Either.js';
+import type { EventLog } from '../createEventLog/index.ts';
+import { describeStoreError } from '../followPrefix/index.ts';
+import type { StorePort } from '../storePort/index.ts';
+
+/** Options of {@link announceEntry}. */
+export interface AnnounceEntryOptions {
+  readonly store: StorePort;
+  readonly log: EventLog;
+  readonly name: string;
+  /** Address at which peers reach this entry. */
+  readonly peerAddress: string;
+  /** Called with the addresses that other entries announced. */
+  readonly onAddresses: (addresses: readonly string[]) => void;
+  readonly sleep?: (ms: number) => Promise<void>;
+}
+
+const ENTRIES_PREFIX = 'endivegate/entries/';
+
+/** An entry that is gone is listed for this long at most. */
+const LEASE_MS = 30_000;
+
+/** A third of the lease, so that two renewals may fail. */
+const RENEW_MS = 10_000;
+
+const RETRY_MS = 1000;
+
+/**
+ * Announces this entry in the store, and reads who else is announced there.
+ *
+ * Entries hear of each other from each other; the store is what they meet
+ * through when the addresses in their settings are stale.
+ *
+ * @param options - The store, this entry, and who is told.
+ * @returns A function that stops announcing.
+ *
+ * @example
+ * announceEntry({ store, log, name, peerAddress, onAddresses });
+ */
+export function announceEntry(options: AnnounceEntryOptions): () => void {
+  const { store, log } = options;
+  const sleep = options.sleep ?? sleepFor;
+  let isStopped = false;
+  let leaseId: number | undefined;
+
+  async function run(): Promise<void> {
+    while (!isStopped) {
+      const isDone = (await announce()) && (await readOthers());
+      await sleep(isDone ? RENEW_MS : RETRY_MS);
+    }
+  }
+
+  async function announce(): Promise<boolean> {
+    if (leaseId !== undefined) {
+      const renewed = await store.renewLease(leaseId)();
+      if (E.isRight(renewed)) return true;
+      if (renewed.left.type === 'leaseGone') leaseId = undefined;
+      else return told('renew', renewed);
+    }
+    const granted = await store.grantLease(LEASE_MS)();
+    if (E.isLeft(granted)) return told('grant', granted);
+    const put = await store.put({
+      key: `${ENTRIES_PREFIX}${options.name}`,
+      value: Buffer.from(options.peerAddress),
+      leaseId: granted.right,
+    })();
+    if (E.isLeft(put)) return told('put', put);
+    leaseId = granted.right;
+    return true;
+  }
+
+  async function readOthers(): Promise<boolean> {
+    const listed = await store.list(ENTRIES_PREFIX, { mayBeStale: true })();
+    if (E.isLeft(listed)) return told('list', listed);
+    options.onAddresses(
+      listed.right.items.map((item) => item.value.toString('utf8')),
+    );
+    return true;
+  }
+
+  function told(
+    call: string,
+    result: E.Left<Parameters<typeof describeStoreError>[0]>,
+  ): boolean {
+    log.warn('entries.storeCallFailed', {
+      call,
+      ...describeStoreError(result.left),
+    });
+    return false;
+  }
+
+  run().catch((error: unknown) => {
+    log.warn('entries.announceFailed', { reason: String(error) });
+  });
+  return () => {
+    isStopped = true;
+  };
+}
+
+function sleepFor(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -0,0 +1,106 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+/** Counters and histograms of a gateway. */
+export interface GatewayMetrics {
+  readonly text: () => Promise<string>;
+  /** Requests by route's rule and how they ended for the caller. */
+  readonly ended: (labels: { rule: string; end: string }) => void;
+  /** Sends to targets by how they ended. */
+  readonly sent: (labels: { end: string }) => void;
+  /** Time until the first event or the whole answer, and how far off it was
+   * from the prediction. */
+  readonly answered: (sample: {
+    readonly rule: string;
+    readonly elapsedMs: number;
+    readonly errorMs: number | undefined;
+  }) => void;
+  readonly connected: () => void;
+  readonly storeCalled: (labels: { call: string; end: string }) => void;
+  readonly droppedLines: (lines: number) => void;
+}
+
+/** Upper bounds in ms: doubling from a round trip to the longest deadline. */
+const LATENCY_BUCKETS_MS = [
+  5, 10, 20, 40, 80, 120, 160, 200, 250, 300, 400, 600, 800, 1200, 1500, 2000,
+  3000, 5000, 10_000, 15_000,
+];
+
+const ERROR_BUCKETS_MS = [
+  -500, -200, -100, -50, -20, 0, 20, 50, 100, 200, 500, 1000, 3000,
+];
+
+/**
+ * Creates the metrics of a gateway.
+ *
+ * @returns The metrics, with the text that a scraper reads.
+ *
+ * @example
+ * const metrics = createGatewayMetrics();
+ */
+export function createGatewayMetrics(): GatewayMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const requests = new Counter({
+    name: 'endivegate_requests_total',
+    help: 'Requests by the rule of their route and their end.',
+    labelNames: ['rule', 'end'],
+    registers,
+  });
+  const sends = new Counter({
+    name: 'endivegate_sends_total',
+    help: 'Sends to targets by their end.',
+    labelNames: ['end'],
+    registers,
+  });
+  const latency = new Histogram({
+    name: 'endivegate_first_answer_ms',
+    help: 'Time to the first event of a stream, or to a whole answer.',
+    labelNames: ['rule'],
+    buckets: LATENCY_BUCKETS_MS,
+    registers,
+  });
+  const predictionError = new Histogram({
+    name: 'endivegate_prediction_error_ms',
+    help: 'Observed less predicted time to the first event.',
+    buckets: ERROR_BUCKETS_MS,
+    registers,
+  });
+  const connections = new Counter({
+    name: 'endivegate_target_connections_total',
+    help: 'Connections made to targets.',
+    registers,
+  });
+  const storeCalls = new Counter({
+    name: 'endivegate_store_calls_total',
+    help: 'Calls to the store by their end.',
+    labelNames: ['call', 'end'],
+    registers,
+  });
+  const dropped = new Gauge({
+    name: 'endivegate_dropped_log_lines',
+    help: 'Log lines that were left out since the start.',
+    registers,
+  });
+  return {
+    text: () => registry.metrics(),
+    ended: (labels) => {
+      requests.inc(labels);
+    },
+    sent: (labels) => {
+      sends.inc(labels);
+    },
+    answered: ({ rule, elapsedMs, errorMs }) => {
+      latency.observe({ rule }, elapsedMs);
+      if (errorMs !== undefined) predictionError.observe(errorMs);
+    },
+    connected: () => {
+      connections.inc();
+    },
+    storeCalled: (labels) => {
+      storeCalls.inc(labels);
+    },
+    droppedLines: (lines) => {
+      dropped.set(lines);
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -0,0 +1,100 @@
+import {
+  buildRouteTable,
+  type GatewayEffect,
+  type GatewayEvent,
+  gatewayReduce,
+  type GatewayState,
+  initialGatewayState,
+  type RetryBudgetOptions,
+  type RouteTable,
+} from '@endivegate/core/forwarding';
+import type { ForwardingConfig } from '@endivegate/contracts/forwarding';
+import type { EventLog } from '../createEventLog/index.ts';
+
+/** Holds the state of a gateway and reduces its events. */
+export interface GatewayRuntime {
+  readonly state: () => GatewayState;
+  readonly dispatch: (event: GatewayEvent) => void;
+  /** The configuration in force; undefined before the first one. */
+  readonly table: () => RouteTable | undefined;
+  /** Puts a configuration in force, unless it is not newer. */
+  readonly applyConfig: (config: ForwardingConfig, source: string) => void;
+  readonly onConfig: (listener: (table: RouteTable) => void) => void;
+  /** Called after each event that may have changed the own load. */
+  readonly onLoad: (listener: () => void) => void;
+}
+
+/** Bounds of a deployment that the gateway keeps. */
+export interface GatewayBounds {
+  readonly retry: Omit<RetryBudgetOptions, 'entries'>;
+  /** From the request to stop until the process is killed. */
+  readonly graceMs: number;
+}
+
+/**
+ * Creates the holder of a gateway's state.
+ *
+ * @param log - Receives the changes of belief.
+ * @returns The runtime.
+ *
+ * @example
+ * createGatewayRuntime(log).dispatch({ type: 'roster.ticked', atMs: 0 });
+ */
+export function createGatewayRuntime(log: EventLog): GatewayRuntime {
+  let state = initialGatewayState;
+  let table: RouteTable | undefined;
+  const configListeners: ((table: RouteTable) => void)[] = [];
+  const loadListeners: (() => void)[] = [];
+
+  return {
+    state: () => state,
+    dispatch(event) {
+      const step = gatewayReduce(state, event);
+      state = step.state;
+      step.effects.forEach((effect) => {
+        logEffect(log, effect);
+      });
+      if (event.type.startsWith('load.') && event.type !== 'load.heard') {
+        loadListeners.forEach((listener) => {
+          listener();
+        });
+      }
+    },
+    table: () => table,
+    applyConfig(config, source) {
+      const version = table?.config.version ?? 0;
+      if (config.version <= version) return;
+      table = buildRouteTable(config);
+      log.info('config.inForce', {
+        version: config.version,
+        before: version,
+        source,
+        routes: config.routes.length,
+        workspaces: config.workspaces.length,
+      });
+      configListeners.forEach((listener) => {
+        if (table !== undefined) listener(table);
+      });
+    },
+    onConfig(listener) {
+      configListeners.push(listener);
+    },
+    onLoad(listener) {
+      loadListeners.push(listener);
+    },
+  };
+}
+
+function logEffect(log: EventLog, effect: GatewayEffect): void {
+  switch (effect.type) {
+    case 'roster.changed':
+      log.info('target.changed', {
+        target: effect.id,
+        change: effect.change,
+        reason: effect.reason,
+      });
+      return;
+    case 'peers.changed':
+      log.info('peer.changed', { peer: effect.name, change: effect.change });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,9 @@
+/** The forwarding gateway: sockets and timers in, effects out. */
+export * from './createEventLog/index.ts';
+export * from './createGatewayMetrics/index.ts';
+export * from './gatewayRuntime/index.ts';
+export * from './httpDialect/index.ts';
+export * from './startGateway/index.ts';
+export * from './announceEntry/index.ts';
+export * from './followPrefix/index.ts';
+export * from './storePort/index.ts';
