Reserve memory for prompts that no single engine can hold

Change: the plan seats such a prompt in even parts at as few engines as possible; reserveSeats holds them by renewals and frees them however it ends. forwardRequest is split: runSend does one send, forwardRequest the sequence.

--- a/packages/core/src/forwarding/engineLoad/index.ts
+++ b/packages/core/src/forwarding/engineLoad/index.ts
@@ -10,6 +10,11 @@
   readonly partReadMs: number;
   /** Tokens that it occupies at `targetId`. */
   readonly memoryTokens: number;
+  /** Tokens that it occupies at others; they keep them until it ends. */
+  readonly seats: readonly {
+    readonly targetId: string;
+    readonly tokens: number;
+  }[];
   readonly contextTokens: number;
   /** Longest pause between its events that is on time; 0 for plain calls. */
   readonly gapTargetMs: number;
@@ -116,6 +121,10 @@
       targetId,
       load: loadOfPart(flight, nowMs),
     })),
+    ...flight.seats.map(({ targetId, tokens }) => ({
+      targetId,
+      load: { ...NO_LOAD, contextTokens: tokens, memoryTokens: tokens },
+    })),
   ]);
   return sumByTarget(parts);
 }
--- a/packages/core/src/forwarding/planPrompt/index.ts
+++ b/packages/core/src/forwarding/planPrompt/index.ts
@@ -21,9 +21,19 @@
   readonly nowMs: number;
 }
 
+/** Memory that a part of a prompt is stored in at a helper. */
+export interface MemorySeat {
+  readonly target: RosterTarget;
+  readonly tokens: number;
+}
+
 /** Where a prompt goes. */
 export interface PromptPlan {
   readonly target: RosterTarget;
+  /** Memory to reserve at helpers, when no engine has room for the prompt. */
+  readonly seats: readonly MemorySeat[];
+  /** Tokens that the prompt and its answer take at `target`. */
+  readonly memoryTokens: number;
   /** Engines that read a part each, besides `target`. */
   readonly helpers: readonly RosterTarget[];
   /** Expected reading time of each part. */
@@ -79,6 +89,9 @@
 /** Cost of a prompt that has no room in the engine's memory. */
 const NO_MEMORY_MS = 5000;
 
+/** Cost of a reservation: an order and its answer before the prompt is sent. */
+const SEAT_MS = 10;
+
 /** Part of an engine's memory that is planned with, since others plan too. */
 const MEMORY_USE = 0.92;
 
@@ -167,23 +180,18 @@
       costMs:
         costOf(part, candidate) +
         avoidanceMs(candidate, view.nowMs) +
-        (parts === 1 ? placeMs(demand, candidate, view) : 0) +
+        (parts === 1 ? seatPrompt(demand, [candidate], view).costMs : 0) +
         TIE_MS * random(),
     }))
     .toSorted((a, b) => a.costMs - b.costMs)
     .slice(0, parts);
-  const first = costed
-    .map((one) => ({
-      ...one,
-      placeMs: placeMs(demand, one.candidate, view) + one.candidate.passMs,
-    }))
-    .toSorted((a, b) => a.placeMs - b.placeMs)[0];
-  if (first === undefined) throw new Error('no candidates to plan with');
   const chosen = costed.map((one) => one.candidate);
+  const seating = seatPrompt(demand, chosen, view);
+  const { first } = seating;
   const endMs = Math.max(
     ...chosen.map((candidate) => partEndMs(part.readMs, candidate)),
   );
-  const firstEventMs = endMs + writeMs(first.candidate, demand, view);
+  const firstEventMs = endMs + writeMs(seating, view);
   const harm = chosen.reduce(
     (sum, candidate) =>
       sum +
@@ -196,14 +204,16 @@
   const latenessMs = Math.max(firstEventMs - demand.aimLeftMs, 0);
   return {
     plan: {
-      target: first.candidate.target,
+      target: first.target,
+      seats: seating.seats,
+      memoryTokens: seating.tokensAtFirst,
       helpers: chosen
-        .filter((candidate) => candidate !== first.candidate)
+        .filter((candidate) => candidate !== first)
         .map((candidate) => candidate.target),
       partReadMs: part.readMs,
       firstEventMs,
     },
-    costMs: endMs + latenessMs + harm + own + first.placeMs,
+    costMs: endMs + latenessMs + harm + own + seating.costMs,
   };
 }
 
@@ -230,32 +240,80 @@
   );
 }
 
-/** Cost of writing the answer at a target: its slots and its memory. */
-function placeMs(
+interface Seating {
+  readonly first: EngineCandidate;
+  readonly seats: readonly MemorySeat[];
+  readonly tokensAtFirst: number;
+  readonly costMs: number;
+}
+
+/**
+ * Chooses which of the engines writes the answer, and where the prompt's memory
+ * lies: at that engine if it has room, else in even parts at as few as possible.
+ */
+function seatPrompt(
   demand: PromptDemand,
-  candidate: EngineCandidate,
+  chosen: readonly EngineCandidate[],
   view: EngineView,
-): number {
-  const { target, load } = candidate;
+): Seating {
+  const tokens = demand.promptTokens + demand.outputTokens;
+  const roomy = chosen
+    .filter((candidate) => freeTokens(candidate, view) >= tokens)
+    .map((candidate) => ({ candidate, costMs: writerMs(candidate) }))
+    .toSorted((a, b) => a.costMs - b.costMs)[0];
+  if (roomy !== undefined) {
+    return {
+      first: roomy.candidate,
+      seats: [],
+      tokensAtFirst: tokens,
+      costMs: roomy.costMs,
+    };
+  }
+  const byRoom = chosen.toSorted(
+    (a, b) => freeTokens(b, view) - freeTokens(a, view),
+  );
+  const [first] = byRoom;
+  if (first === undefined) throw new Error('no candidates to plan with');
+  const holders = byRoom.findIndex(
+    (candidate, index) =>
+      index > 0 && freeTokens(candidate, view) >= tokens / (index + 1),
+  );
+  if (holders < 0) {
+    const costMs = NO_MEMORY_MS + writerMs(first);
+    return { first, seats: [], tokensAtFirst: tokens, costMs };
+  }
+  const seatTokens = Math.ceil(demand.promptTokens / (holders + 1));
+  return {
+    first,
+    seats: byRoom
+      .slice(1, holders + 1)
+      .map(({ target }) => ({ target, tokens: seatTokens })),
+    tokensAtFirst: tokens - seatTokens * holders,
+    costMs: writerMs(first) + holders * SEAT_MS,
+  };
+}
+
+/** Cost of writing an answer at a target: its slots and its passes. */
+function writerMs({ target, load, passMs }: EngineCandidate): number {
   const excess = Math.max(load.requests + 1 - target.slots, 0);
-  const tokens = load.memoryTokens + demand.promptTokens + demand.outputTokens;
-  const fits = tokens <= view.cost.memoryTokens * MEMORY_USE;
-  return excess * SLOT_WAIT_MS + (fits ? 0 : NO_MEMORY_MS);
+  return excess * SLOT_WAIT_MS + passMs;
+}
+
+function freeTokens(candidate: EngineCandidate, view: EngineView): number {
+  return (
+    view.cost.memoryTokens * MEMORY_USE - candidate.load.memoryTokens
+  );
 }
 
 /** Time from the end of reading to the first event: a pass with this writer. */
-function writeMs(
-  candidate: EngineCandidate,
-  demand: PromptDemand,
-  view: EngineView,
-): number {
-  const { load, target } = candidate;
+function writeMs(seating: Seating, view: EngineView): number {
+  const { load, target } = seating.first;
   return (
     target.pace *
     estimatePassMs(
       view.cost,
       load.writers + 1,
-      load.contextTokens + demand.promptTokens,
+      load.contextTokens + seating.tokensAtFirst,
     )
   );
 }
--- a/packages/gateway/src/createFront/index.ts
+++ b/packages/gateway/src/createFront/index.ts
@@ -15,11 +15,8 @@
   ForwardingRoute,
 } from '@endivegate/contracts/forwarding';
 import { createReply, type OwnFailure, type Reply } from '../createReply/index.ts';
-import {
-  type ForwardCall,
-  type ForwardContext,
-  forwardRequest,
-} from '../forwardRequest/index.ts';
+import { forwardRequest } from '../forwardRequest/index.ts';
+import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 import type { CallerHead } from '../httpDialect/index.ts';
 
 /** The server that callers connect to. */
--- a/packages/gateway/src/createGatewayMetrics/index.ts
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -7,13 +7,13 @@
   readonly ended: (labels: { rule: string; end: string }) => void;
   /** Sends to targets by how they ended. */
   readonly sent: (labels: { end: string }) => void;
-  /** Time until the first event or the whole answer, and how far off it was
-   * from the prediction. */
+  /** Time until the first event or the whole answer. */
   readonly answered: (sample: {
     readonly rule: string;
     readonly elapsedMs: number;
-    readonly errorMs: number | undefined;
   }) => void;
+  /** Observed less predicted time to a first event. */
+  readonly predicted: (errorMs: number) => void;
   readonly connected: () => void;
   readonly storeCalled: (labels: { call: string; end: string }) => void;
   readonly droppedLines: (lines: number) => void;
@@ -89,9 +89,11 @@
     sent: (labels) => {
       sends.inc(labels);
     },
-    answered: ({ rule, elapsedMs, errorMs }) => {
+    answered: ({ rule, elapsedMs }) => {
       latency.observe({ rule }, elapsedMs);
-      if (errorMs !== undefined) predictionError.observe(errorMs);
+    },
+    predicted: (errorMs) => {
+      predictionError.observe(errorMs);
     },
     connected: () => {
       connections.inc();
--- a/packages/gateway/src/forwardRequest/_lib/fingerprintOf.ts
+++ b/packages/gateway/src/forwardRequest/_lib/fingerprintOf.ts
@@ -1,5 +1,5 @@
 import { xxHash32 } from 'js-xxhash';
-import type { ForwardCall } from '../index.ts';
+import type { ForwardCall } from '../types.ts';
 
 /**
  * Returns a function that computes, once, a request's fingerprint of path,
--- a/packages/gateway/src/planSend/index.ts
+++ b/packages/gateway/src/planSend/index.ts
@@ -5,6 +5,7 @@
 import {
   allLoads,
   type GatewayState,
+  type MemorySeat,
   pickTarget,
   planPrompt,
   type RosterTarget,
@@ -31,6 +32,8 @@
   readonly partReadMs: number;
   /** Expected time to the first event; undefined for plain calls. */
   readonly firstEventMs: number | undefined;
+  /** Memory to reserve at helpers before the request is sent. */
+  readonly seats: readonly MemorySeat[];
   readonly memoryTokens: number;
   readonly contextTokens: number;
 }
@@ -75,11 +78,7 @@
   );
   return plan === undefined
     ? undefined
-    : {
-        ...plan,
-        memoryTokens: prompt.promptTokens + outputTokens,
-        contextTokens: prompt.promptTokens,
-      };
+    : { ...plan, contextTokens: plan.memoryTokens };
 }
 
 function plainPlan(target: RosterTarget): SendPlan {
@@ -88,6 +87,7 @@
     helpers: [],
     partReadMs: 0,
     firstEventMs: undefined,
+    seats: [],
     memoryTokens: 0,
     contextTokens: 0,
   };
--- a/packages/gateway/src/forwardRequest/_lib/urgencyOf.ts
+++ b/packages/gateway/src/runSend/_lib/urgencyOf.ts
@@ -1,12 +1,8 @@
-import type { ForwardingService } from '@endivegate/contracts/forwarding';
-import type { ForwardCall } from '../index.ts';
+import type { ForwardCall } from '../../forwardRequest/types.ts';
 
 /** Urgency that engines assume without one. */
 const USUAL_URGENCY = 5;
 
-/** Prompts up to this many times the usual length are admitted first. */
-const SHORT_FACTOR = 1;
-
 const SHORT_URGENCY = 3;
 
 /**
@@ -14,12 +10,12 @@
  * undefined for services that are no engines.
  */
 export function urgencyOf(
-  service: ForwardingService,
-  call: ForwardCall,
+  call: Pick<ForwardCall, 'caller' | 'service'>,
 ): number | undefined {
+  const { service } = call;
   const { prompt } = call.caller;
   if (service.engine === undefined || prompt === undefined) return undefined;
-  const usualTokens = service.engine.memoryTokens / service.engine.slots;
-  const isShort = prompt.promptTokens <= usualTokens * SHORT_FACTOR;
+  const slotTokens = service.engine.memoryTokens / service.engine.slots;
+  const isShort = prompt.promptTokens <= slotTokens;
   return isShort ? SHORT_URGENCY : USUAL_URGENCY;
 }
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -11,6 +11,7 @@
   type GatewayRuntime,
 } from '../gatewayRuntime/index.ts';
 import type { HttpDialect } from '../httpDialect/index.ts';
+import type { OrderPort } from '../orderPort/index.ts';
 
 /** Options of {@link startGateway}. */
 export interface StartGatewayOptions {
@@ -23,6 +24,7 @@
   readonly seedAddresses: readonly string[];
   readonly bounds: GatewayBounds;
   readonly dialect: HttpDialect;
+  readonly orders: OrderPort;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
   /** Monotonic time in ms. */
@@ -77,6 +79,7 @@
     {
       runtime,
       pool,
+      orders: options.orders,
       dialect,
       log,
       metrics,
