Place prompts by the expected loss of requests that are on time

Cause: delays in ms weighed a late stream of 5,000 tokens like one of 700,000, and ignored the reading already queued when it judged a pause. Change: one currency, the value of what becomes late.

--- a/packages/core/src/forwarding/engineLoad/index.ts
+++ b/packages/core/src/forwarding/engineLoad/index.ts
@@ -16,6 +16,8 @@
     readonly tokens: number;
   }[];
   readonly contextTokens: number;
+  /** What its being on time is worth; see `valueOfPrompt`. */
+  readonly value: number;
   /** Longest pause between its events that is on time; 0 for plain calls. */
   readonly gapTargetMs: number;
   readonly startedAtMs: number;
@@ -29,9 +31,10 @@
   readonly requests: number;
   /** Reading still to be done. */
   readonly readMs: number;
-  /** Parts of prompts that are being read or wait for it. */
-  readonly readers: number;
+  /** Value of the prompts that have a part there which is not read yet. */
+  readonly readersValue: number;
   readonly writers: number;
+  readonly writersValue: number;
   readonly contextTokens: number;
   readonly memoryTokens: number;
   /** Smallest gap target of the requests there; Infinity without any. */
@@ -73,8 +76,9 @@
 export const NO_LOAD: TargetLoad = {
   requests: 0,
   readMs: 0,
-  readers: 0,
+  readersValue: 0,
   writers: 0,
+  writersValue: 0,
   contextTokens: 0,
   memoryTokens: 0,
   gapTargetMs: Infinity,
@@ -199,8 +203,9 @@
   return {
     requests: 1,
     readMs: remainingReadMs(flight, nowMs),
-    readers: flight.isWriting ? 0 : 1,
+    readersValue: flight.isWriting ? 0 : flight.value,
     writers: flight.isWriting ? 1 : 0,
+    writersValue: flight.isWriting ? flight.value : 0,
     contextTokens: flight.contextTokens,
     memoryTokens: flight.memoryTokens,
     gapTargetMs: flight.gapTargetMs > 0 ? flight.gapTargetMs : Infinity,
@@ -211,7 +216,7 @@
   return {
     ...NO_LOAD,
     readMs: remainingReadMs(flight, nowMs),
-    readers: 1,
+    readersValue: flight.value,
   };
 }
 
@@ -239,8 +244,9 @@
   return {
     requests: a.requests + b.requests,
     readMs: a.readMs + b.readMs,
-    readers: a.readers + b.readers,
+    readersValue: a.readersValue + b.readersValue,
     writers: a.writers + b.writers,
+    writersValue: a.writersValue + b.writersValue,
     contextTokens: a.contextTokens + b.contextTokens,
     memoryTokens: a.memoryTokens + b.memoryTokens,
     gapTargetMs: Math.min(a.gapTargetMs, b.gapTargetMs),
--- a/packages/core/src/forwarding/planPrompt/index.ts
+++ b/packages/core/src/forwarding/planPrompt/index.ts
@@ -48,8 +48,8 @@
   readonly partCounts?: readonly number[];
   /** Uniform in [0, 1); spreads choices that entries make at one moment. */
   readonly random?: () => number;
-  /** Cost of a part at a target, in ms; {@link partCostMs} by default. */
-  readonly costOf?: typeof partCostMs;
+  /** Cost of a part at a target; {@link partCost} by default. */
+  readonly costOf?: typeof partCost;
 }
 
 /** A part of a prompt that is to be placed. */
@@ -57,6 +57,10 @@
   readonly readMs: number;
   /** Whether a prompt belongs to the short lane. */
   readonly isShort: boolean;
+  /** Time until the prompt's first event is late. */
+  readonly aimMs: number;
+  /** What its being on time is worth. */
+  readonly value: number;
 }
 
 /** The first engine and at most 16 helpers. */
@@ -68,38 +72,52 @@
 /** Prompts that one engine reads within this time make up the short lane. */
 const SHORT_READ_MS = 160;
 
-/** Range of the preference for a lane's own end of the order of targets. */
-const LANE_MS = 60;
+/** Tokens that make a prompt worth as much again as its being a request. */
+const VALUE_TOKENS = 10_000;
 
-/** Cost of making the events of one other stream late. */
-const LATE_WRITER_MS = 250;
+const REQUEST_VALUE = 0.5;
 
-/** Part of a gap target that a pass may take, since estimates err. */
-const GAP_USE = 0.85;
+/** Cost of being at the far end of the order of targets for a lane. */
+const LANE_COST = 0.4;
 
-/** Share of a part's time that it costs each reader that waits beside it. */
-const READER_DELAY = 0.5;
+/** Part of the time for a first event at which being late becomes possible,
+ * and at which it is certain; predictions err by about a third. */
+const AIM_SAFE = 0.5;
+const AIM_LOST = 1.1;
 
-/** Cost of each engine that takes part: a hop and a pass that may be awaited. */
-const PART_OVERHEAD_MS = 6;
+/** The same for pauses, of which a pass is the larger part. */
+const GAP_SAFE = 0.75;
+const GAP_LOST = 1;
+
+/** Delay that makes a prompt which waits beside a part late. */
+const READER_SLACK_MS = 600;
+
+/** Cost of each engine that takes part: a pass that may be awaited. */
+const PART_COST = 0.01;
+
+/** Cost of a reservation, which is an order and a round trip. */
+const SEAT_COST = 0.05;
 
 /** Cost of waiting for a slot, for each request in excess. */
-const SLOT_WAIT_MS = 300;
+const SLOT_COST = 0.8;
 
 /** Cost of a prompt that has no room in the engine's memory. */
-const NO_MEMORY_MS = 5000;
-
-/** Cost of a reservation: an order and its answer before the prompt is sent. */
-const SEAT_MS = 10;
+const NO_MEMORY_COST = 100;
 
 /** Part of an engine's memory that is planned with, since others plan too. */
 const MEMORY_USE = 0.92;
 
 /** Cost of a target that failed moments ago. */
-const AVOIDED_MS = 20_000;
+const AVOIDED_COST = 200;
+
+/** Cost of each second until the first event, for plans that are otherwise as
+ * good, and for those that are late anyway. */
+const SECOND_COST = 0.1;
 
 /** Spread of random ties. */
-const TIE_MS = 6;
+const TIE_COST = 0.02;
+
+const MS_PER_S = 1000;
 
 /** An engine, what it has to do, and the length of its passes. */
 export interface EngineCandidate {
@@ -108,15 +126,29 @@
   readonly passMs: number;
 }
 
+/**
+ * Estimates what it is worth that a prompt is on time, in requests of a few
+ * thousand tokens.
+ *
+ * @param promptTokens - Tokens of the prompt.
+ * @returns The value.
+ *
+ * @example
+ * valueOfPrompt(5_000); // 1
+ */
+export function valueOfPrompt(promptTokens: number): number {
+  return REQUEST_VALUE + promptTokens / VALUE_TOKENS;
+}
+
 /**
  * Plans which engines read a prompt, and which of them writes its answer.
  *
- * Each number of parts is tried with the engines that cost least for it. The
- * cost of an engine is the predicted end of its part, with what the part costs
- * requests that are already there: streams whose pause would pass their target,
- * and prompts that wait. Short prompts prefer one end of an order of targets
- * that all entries share, long prompts the other, so the lanes need no
- * agreement and follow the mix.
+ * Each number of parts is tried with the engines that cost least for it. Costs
+ * are expected losses of requests that are on time: of the prompt itself, by
+ * the predicted time to its first event; of streams whose pause a part would
+ * lengthen beyond their target; and of prompts that wait beside it. Short
+ * prompts prefer one end of an order of targets that all entries share, long
+ * prompts the other, so the lanes need no agreement and follow the mix.
  *
  * @param demand - The prompt.
  * @param view - Engines and their load.
@@ -137,25 +169,32 @@
   const plans = partCounts
     .filter((parts) => parts === 1 || readMs / parts >= LEAST_PART_MS)
     .filter((parts) => parts <= candidates.length)
-    .map((parts) => planParts({ demand, view, candidates, readMs, parts }, options));
-  return plans.toSorted((a, b) => a.costMs - b.costMs)[0]?.plan;
+    .map((parts) =>
+      planParts({ demand, view, candidates, readMs, parts }, options),
+    );
+  return plans.toSorted((a, b) => a.cost - b.cost)[0]?.plan;
 }
 
 /**
- * Estimates what a part costs at a target: the time until it is read, and the
- * delay that it causes there.
+ * Estimates what a part costs at a target, besides the end of its prompt.
  *
  * @param part - The part.
  * @param candidate - Target, load and the length of its passes.
- * @returns Cost in milliseconds.
+ * @returns Expected loss, in requests.
+ *
+ * @example
+ * partCost({ readMs: 200, isShort: false, aimMs: 1500, value: 5 }, candidate);
  */
-export function partCostMs(part: PromptPart, candidate: EngineCandidate): number {
+export function partCost(
+  part: PromptPart,
+  candidate: EngineCandidate,
+): number {
   const { target } = candidate;
   const laneShare = part.isShort ? target.laneRank : 1 - target.laneRank;
   return (
-    partEndMs(part.readMs, candidate) +
-    harmMs(part.readMs, candidate) +
-    LANE_MS * laneShare
+    latenessCost(part, partEndMs(part.readMs, candidate)) +
+    harmCost(part.readMs, candidate) +
+    LANE_COST * laneShare
   );
 }
 
@@ -170,50 +209,62 @@
 function planParts(
   query: PartsQuery,
   options: PlanPromptOptions,
-): { readonly plan: PromptPlan; readonly costMs: number } {
+): { readonly plan: PromptPlan; readonly cost: number } {
   const { demand, view, candidates, readMs, parts } = query;
-  const { random = Math.random, costOf = partCostMs } = options;
-  const part = { readMs: readMs / parts, isShort: readMs <= SHORT_READ_MS };
-  const costed = candidates
+  const { random = Math.random, costOf = partCost } = options;
+  const part: PromptPart = {
+    readMs: readMs / parts,
+    isShort: readMs <= SHORT_READ_MS,
+    aimMs: demand.aimLeftMs,
+    value: valueOfPrompt(demand.promptTokens),
+  };
+  const chosen = candidates
     .map((candidate) => ({
       candidate,
-      costMs:
+      cost:
         costOf(part, candidate) +
-        avoidanceMs(candidate, view.nowMs) +
-        (parts === 1 ? seatPrompt(demand, [candidate], view).costMs : 0) +
-        TIE_MS * random(),
+        avoidanceCost(candidate, view.nowMs) +
+        (parts === 1 ? seatPrompt(demand, [candidate], view).cost : 0) +
+        TIE_COST * random(),
     }))
-    .toSorted((a, b) => a.costMs - b.costMs)
+    .toSorted((a, b) => a.cost - b.cost)
     .slice(0, parts);
-  const chosen = costed.map((one) => one.candidate);
-  const seating = seatPrompt(demand, chosen, view);
-  const { first } = seating;
+  const engines = chosen.map((one) => one.candidate);
+  const seating = seatPrompt(demand, engines, view);
   const endMs = Math.max(
-    ...chosen.map((candidate) => partEndMs(part.readMs, candidate)),
+    ...engines.map((candidate) => partEndMs(part.readMs, candidate)),
   );
   const firstEventMs = endMs + writeMs(seating, view);
-  const harm = chosen.reduce(
+  const laneShare =
+    chosen.reduce(
+      (sum, { candidate: { target } }) =>
+        sum + (part.isShort ? target.laneRank : 1 - target.laneRank),
+      0,
+    ) / parts;
+  const harm = engines.reduce(
     (sum, candidate) =>
       sum +
-      harmMs(part.readMs, candidate) +
-      avoidanceMs(candidate, view.nowMs) +
-      PART_OVERHEAD_MS,
+      harmCost(part.readMs, candidate) +
+      avoidanceCost(candidate, view.nowMs) +
+      PART_COST,
     0,
   );
-  const own = costed.reduce((sum, one) => sum + one.costMs, 0) / parts;
-  const latenessMs = Math.max(firstEventMs - demand.aimLeftMs, 0);
   return {
     plan: {
-      target: first.target,
+      target: seating.first.target,
       seats: seating.seats,
       memoryTokens: seating.tokensAtFirst,
-      helpers: chosen
-        .filter((candidate) => candidate !== first)
+      helpers: engines
+        .filter((candidate) => candidate !== seating.first)
         .map((candidate) => candidate.target),
       partReadMs: part.readMs,
       firstEventMs,
     },
-    costMs: endMs + latenessMs + harm + own + seating.costMs,
+    cost:
+      latenessCost(part, firstEventMs) +
+      harm +
+      LANE_COST * laneShare +
+      seating.cost,
   };
 }
 
@@ -230,21 +281,32 @@
   return (load.readMs + readMs) * target.pace + passMs / 2;
 }
 
-function harmMs(readMs: number, candidate: EngineCandidate): number {
+/** Expected loss of a prompt whose first event comes after `endMs`. */
+function latenessCost(part: PromptPart, endMs: number): number {
+  const late = rampOf(endMs / Math.max(part.aimMs, 1), AIM_SAFE, AIM_LOST);
+  return part.value * (late + (SECOND_COST * endMs) / MS_PER_S);
+}
+
+/** Expected loss of what is at a target already when a part is added to it. */
+function harmCost(readMs: number, candidate: EngineCandidate): number {
   const { target, load, passMs } = candidate;
-  const pauseMs = passMs + readMs * target.pace;
-  const isLate = pauseMs > load.gapTargetMs * GAP_USE;
-  return (
-    (isLate ? load.writers * LATE_WRITER_MS : 0) +
-    load.readers * readMs * READER_DELAY
-  );
+  const pauseMs = passMs + (load.readMs + readMs) * target.pace;
+  const late = rampOf(pauseMs / load.gapTargetMs, GAP_SAFE, GAP_LOST);
+  const delayed = rampOf(readMs * target.pace, 0, READER_SLACK_MS);
+  return load.writersValue * late + load.readersValue * delayed;
+}
+
+/** 0 up to `from`, 1 from `to` on, and linear between. */
+function rampOf(value: number, from: number, to: number): number {
+  return Math.min(Math.max((value - from) / (to - from), 0), 1);
 }
 
 interface Seating {
   readonly first: EngineCandidate;
   readonly seats: readonly MemorySeat[];
   readonly tokensAtFirst: number;
-  readonly costMs: number;
+  /** Expected loss, in requests. */
+  readonly cost: number;
 }
 
 /**
@@ -259,14 +321,14 @@
   const tokens = demand.promptTokens + demand.outputTokens;
   const roomy = chosen
     .filter((candidate) => freeTokens(candidate, view) >= tokens)
-    .map((candidate) => ({ candidate, costMs: writerMs(candidate) }))
-    .toSorted((a, b) => a.costMs - b.costMs)[0];
+    .map((candidate) => ({ candidate, cost: writerCost(candidate) }))
+    .toSorted((a, b) => a.cost - b.cost)[0];
   if (roomy !== undefined) {
     return {
       first: roomy.candidate,
       seats: [],
       tokensAtFirst: tokens,
-      costMs: roomy.costMs,
+      cost: roomy.cost,
     };
   }
   const byRoom = chosen.toSorted(
@@ -279,8 +341,8 @@
       index > 0 && freeTokens(candidate, view) >= tokens / (index + 1),
   );
   if (holders < 0) {
-    const costMs = NO_MEMORY_MS + writerMs(first);
-    return { first, seats: [], tokensAtFirst: tokens, costMs };
+    const cost = NO_MEMORY_COST + writerCost(first);
+    return { first, seats: [], tokensAtFirst: tokens, cost };
   }
   const seatTokens = Math.ceil(demand.promptTokens / (holders + 1));
   return {
@@ -289,14 +351,14 @@
       .slice(1, holders + 1)
       .map(({ target }) => ({ target, tokens: seatTokens })),
     tokensAtFirst: tokens - seatTokens * holders,
-    costMs: writerMs(first) + holders * SEAT_MS,
+    cost: writerCost(first) + holders * SEAT_COST,
   };
 }
 
 /** Cost of writing an answer at a target: its slots and its passes. */
-function writerMs({ target, load, passMs }: EngineCandidate): number {
+function writerCost({ target, load, passMs }: EngineCandidate): number {
   const excess = Math.max(load.requests + 1 - target.slots, 0);
-  return excess * SLOT_WAIT_MS + passMs;
+  return excess * SLOT_COST + (passMs / MS_PER_S) * SECOND_COST;
 }
 
 function freeTokens(candidate: EngineCandidate, view: EngineView): number {
@@ -318,6 +380,6 @@
   );
 }
 
-function avoidanceMs(candidate: EngineCandidate, nowMs: number): number {
-  return candidate.target.avoidUntilMs > nowMs ? AVOIDED_MS : 0;
+function avoidanceCost(candidate: EngineCandidate, nowMs: number): number {
+  return candidate.target.avoidUntilMs > nowMs ? AVOIDED_COST : 0;
 }
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -29,6 +29,7 @@
   z.number(),
   z.number(),
   z.number(),
+  z.number(),
 ]);
 
 const messageSchema = z.tuple([
@@ -62,8 +63,9 @@
     id,
     load.requests,
     Math.round(load.readMs),
-    load.readers,
+    round2(load.readersValue),
     load.writers,
+    round2(load.writersValue),
     Math.round(load.contextTokens),
     Math.round(load.memoryTokens),
     Number.isFinite(load.gapTargetMs) ? load.gapTargetMs : NO_GAP,
@@ -103,20 +105,25 @@
 }
 
 function loadOf(row: z.infer<typeof loadRowSchema>): TargetLoad {
-  const [, requests, readMs, readers, writers, contextTokens, memoryTokens] =
-    row;
-  const gap = row[7];
+  const [, requests, readMs, readersValue, writers, writersValue] = row;
+  const [contextTokens, memoryTokens, gap] = row.slice(6) as number[];
   return {
     requests,
     readMs,
-    readers,
+    readersValue,
     writers,
-    contextTokens,
-    memoryTokens,
-    gapTargetMs: gap === NO_GAP ? Infinity : gap,
+    writersValue,
+    contextTokens: contextTokens ?? 0,
+    memoryTokens: memoryTokens ?? 0,
+    gapTargetMs: gap === undefined || gap === NO_GAP ? Infinity : gap,
   };
 }
 
+/** Values are estimates; two decimals tell enough of them. */
+function round2(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
 function parse(bytes: Buffer): unknown {
   try {
     return JSON.parse(bytes.toString('utf8'));
--- a/packages/gateway/src/planSend/index.ts
+++ b/packages/gateway/src/planSend/index.ts
@@ -10,6 +10,7 @@
   planPrompt,
   type RosterTarget,
   usableTargets,
+  valueOfPrompt,
 } from '@endivegate/core/forwarding';
 import type { DeclaredPrompt } from '../httpDialect/index.ts';
 
@@ -36,6 +37,8 @@
   readonly seats: readonly MemorySeat[];
   readonly memoryTokens: number;
   readonly contextTokens: number;
+  /** What its being on time is worth, among prompts. */
+  readonly value: number;
 }
 
 /** Share of the declared maximum that is planned with when there is no hint. */
@@ -78,7 +81,11 @@
   );
   return plan === undefined
     ? undefined
-    : { ...plan, contextTokens: plan.memoryTokens };
+    : {
+        ...plan,
+        contextTokens: plan.memoryTokens,
+        value: valueOfPrompt(prompt.promptTokens),
+      };
 }
 
 function plainPlan(target: RosterTarget): SendPlan {
@@ -90,5 +97,6 @@
     seats: [],
     memoryTokens: 0,
     contextTokens: 0,
+    value: 1,
   };
 }
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -277,6 +277,7 @@
       partReadMs: plan.partReadMs,
       memoryTokens: plan.memoryTokens,
       contextTokens: plan.contextTokens,
+      value: plan.value,
       seats: plan.seats.map((seat) => ({
         targetId: seat.target.id,
         tokens: seat.tokens,
