Tell peers of requests, not sums, and cross data centres once

Cause: per-target sums of several entries cannot be put in order, so reading that queues was predicted as if done at once; each entry told every other one, also across data centres, which grows with the square of the fleet. Change: rows of requests in flight, one reading queue a target; one copy to a relay in each other data centre, which passes it on.

--- a/packages/core/src/forwarding/engineLoad/index.ts
+++ b/packages/core/src/forwarding/engineLoad/index.ts
@@ -47,7 +47,7 @@
 /** What a peer last told. */
 export interface PeerLoad {
   readonly atMs: number;
-  readonly loads: LoadByTarget;
+  readonly flights: readonly Flight[];
 }
 
 /** Own requests and what peers told of theirs. */
@@ -68,7 +68,8 @@
       readonly type: 'load.heard';
       readonly peer: string;
       readonly atMs: number;
-      readonly loads: LoadByTarget;
+      /** All that it has; times are of the receiver's clock. */
+      readonly flights: readonly Flight[];
     }
   | { readonly type: 'load.peerGone'; readonly peer: string };
 
@@ -84,7 +85,7 @@
   gapTargetMs: Infinity,
 };
 
-/** What a peer told counts for this long; peers tell several times a second. */
+/** What a peer told counts for this long: four of its heartbeats. */
 export const PEER_LOAD_LIFETIME_MS = 1500;
 
 /** Load before the first request. */
@@ -108,33 +109,10 @@
 }
 
 /**
- * Sums the load of this entry's own requests by target.
+ * Sums the load of all entries by target.
  *
- * @param state - The load.
- * @param nowMs - Monotonic time.
- * @returns Targets with at least one request or part.
- *
- * @example
- * ownLoads(state, performance.now());
- */
-export function ownLoads(state: LoadState, nowMs: number): LoadByTarget {
-  const flights = [...state.flights.values()];
-  const parts = flights.flatMap((flight) => [
-    { targetId: flight.targetId, load: loadOfFlight(flight, nowMs) },
-    ...(flight.isWriting ? [] : flight.helperIds).map((targetId) => ({
-      targetId,
-      load: loadOfPart(flight, nowMs),
-    })),
-    ...flight.seats.map(({ targetId, tokens }) => ({
-      targetId,
-      load: { ...NO_LOAD, contextTokens: tokens, memoryTokens: tokens },
-    })),
-  ]);
-  return sumByTarget(parts);
-}
-
-/**
- * Sums the load of all entries by target, peers' figures aged by their time.
+ * Reading is taken to be done in the order in which parts were sent, so all
+ * entries that know the same requests predict the same.
  *
  * @param state - The load.
  * @param nowMs - Monotonic time.
@@ -144,19 +122,10 @@
  * allLoads(state, performance.now()).get('engine-1') ?? NO_LOAD;
  */
 export function allLoads(state: LoadState, nowMs: number): LoadByTarget {
-  const own = [...ownLoads(state, nowMs)].map(([targetId, load]) => ({
-    targetId,
-    load,
-  }));
   const heard = [...state.peers.values()]
     .filter((peer) => nowMs - peer.atMs < PEER_LOAD_LIFETIME_MS)
-    .flatMap((peer) =>
-      [...peer.loads].map(([targetId, load]) => ({
-        targetId,
-        load: ageLoad(load, nowMs - peer.atMs),
-      })),
-    );
-  return sumByTarget([...own, ...heard]);
+    .flatMap((peer) => peer.flights);
+  return loadsOf([...state.flights.values(), ...heard], nowMs);
 }
 
 function nextLoad(state: LoadState, event: LoadEvent): LoadState {
@@ -188,7 +157,7 @@
         ...state,
         peers: new Map(state.peers).set(event.peer, {
           atMs: event.atMs,
-          loads: event.loads,
+          flights: event.flights,
         }),
       };
     case 'load.peerGone': {
@@ -199,10 +168,40 @@
   }
 }
 
-function loadOfFlight(flight: Flight, nowMs: number): TargetLoad {
+function loadsOf(flights: readonly Flight[], nowMs: number): LoadByTarget {
+  const loads = new Map<string, TargetLoad>();
+  const add = (targetId: string, load: Partial<TargetLoad>): void => {
+    loads.set(targetId, addLoads(loads.get(targetId) ?? NO_LOAD, load));
+  };
+  const readEndsAtMs = new Map<string, number>();
+  const queue = (targetId: string, flight: Flight): void => {
+    const freeAtMs = readEndsAtMs.get(targetId) ?? -Infinity;
+    const beginsAtMs = Math.max(freeAtMs, flight.startedAtMs);
+    readEndsAtMs.set(targetId, beginsAtMs + flight.partReadMs);
+  };
+  flights
+    .toSorted((a, b) => a.startedAtMs - b.startedAtMs)
+    .forEach((flight) => {
+      add(flight.targetId, loadOfFlight(flight));
+      flight.seats.forEach(({ targetId, tokens }) => {
+        add(targetId, { contextTokens: tokens, memoryTokens: tokens });
+      });
+      if (flight.isWriting) return;
+      queue(flight.targetId, flight);
+      flight.helperIds.forEach((helperId) => {
+        add(helperId, { readersValue: flight.value });
+        queue(helperId, flight);
+      });
+    });
+  readEndsAtMs.forEach((endsAtMs, targetId) => {
+    add(targetId, { readMs: Math.max(endsAtMs - nowMs, 0) });
+  });
+  return loads;
+}
+
+function loadOfFlight(flight: Flight): Partial<TargetLoad> {
   return {
     requests: 1,
-    readMs: remainingReadMs(flight, nowMs),
     readersValue: flight.isWriting ? 0 : flight.value,
     writers: flight.isWriting ? 1 : 0,
     writersValue: flight.isWriting ? flight.value : 0,
@@ -212,43 +211,15 @@
   };
 }
 
-function loadOfPart(flight: Flight, nowMs: number): TargetLoad {
-  return {
-    ...NO_LOAD,
-    readMs: remainingReadMs(flight, nowMs),
-    readersValue: flight.value,
-  };
-}
-
-/** Reading that is left if it began when the request was sent. */
-function remainingReadMs(flight: Flight, nowMs: number): number {
-  if (flight.isWriting) return 0;
-  return Math.max(flight.partReadMs - (nowMs - flight.startedAtMs), 0);
-}
-
-function ageLoad(load: TargetLoad, ageMs: number): TargetLoad {
-  return { ...load, readMs: Math.max(load.readMs - ageMs, 0) };
-}
-
-function sumByTarget(
-  parts: readonly { readonly targetId: string; readonly load: TargetLoad }[],
-): LoadByTarget {
-  const sums = new Map<string, TargetLoad>();
-  parts.forEach(({ targetId, load }) => {
-    sums.set(targetId, addLoads(sums.get(targetId) ?? NO_LOAD, load));
-  });
-  return sums;
-}
-
-function addLoads(a: TargetLoad, b: TargetLoad): TargetLoad {
+function addLoads(a: TargetLoad, b: Partial<TargetLoad>): TargetLoad {
   return {
-    requests: a.requests + b.requests,
-    readMs: a.readMs + b.readMs,
-    readersValue: a.readersValue + b.readersValue,
-    writers: a.writers + b.writers,
-    writersValue: a.writersValue + b.writersValue,
-    contextTokens: a.contextTokens + b.contextTokens,
-    memoryTokens: a.memoryTokens + b.memoryTokens,
-    gapTargetMs: Math.min(a.gapTargetMs, b.gapTargetMs),
+    requests: a.requests + (b.requests ?? 0),
+    readMs: a.readMs + (b.readMs ?? 0),
+    readersValue: a.readersValue + (b.readersValue ?? 0),
+    writers: a.writers + (b.writers ?? 0),
+    writersValue: a.writersValue + (b.writersValue ?? 0),
+    contextTokens: a.contextTokens + (b.contextTokens ?? 0),
+    memoryTokens: a.memoryTokens + (b.memoryTokens ?? 0),
+    gapTargetMs: Math.min(a.gapTargetMs, b.gapTargetMs ?? Infinity),
   };
 }
--- a/packages/core/src/forwarding/peerList/index.ts
+++ b/packages/core/src/forwarding/peerList/index.ts
@@ -40,8 +40,9 @@
   readonly change: 'joined' | 'restarted' | 'ready' | 'notReady' | 'leaving' | 'lost';
 }
 
-/** A peer unheard for this long is told to no caller; it tells every 250 ms. */
-export const PEER_SILENCE_MS = 1100;
+/** A peer unheard for this long is told to no caller; it tells every
+ * 350 ms, and one of its messages may be lost. */
+export const PEER_SILENCE_MS = 1250;
 
 /** A peer unheard for this long is forgotten. */
 const FORGET_MS = 20_000;
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -12,6 +12,8 @@
   readonly failures: number;
   /** Observed ÷ expected time, smoothed; 1 is as published. */
   readonly pace: number;
+  /** Stands for the id in messages between entries. */
+  readonly idHash: number;
   /** Place in [0, 1), the same at every entry; short prompts fill low places. */
   readonly laneRank: number;
 }
@@ -201,6 +203,7 @@
     avoidUntilMs: 0,
     failures: 0,
     pace: 1,
+    idHash: xxHash32(listed.id),
     laneRank: xxHash32(listed.id) / HASH_RANGE,
     ...(restarted ? {} : observedOf(known)),
     ...listed,
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -1,14 +1,12 @@
+import { decode, encode } from '@msgpack/msgpack';
+import type { Flight, PeerSelf } from '@endivegate/core/forwarding';
 import { z } from 'zod';
-import type {
-  LoadByTarget,
-  PeerSelf,
-  TargetLoad,
-} from '@endivegate/core/forwarding';
 
 /** What an entry tells its peers. */
 export interface PeerMessage {
   readonly self: PeerSelf;
-  readonly loads: LoadByTarget;
+  /** Its requests in flight. */
+  readonly flights: readonly Flight[];
   /** Targets that it knows to be draining. */
   readonly leavingIds: readonly string[];
   readonly crashes: readonly {
@@ -19,82 +17,112 @@
   readonly addresses: readonly string[];
 }
 
-/** Rows are arrays, since they make up most of a datagram. */
-const loadRowSchema = z.tuple([
+/** How targets are told apart in messages; both ends know the same ids. */
+export interface TargetCodec {
+  readonly hashOf: (targetId: string) => number | undefined;
+  readonly idOf: (hash: number) => string | undefined;
+}
+
+const hash = z.number();
+
+const selfSchema = z.tuple([
+  z.string(),
+  z.string(),
+  z.string(),
   z.string(),
   z.number(),
+  z.boolean(),
+  z.boolean(),
   z.number(),
+]);
+
+/** Rows are arrays, since they make up most of a datagram. */
+const flightSchema = z.tuple([
+  hash,
+  /** Time since it was sent, in ms. */
   z.number(),
   z.number(),
   z.number(),
   z.number(),
   z.number(),
   z.number(),
+  z.boolean(),
+  z.array(hash),
+  z.array(z.tuple([hash, z.number()])),
 ]);
 
 const messageSchema = z.tuple([
-  z.object({
-    name: z.string(),
-    peerAddress: z.string(),
-    callerAddress: z.string(),
-    dataCentre: z.string(),
-    startedAtUnixMs: z.number(),
-    isReady: z.boolean(),
-    isLeaving: z.boolean(),
-    configVersion: z.number(),
-  }),
-  z.array(loadRowSchema),
+  selfSchema,
+  z.array(flightSchema),
   z.array(z.string()),
   z.array(z.tuple([z.string(), z.string()])),
   z.array(z.string()),
 ]);
 
-/** Stands for a target without any gap target, since JSON has no infinity. */
-const NO_GAP = -1;
+/** Values are estimates; two decimals tell enough of them. */
+const VALUE_SCALE = 100;
 
 /**
  * Encodes a message to peers.
  *
  * @param message - The message.
- * @returns Bytes of one datagram.
+ * @param codec - Targets' hashes.
+ * @param nowMs - Monotonic time of the sender.
+ * @returns Bytes of one datagram, without the relay mark.
  */
-export function encodePeerMessage(message: PeerMessage): Buffer {
-  const rows = [...message.loads].map(([id, load]) => [
-    id,
-    load.requests,
-    Math.round(load.readMs),
-    round2(load.readersValue),
-    load.writers,
-    round2(load.writersValue),
-    Math.round(load.contextTokens),
-    Math.round(load.memoryTokens),
-    Number.isFinite(load.gapTargetMs) ? load.gapTargetMs : NO_GAP,
-  ]);
-  const crashes = message.crashes.map((one) => [one.fingerprint, one.targetId]);
-  return Buffer.from(
-    JSON.stringify([
-      message.self,
-      rows,
-      message.leavingIds,
-      crashes,
-      message.addresses,
-    ]),
-  );
+export function encodePeerMessage(
+  message: PeerMessage,
+  codec: TargetCodec,
+  nowMs: number,
+): Uint8Array {
+  const { self } = message;
+  const body: z.infer<typeof messageSchema> = [
+    [
+      self.name,
+      self.peerAddress,
+      self.callerAddress,
+      self.dataCentre,
+      self.startedAtUnixMs,
+      self.isReady,
+      self.isLeaving,
+      self.configVersion,
+    ],
+    message.flights.flatMap((flight) => encodeFlight(flight, codec, nowMs)),
+    [...message.leavingIds],
+    message.crashes.map((one) => [one.fingerprint, one.targetId]),
+    [...message.addresses],
+  ];
+  return encode(body);
 }
 
 /**
- * Decodes a datagram of a peer.
+ * Decodes a message of a peer.
  *
- * @param bytes - The datagram.
+ * @param bytes - The message.
+ * @param codec - Targets' hashes; requests at unknown targets are left out.
+ * @param nowMs - Monotonic time of the receiver.
  * @returns The message, or undefined when it is none.
  */
-export function decodePeerMessage(bytes: Buffer): PeerMessage | undefined {
-  const parsed = messageSchema.safeParse(parse(bytes));
+export function decodePeerMessage(
+  bytes: Uint8Array,
+  codec: TargetCodec,
+  nowMs: number,
+): PeerMessage | undefined {
+  const parsed = messageSchema.safeParse(unpack(bytes));
   if (!parsed.success) return undefined;
-  const [self, rows, leavingIds, crashes, addresses] = parsed.data;
+  const [self, flights, leavingIds, crashes, addresses] = parsed.data;
   return {
-    self,
-    loads: new Map(rows.map((row) => [row[0], loadOf(row)])),
+    self: {
+      name: self[0],
+      peerAddress: self[1],
+      callerAddress: self[2],
+      dataCentre: self[3],
+      startedAtUnixMs: self[4],
+      isReady: self[5],
+      isLeaving: self[6],
+      configVersion: self[7],
+    },
+    flights: flights.flatMap((row) => decodeFlight(row, codec, nowMs)),
     leavingIds,
     crashes: crashes.map(([fingerprint, targetId]) => ({
       fingerprint,
@@ -104,29 +132,69 @@
   };
 }
 
-function loadOf(row: z.infer<typeof loadRowSchema>): TargetLoad {
-  const [, requests, readMs, readersValue, writers, writersValue] = row;
-  const [contextTokens, memoryTokens, gap] = row.slice(6) as number[];
-  return {
-    requests,
-    readMs,
-    readersValue,
-    writers,
-    writersValue,
-    contextTokens: contextTokens ?? 0,
-    memoryTokens: memoryTokens ?? 0,
-    gapTargetMs: gap === undefined || gap === NO_GAP ? Infinity : gap,
-  };
+function encodeFlight(
+  flight: Flight,
+  codec: TargetCodec,
+  nowMs: number,
+): z.infer<typeof flightSchema>[] {
+  const targetHash = codec.hashOf(flight.targetId);
+  if (targetHash === undefined) return [];
+  return [
+    [
+      targetHash,
+      Math.round(nowMs - flight.startedAtMs),
+      Math.round(flight.partReadMs),
+      Math.round(flight.memoryTokens),
+      Math.round(flight.contextTokens),
+      Math.round(flight.gapTargetMs),
+      Math.round(flight.value * VALUE_SCALE),
+      flight.isWriting,
+      flight.isWriting
+        ? []
+        : flight.helperIds
+            .map(codec.hashOf)
+            .filter((one) => one !== undefined),
+      flight.seats.flatMap(({ targetId, tokens }) => {
+        const seatHash = codec.hashOf(targetId);
+        return seatHash === undefined ? [] : [[seatHash, tokens]];
+      }),
+    ],
+  ];
 }
 
-/** Values are estimates; two decimals tell enough of them. */
-function round2(value: number): number {
-  return Math.round(value * 100) / 100;
+function decodeFlight(
+  row: z.infer<typeof flightSchema>,
+  codec: TargetCodec,
+  nowMs: number,
+): readonly Flight[] {
+  const [targetHash, ageMs, partReadMs, memoryTokens, contextTokens] = row;
+  const targetId = codec.idOf(targetHash);
+  if (targetId === undefined) return [];
+  return [
+    {
+      flightId: '',
+      targetId,
+      startedAtMs: nowMs - ageMs,
+      partReadMs,
+      memoryTokens,
+      contextTokens,
+      gapTargetMs: row[5],
+      value: row[6] / VALUE_SCALE,
+      isWriting: row[7],
+      helperIds: row[8]
+        .map(codec.idOf)
+        .filter((helperId) => helperId !== undefined),
+      seats: row[9].flatMap(([seatHash, tokens]) => {
+        const seatId = codec.idOf(seatHash);
+        return seatId === undefined ? [] : [{ targetId: seatId, tokens }];
+      }),
+    },
+  ];
 }
 
-function parse(bytes: Buffer): unknown {
+function unpack(bytes: Uint8Array): unknown {
   try {
-    return JSON.parse(bytes.toString('utf8'));
+    return decode(bytes);
   } catch {
     return undefined;
   }
--- /dev/null
+++ b/packages/gateway/src/createPeerLink/_lib/targetCodec.ts
@@ -0,0 +1,26 @@
+import type { RosterState } from '@endivegate/core/forwarding';
+import type { TargetCodec } from './peerMessage.ts';
+
+/**
+ * Creates a codec of targets' ids that follows the roster.
+ *
+ * @param roster - Returns the roster.
+ * @returns The codec.
+ */
+export function createTargetCodec(roster: () => RosterState): TargetCodec {
+  let indexed: RosterState['targets'] | undefined;
+  let idsByHash: ReadonlyMap<number, string> = new Map();
+  return {
+    hashOf: (targetId) => roster().targets.get(targetId)?.idHash,
+    idOf(hash) {
+      const { targets } = roster();
+      if (targets !== indexed) {
+        indexed = targets;
+        idsByHash = new Map(
+          [...targets.values()].map((target) => [target.idHash, target.id]),
+        );
+      }
+      return idsByHash.get(hash);
+    },
+  };
+}
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -1,25 +1,19 @@
-import { createSocket, type Socket } from 'node:dgram';
-import { createServer, request as httpRequest, type Server } from 'node:http';
-import {
-  ownLoads,
-  type PeerSelf,
-  PEER_LOAD_LIFETIME_MS,
-} from '@endivegate/core/forwarding';
-import {
-  type ForwardingConfig,
-  forwardingConfigSchema,
-} from '@endivegate/contracts/forwarding';
+import { createSocket } from 'node:dgram';
+import type { Peer, PeerSelf } from '@endivegate/core/forwarding';
 import type { EventLog } from '../createEventLog/index.ts';
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
+import { createConfigServer, fetchConfig } from './_lib/configExchange.ts';
 import {
   decodePeerMessage,
   encodePeerMessage,
   type PeerMessage,
+  type TargetCodec,
 } from './_lib/peerMessage.ts';
+import { createTargetCodec } from './_lib/targetCodec.ts';
 
 /** Traffic with the other entries. */
 export interface PeerLink {
-  /** Tells peers at once what this entry is and has in flight. */
+  /** Tells all peers at once what this entry is and has in flight. */
   readonly tell: () => void;
   /** Adds addresses at which entries may be. */
   readonly addAddresses: (addresses: readonly string[]) => void;
@@ -36,36 +30,33 @@
   readonly seedAddresses: readonly string[];
   /** Monotonic time in ms. */
   readonly now: () => number;
-  /** Random share, for the choice of peers when there are many. */
+  /** Uniform in [0, 1), for the choice of relays. */
   readonly random?: () => number;
 }
 
 /** At least this often each peer is told. */
-const HEARTBEAT_MS = 250;
+const HEARTBEAT_MS = 350;
 
-/** Changes are gathered for this long for each peer, which bounds the
- * datagrams a second whatever the number of peers. */
-const GATHER_MS_PER_PEER = 1.5;
+/** New requests are gathered for this long, so that a burst is told at once. */
+const GATHER_MS = 4;
 
-const LEAST_GATHER_MS = 4;
+/** Addresses of entries that were not heard are tried every so many beats. */
+const SEED_EVERY_BEATS = 3;
 
-/** Peers that one change is told to at once; the others hear the heartbeat. */
-const MOST_TOLD_AT_ONCE = 24;
+/** A peer is told for this long after it was last heard. */
+const TELL_SILENT_MS = 4000;
 
 /** A peer's configuration is asked for after this, so that the store's own
  * news, which is on its way, usually comes first. */
 const CONFIG_PATIENCE_MS = 250;
 
-const CONFIG_TIMEOUT_MS = 800;
-
-/** Addresses that never answered are tried this often. */
-const SEED_EVERY_BEATS = 4;
-
 /** Addresses of others told in one datagram. */
 const MOST_ADDRESSES = 24;
 
-const CONFIG_PATH = '/config';
-const HTTP_OK = 200;
+/** First byte of a datagram: whether its receiver passes it on in its own data
+ * centre, so that one copy crosses between data centres. */
+const DIRECT = 0;
+const TO_RELAY = 1;
 
 /**
  * Opens the link to the other entries: datagrams that tell of this entry, its
@@ -81,6 +72,7 @@
 export function createPeerLink(options: CreatePeerLinkOptions): PeerLink {
   const { runtime, log, self, now, random = Math.random } = options;
   const own = self();
+  const codec: TargetCodec = createTargetCodec(() => runtime.state().roster);
   const addresses = new Set(options.seedAddresses);
   addresses.delete(own.peerAddress);
   const socket = createSocket('udp4');
@@ -91,77 +83,118 @@
   socket.on('error', (error) => {
     log.warn('peers.socketError', { reason: error.message });
   });
-  socket.on('message', (bytes) => {
-    receive(decodePeerMessage(bytes));
-  });
+  socket.on('message', receive);
   const [host = '', port = ''] = own.peerAddress.split(':');
-  socket.bind(Number(port), host, () => {
-    sendTo([...addresses]);
-  });
-  const server = serveConfig(runtime, Number(port), host);
+  socket.bind(Number(port), host, tryAddresses);
+  const server = createConfigServer(() => runtime.table()?.config);
+  server.listen(Number(port), host);
   const beat = setInterval(() => {
     beats += 1;
     runtime.dispatch({ type: 'peers.ticked', atMs: now() });
-    const isWide = beats % SEED_EVERY_BEATS === 1;
-    if (isWide) sendTo([...addresses], heardAddresses());
-    else sendTo(heardAddresses());
+    tell();
+    if (beats % SEED_EVERY_BEATS === 1) tryAddresses();
   }, HEARTBEAT_MS);
-  runtime.onLoad(() => {
-    gatherTimer ??= setTimeout(tellSome, gatherMs());
+  runtime.onNewLoad(() => {
+    gatherTimer ??= setTimeout(() => {
+      gatherTimer = undefined;
+      tell();
+    }, GATHER_MS);
   });
 
-  function heardAddresses(): readonly string[] {
-    return [...runtime.state().peers.values()]
-      .filter((peer) => now() - peer.heardAtMs < PEER_LOAD_LIFETIME_MS * 2)
-      .map((peer) => peer.peerAddress);
+  function knownPeers(): readonly Peer[] {
+    return [...runtime.state().peers.values()].filter(
+      (peer) => now() - peer.heardAtMs < TELL_SILENT_MS,
+    );
+  }
+
+  function localPeers(): readonly Peer[] {
+    return knownPeers().filter((peer) => peer.dataCentre === own.dataCentre);
   }
 
-  function gatherMs(): number {
-    return Math.max(
-      LEAST_GATHER_MS,
-      GATHER_MS_PER_PEER * Math.min(heardAddresses().length, MOST_TOLD_AT_ONCE),
+  /** One peer of each other data centre, another one each time. */
+  function relays(): readonly Peer[] {
+    const remote = knownPeers().filter(
+      (peer) => peer.dataCentre !== own.dataCentre,
     );
+    const names = [...new Set(remote.map((peer) => peer.dataCentre))];
+    return names.flatMap((name) => {
+      const peers = remote.filter((peer) => peer.dataCentre === name);
+      return peers.slice(Math.floor(random() * peers.length)).slice(0, 1);
+    });
   }
 
-  function tellSome(): void {
-    gatherTimer = undefined;
-    const all = heardAddresses();
-    const offset = Math.floor(random() * all.length);
-    sendTo([...all.slice(offset), ...all].slice(0, Math.min(all.length, MOST_TOLD_AT_ONCE)));
+  function tell(): void {
+    const message = encodeNow([]);
+    localPeers().forEach((peer) => {
+      send(DIRECT, message, peer.peerAddress);
+    });
+    relays().forEach((peer) => {
+      send(TO_RELAY, message, peer.peerAddress);
+    });
   }
 
-  function sendTo(
-    targets: readonly string[],
-    told: readonly string[] = [],
-  ): void {
-    const bytes = encodePeerMessage(currentMessage(told));
-    targets.forEach((address) => {
-      send(socket, bytes, address);
+  /** Tells addresses at which nobody was heard; tells all peers who else is. */
+  function tryAddresses(): void {
+    const peers = knownPeers();
+    const heard = new Set(peers.map((peer) => peer.peerAddress));
+    const message = encodeNow([...heard].slice(0, MOST_ADDRESSES));
+    [...addresses]
+      .filter((address) => !heard.has(address))
+      .forEach((address) => {
+        send(DIRECT, message, address);
+      });
+    const told = peers.filter((peer) => options.seedAddresses.includes(peer.peerAddress));
+    told.forEach((peer) => {
+      send(DIRECT, message, peer.peerAddress);
     });
   }
 
-  function currentMessage(told: readonly string[]): PeerMessage {
+  function encodeNow(told: readonly string[]): Uint8Array {
     const state = runtime.state();
-    return {
+    const message: PeerMessage = {
       self: self(),
-      loads: ownLoads(state.load, now()),
+      flights: [...state.load.flights.values()],
       leavingIds: [...state.roster.targets.values()]
         .filter((target) => target.draining)
         .map((target) => target.id),
       crashes: [...state.suspects].flatMap(([fingerprint, suspect]) =>
         suspect.crashedIds.map((targetId) => ({ fingerprint, targetId })),
       ),
-      addresses: told.slice(0, MOST_ADDRESSES),
+      addresses: told,
     };
+    return encodePeerMessage(message, codec, now());
+  }
+
+  function send(mark: number, message: Uint8Array, address: string): void {
+    const [toHost = '', toPort = ''] = address.split(':');
+    const bytes = [Uint8Array.of(mark), message];
+    socket.send(bytes, Number(toPort), toHost, () => {
+      // A datagram that cannot be sent is lost like any other; the next tells all.
+    });
   }
 
-  function receive(message: PeerMessage | undefined): void {
+  function receive(datagram: Buffer): void {
+    const bytes = datagram.subarray(1);
+    const message = decodePeerMessage(bytes, codec, now());
     if (message === undefined) {
-      log.warn('peers.unreadable', {});
+      log.warn('peers.unreadable', { bytes: datagram.length });
       return;
     }
+    if (message.self.name === own.name) return;
+    if (datagram[0] === TO_RELAY) passOn(bytes, message.self);
+    learn(message);
+  }
+
+  function passOn(bytes: Uint8Array, from: PeerSelf): void {
+    localPeers()
+      .filter((peer) => peer.name !== from.name)
+      .forEach((peer) => {
+        send(DIRECT, bytes, peer.peerAddress);
+      });
+  }
+
+  function learn(message: PeerMessage): void {
     const peer = message.self;
-    if (peer.name === own.name) return;
     const atMs = now();
     [peer.peerAddress, ...message.addresses]
       .filter((address) => address !== own.peerAddress)
@@ -171,7 +204,7 @@
       type: 'load.heard',
       peer: peer.name,
       atMs,
-      loads: message.loads,
+      flights: message.flights,
     });
     if (message.leavingIds.length > 0) {
       runtime.dispatch({
@@ -185,16 +218,18 @@
       if (known?.crashedIds.includes(crash.targetId) === true) return;
       runtime.dispatch({ type: 'suspects.crashed', atMs, ...crash });
     });
-    if (peer.configVersion > (runtime.table()?.config.version ?? 0)) {
-      considerFetch(peer);
-    }
+    if (isNewer(peer)) considerFetch(peer);
+  }
+
+  function isNewer(peer: PeerSelf): boolean {
+    return peer.configVersion > (runtime.table()?.config.version ?? 0);
   }
 
   function considerFetch(peer: PeerSelf): void {
     if (isFetching) return;
     isFetching = true;
     setTimeout(() => {
-      if (peer.configVersion <= (runtime.table()?.config.version ?? 0)) {
+      if (!isNewer(peer)) {
         isFetching = false;
         return;
       }
@@ -211,9 +246,7 @@
   }
 
   return {
-    tell() {
-      sendTo(heardAddresses());
-    },
+    tell,
     addAddresses(more) {
       more
         .filter((address) => address !== own.peerAddress)
@@ -227,79 +260,3 @@
     },
   };
 }
-
-function send(socket: Socket, bytes: Buffer, address: string): void {
-  const [host = '', port = ''] = address.split(':');
-  socket.send(bytes, Number(port), host, () => {
-    // A datagram that cannot be sent is lost like any other; the next tells all.
-  });
-}
-
-function serveConfig(
-  runtime: GatewayRuntime,
-  port: number,
-  host: string,
-): Server {
-  const server = createServer((request, response) => {
-    const config = runtime.table()?.config;
-    if (request.url !== CONFIG_PATH || config === undefined) {
-      response.writeHead(404).end();
-      return;
-    }
-    response.writeHead(HTTP_OK, { connection: 'close' });
-    response.end(JSON.stringify(config));
-  });
-  server.listen(port, host);
-  return server;
-}
-
-/** Gives the configuration, or why there is none. */
-function fetchConfig(
-  address: string,
-  done: (result: ForwardingConfig | string) => void,
-): void {
-  const [host = '', port = ''] = address.split(':');
-  let isOver = false;
-  const finish = (result: ForwardingConfig | string): void => {
-    if (isOver) return;
-    isOver = true;
-    clearTimeout(timer);
-    call.destroy();
-    done(result);
-  };
-  const timer = setTimeout(() => {
-    finish('timed out');
-  }, CONFIG_TIMEOUT_MS);
-  const call = httpRequest(
-    { host, port: Number(port), path: CONFIG_PATH, agent: false },
-    (response) => {
-      const chunks: Buffer[] = [];
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
-      response.on('error', (error) => {
-        finish(error.message);
-      });
-      response.on('end', () => {
-        finish(readConfig(response.statusCode, Buffer.concat(chunks)));
-      });
-    },
-  );
-  call.on('error', (error) => {
-    finish(error.message);
-  });
-  call.end();
-}
-
-function readConfig(
-  status: number | undefined,
-  bytes: Buffer,
-): ForwardingConfig | string {
-  if (status !== HTTP_OK) return `status ${status ?? 0}`;
-  try {
-    const parsed = forwardingConfigSchema.safeParse(
-      JSON.parse(bytes.toString('utf8')),
-    );
-    return parsed.success ? parsed.data : parsed.error.message;
-  } catch (error) {
-    return String(error);
-  }
-}
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -20,8 +20,8 @@
   /** Puts a configuration in force, unless it is not newer. */
   readonly applyConfig: (config: ForwardingConfig, source: string) => void;
   readonly onConfig: (listener: (table: RouteTable) => void) => void;
-  /** Called after each event that may have changed the own load. */
-  readonly onLoad: (listener: () => void) => void;
+  /** Called when this entry has sent a request. */
+  readonly onNewLoad: (listener: () => void) => void;
 }
 
 /** Bounds of a deployment that the gateway keeps. */
@@ -54,7 +54,7 @@
       step.effects.forEach((effect) => {
         logEffect(log, effect);
       });
-      if (event.type.startsWith('load.') && event.type !== 'load.heard') {
+      if (event.type === 'load.started') {
         loadListeners.forEach((listener) => {
           listener();
         });
@@ -79,7 +79,7 @@
     onConfig(listener) {
       configListeners.push(listener);
     },
-    onLoad(listener) {
+    onNewLoad(listener) {
       loadListeners.push(listener);
     },
   };
