--- a/packages/core/src/forwarding/planPrompt/index.ts
+++ b/packages/core/src/forwarding/planPrompt/index.ts
@@ -193,7 +193,8 @@
   const laneShare = part.isShort ? target.laneRank : 1 - target.laneRank;
   return (
     latenessCost(part, partEndMs(part.readMs, candidate)) +
-    harmCost(part.readMs, candidate) +
+    writersHarm(part.readMs, candidate) +
+    readersHarm(part.readMs, candidate) +
     LANE_COST * laneShare
   );
 }
@@ -244,11 +245,15 @@
   const harm = engines.reduce(
     (sum, candidate) =>
       sum +
-      harmCost(part.readMs, candidate) +
+      writersHarm(part.readMs, candidate) +
       avoidanceCost(candidate, view.nowMs) +
       PART_COST,
     0,
   );
+  // Parts of one waiting prompt may lie at all of the engines: it counts once.
+  const readersCost = Math.max(
+    ...engines.map((candidate) => readersHarm(part.readMs, candidate)),
+  );
   return {
     plan: {
       target: seating.first.target,
@@ -263,6 +268,7 @@
     cost:
       latenessCost(part, firstEventMs) +
       harm +
+      readersCost +
       LANE_COST * laneShare +
       seating.cost,
   };
@@ -287,13 +293,18 @@
   return part.value * (late + (SECOND_COST * endMs) / MS_PER_S);
 }
 
-/** Expected loss of what is at a target already when a part is added to it. */
-function harmCost(readMs: number, candidate: EngineCandidate): number {
+/** Expected loss of streams at a target when a part lengthens a pause there. */
+function writersHarm(readMs: number, candidate: EngineCandidate): number {
   const { target, load, passMs } = candidate;
   const pauseMs = passMs + (load.readMs + readMs) * target.pace;
   const late = rampOf(pauseMs / load.gapTargetMs, GAP_SAFE, GAP_LOST);
-  const delayed = rampOf(readMs * target.pace, 0, READER_SLACK_MS);
-  return load.writersValue * late + load.readersValue * delayed;
+  return load.writersValue * late;
+}
+
+/** Expected loss of prompts that wait at a target when a part is added there. */
+function readersHarm(readMs: number, candidate: EngineCandidate): number {
+  const { target, load } = candidate;
+  return load.readersValue * rampOf(readMs * target.pace, 0, READER_SLACK_MS);
 }
 
 /** 0 up to `from`, 1 from `to` on, and linear between. */
--- a/packages/gateway/src/runSend/_lib/stallLimitMs.ts
+++ b/packages/gateway/src/runSend/_lib/stallLimitMs.ts
@@ -8,6 +8,10 @@
   /** Whether this send has brought an event. */
   readonly hasBegun: boolean;
   readonly timeLeftMs: number;
+  /** Reading that is still to be done at the target, which delays its events. */
+  readonly backlogMs: number;
+  /** How long the target has been silent. */
+  readonly silentMs: number;
 }
 
 /** A first event this many times later than predicted is not coming. */
@@ -21,19 +25,50 @@
 
 const GAP_EXTRA_MS = 500;
 
+/** Callers leave a stream after the longest of a gap of two seconds, four times
+ * the time for the first event, and eight times the gap target. */
+const CALLER_PATIENCE_MS = 2000;
+const CALLER_AIM_FACTOR = 4;
+const CALLER_GAP_FACTOR = 8;
+
+/** Time that another target needs to go on before the caller leaves. */
+const RESUME_MS = 400;
+
+/** Predictions of a backlog's end are off by this. */
+const BACKLOG_MARGIN_MS = 250;
+
 /** Share of a plain call's time after which it is tried elsewhere. */
 const PLAIN_SHARE = 0.4;
 
 /**
- * Returns how long a target may be silent before the request is sent elsewhere;
- * undefined where it must not be.
+ * Returns how much longer a target may be silent before the request is sent
+ * elsewhere; 0 or less when that is due, undefined where it must not be sent
+ * again.
+ *
+ * A stream that waits behind reading is left where it is, as long as the reading
+ * is done before the caller loses patience.
  */
 export function stallLimitMs(query: StallQuery): number | undefined {
-  const { route, plan, hasBegun, timeLeftMs } = query;
+  const { route, plan, hasBegun, timeLeftMs, silentMs } = query;
   if (route.repeat === 'atMostOnce') return undefined;
   if (route.repeat === 'stream' && !route.resumable) return undefined;
-  if (route.repeat === 'idempotent') return timeLeftMs * PLAIN_SHARE;
-  return hasBegun
-    ? route.gapTargetMs * GAP_FACTOR + GAP_EXTRA_MS
-    : (plan.firstEventMs ?? 0) * FIRST_EVENT_FACTOR + FIRST_EVENT_EXTRA_MS;
+  if (route.repeat === 'idempotent') return timeLeftMs * PLAIN_SHARE - silentMs;
+  if (hasBegun) return gapLimitMs(query);
+  const expectedMs = Math.max(
+    plan.firstEventMs ?? 0,
+    silentMs + query.backlogMs - plan.partReadMs,
+  );
+  return expectedMs * FIRST_EVENT_FACTOR + FIRST_EVENT_EXTRA_MS - silentMs;
+}
+
+function gapLimitMs({ route, silentMs, backlogMs }: StallQuery): number {
+  const usualMs = route.gapTargetMs * GAP_FACTOR + GAP_EXTRA_MS;
+  const patienceMs = Math.max(
+    CALLER_PATIENCE_MS,
+    route.targetLatencyMs * CALLER_AIM_FACTOR,
+    route.gapTargetMs * CALLER_GAP_FACTOR,
+  );
+  const explainedMs = backlogMs > 0 ? silentMs + backlogMs + BACKLOG_MARGIN_MS : 0;
+  const canWait = explainedMs <= patienceMs - RESUME_MS;
+  return Math.max(usualMs, canWait ? explainedMs : 0) - silentMs;
 }
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -1,4 +1,4 @@
-import type { SendEnd } from '@endivegate/core/forwarding';
+import { allLoads, type SendEnd } from '@endivegate/core/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 import {
@@ -54,6 +54,9 @@
 /** Deadlines that are told to targets are at least this. */
 const LEAST_DEADLINE_MS = 1;
 
+/** A target that is to be borne for less than this is given up at once. */
+const LEAST_WAIT_MS = 5;
+
 const HTTP_OK = 200;
 
 /**
@@ -171,19 +174,31 @@
 
   function armStallTimer(): void {
     clearTimeout(stallTimer);
-    const limitMs = stallLimitMs({
-      route: call.route,
-      plan,
-      hasBegun: events > 0,
-      timeLeftMs: run.deadlineAtMs - now(),
-    });
+    const limitMs = silenceLeftMs();
     if (limitMs === undefined) return;
     stallTimer = setTimeout(() => {
+      if ((silenceLeftMs() ?? 0) > LEAST_WAIT_MS) {
+        armStallTimer();
+        return;
+      }
       sending?.cancel();
       finish({ type: 'stalled' });
     }, limitMs);
   }
 
+  function silenceLeftMs(): number | undefined {
+    const nowMs = now();
+    const load = allLoads(runtime.state().load, nowMs).get(target.id);
+    return stallLimitMs({
+      route: call.route,
+      plan,
+      hasBegun: events > 0,
+      timeLeftMs: run.deadlineAtMs - startedAtMs,
+      backlogMs: load?.readMs ?? 0,
+      silentMs: nowMs - lastEventAtMs,
+    });
+  }
+
   function stop(): void {
     isOver = true;
     clearTimeout(stallTimer);
