--- a/packages/core/src/forwarding/engineLoad/index.ts
+++ b/packages/core/src/forwarding/engineLoad/index.ts
@@ -18,6 +18,8 @@
   readonly contextTokens: number;
   /** What its being on time is worth; see `valueOfPrompt`. */
   readonly value: number;
+  /** Whether one engine reads it at once; see `isShortPrompt`. */
+  readonly isShort: boolean;
   /** Longest pause between its events that is on time; 0 for plain calls. */
   readonly gapTargetMs: number;
   readonly startedAtMs: number;
@@ -29,9 +31,14 @@
 export interface TargetLoad {
   /** Requests that hold or wait for a slot. */
   readonly requests: number;
+  /** Those of them that are short prompts. */
+  readonly shorts: number;
   /** Reading still to be done. */
   readonly readMs: number;
-  /** Value of the prompts that have a part there which is not read yet. */
+  /** The part of it that is done for prompts of other engines, which engines
+   * read ahead of their own. */
+  readonly helperReadMs: number;
+  /** Value of the engine's own prompts that are not read yet. */
   readonly readersValue: number;
   readonly writers: number;
   readonly writersValue: number;
@@ -76,7 +83,9 @@
 /** Load of a target that has nothing to do. */
 export const NO_LOAD: TargetLoad = {
   requests: 0,
+  shorts: 0,
   readMs: 0,
+  helperReadMs: 0,
   readersValue: 0,
   writers: 0,
   writersValue: 0,
@@ -111,8 +120,9 @@
 /**
  * Sums the load of all entries by target.
  *
- * Reading is taken to be done in the order in which parts were sent, so all
- * entries that know the same requests predict the same.
+ * Reading is taken to be done in the order in which parts were sent, those of
+ * other engines' prompts first, so all entries that know the same requests
+ * predict the same.
  *
  * @param state - The load.
  * @param nowMs - Monotonic time.
@@ -174,10 +184,15 @@
     loads.set(targetId, addLoads(loads.get(targetId) ?? NO_LOAD, load));
   };
   const readEndsAtMs = new Map<string, number>();
-  const queue = (targetId: string, flight: Flight): void => {
-    const freeAtMs = readEndsAtMs.get(targetId) ?? -Infinity;
+  const helperEndsAtMs = new Map<string, number>();
+  const queue = (
+    endsAtMs: Map<string, number>,
+    targetId: string,
+    flight: Flight,
+  ): void => {
+    const freeAtMs = endsAtMs.get(targetId) ?? -Infinity;
     const beginsAtMs = Math.max(freeAtMs, flight.startedAtMs);
-    readEndsAtMs.set(targetId, beginsAtMs + flight.partReadMs);
+    endsAtMs.set(targetId, beginsAtMs + flight.partReadMs);
   };
   flights
     .toSorted((a, b) => a.startedAtMs - b.startedAtMs)
@@ -187,21 +202,25 @@
         add(targetId, { contextTokens: tokens, memoryTokens: tokens });
       });
       if (flight.isWriting) return;
-      queue(flight.targetId, flight);
+      queue(readEndsAtMs, flight.targetId, flight);
       flight.helperIds.forEach((helperId) => {
-        add(helperId, { readersValue: flight.value });
-        queue(helperId, flight);
+        queue(readEndsAtMs, helperId, flight);
+        queue(helperEndsAtMs, helperId, flight);
       });
     });
   readEndsAtMs.forEach((endsAtMs, targetId) => {
     add(targetId, { readMs: Math.max(endsAtMs - nowMs, 0) });
   });
+  helperEndsAtMs.forEach((endsAtMs, targetId) => {
+    add(targetId, { helperReadMs: Math.max(endsAtMs - nowMs, 0) });
+  });
   return loads;
 }
 
 function loadOfFlight(flight: Flight): Partial<TargetLoad> {
   return {
     requests: 1,
+    shorts: flight.isShort ? 1 : 0,
     readersValue: flight.isWriting ? 0 : flight.value,
     writers: flight.isWriting ? 1 : 0,
     writersValue: flight.isWriting ? flight.value : 0,
@@ -214,7 +233,9 @@
 function addLoads(a: TargetLoad, b: Partial<TargetLoad>): TargetLoad {
   return {
     requests: a.requests + (b.requests ?? 0),
+    shorts: a.shorts + (b.shorts ?? 0),
     readMs: a.readMs + (b.readMs ?? 0),
+    helperReadMs: a.helperReadMs + (b.helperReadMs ?? 0),
     readersValue: a.readersValue + (b.readersValue ?? 0),
     writers: a.writers + (b.writers ?? 0),
     writersValue: a.writersValue + (b.writersValue ?? 0),
--- a/packages/core/src/forwarding/planPrompt/index.ts
+++ b/packages/core/src/forwarding/planPrompt/index.ts
@@ -38,6 +38,7 @@
   readonly helpers: readonly RosterTarget[];
   /** Expected reading time of each part. */
   readonly partReadMs: number;
+  readonly isShort: boolean;
   /** Expected time to the first event. */
   readonly firstEventMs: number;
 }
@@ -57,6 +58,8 @@
   readonly readMs: number;
   /** Whether a prompt belongs to the short lane. */
   readonly isShort: boolean;
+  /** Whether other engines read parts of the prompt as well. */
+  readonly isHelped: boolean;
   /** Time until the prompt's first event is late. */
   readonly aimMs: number;
   /** What its being on time is worth. */
@@ -77,8 +80,19 @@
 
 const REQUEST_VALUE = 0.5;
 
-/** Cost of being at the far end of the order of targets for a lane. */
-const LANE_COST = 0.4;
+/** Short prompts of one engine, as a share of its slots, that keep its passes
+ * well within their pauses. */
+const LANE_SLOT_USE = 0.5;
+
+/** Engines of the short lane beyond those that are in use. */
+const LANE_SPARE = 1;
+
+/** Cost of a part of a long prompt in the short lane: it holds up the short
+ * prompts that arrive while it is read. */
+const LONG_INTRUSION_COST = 0.5;
+
+/** Cost of a short prompt outside its lane, where long parts may follow it. */
+const SHORT_STRAY_COST = 0.3;
 
 /** Part of the time for a first event at which being late becomes possible,
  * and at which it is certain; predictions err by about a third. */
@@ -124,6 +138,7 @@
   readonly target: RosterTarget;
   readonly load: TargetLoad;
   readonly passMs: number;
+  readonly isShortLane: boolean;
 }
 
 /**
@@ -165,7 +180,10 @@
 ): PromptPlan | undefined {
   const { partCounts = PART_COUNTS } = options;
   const readMs = estimateReadMs(view.cost, demand.promptTokens);
-  const candidates = view.targets.map((target) => describe(target, view));
+  const lane = shortLane(view);
+  const candidates = view.targets.map((target) =>
+    describe(target, view, lane),
+  );
   const plans = partCounts
     .filter((parts) => parts === 1 || readMs / parts >= LEAST_PART_MS)
     .filter((parts) => parts <= candidates.length)
@@ -189,13 +207,11 @@
   part: PromptPart,
   candidate: EngineCandidate,
 ): number {
-  const { target } = candidate;
-  const laneShare = part.isShort ? target.laneRank : 1 - target.laneRank;
   return (
-    latenessCost(part, partEndMs(part.readMs, candidate)) +
+    latenessCost(part, partEndMs(part, candidate)) +
     writersHarm(part.readMs, candidate) +
-    readersHarm(part.readMs, candidate) +
-    LANE_COST * laneShare
+    (part.isHelped ? readersHarm(part.readMs, candidate) : 0) +
+    laneCost(part, candidate)
   );
 }
 
@@ -216,6 +232,7 @@
   const part: PromptPart = {
     readMs: readMs / parts,
     isShort: readMs <= SHORT_READ_MS,
+    isHelped: parts > 1,
     aimMs: demand.aimLeftMs,
     value: valueOfPrompt(demand.promptTokens),
   };
@@ -233,27 +250,26 @@
   const engines = chosen.map((one) => one.candidate);
   const seating = seatPrompt(demand, engines, view);
   const endMs = Math.max(
-    ...engines.map((candidate) => partEndMs(part.readMs, candidate)),
+    ...engines.map((candidate) =>
+      partEndMs(
+        { ...part, isHelped: candidate !== seating.first },
+        candidate,
+      ),
+    ),
   );
   const firstEventMs = endMs + writeMs(seating, view);
-  const laneShare =
-    chosen.reduce(
-      (sum, { candidate: { target } }) =>
-        sum + (part.isShort ? target.laneRank : 1 - target.laneRank),
-      0,
-    ) / parts;
   const harm = engines.reduce(
     (sum, candidate) =>
       sum +
       writersHarm(part.readMs, candidate) +
+      (candidate === seating.first
+        ? 0
+        : readersHarm(part.readMs, candidate)) +
+      laneCost(part, candidate) +
       avoidanceCost(candidate, view.nowMs) +
       PART_COST,
     0,
   );
-  // Parts of one waiting prompt may lie at all of the engines: it counts once.
-  const readersCost = Math.max(
-    ...engines.map((candidate) => readersHarm(part.readMs, candidate)),
-  );
   return {
     plan: {
       target: seating.first.target,
@@ -263,28 +279,54 @@
         .filter((candidate) => candidate !== seating.first)
         .map((candidate) => candidate.target),
       partReadMs: part.readMs,
+      isShort: part.isShort,
       firstEventMs,
     },
     cost:
       latenessCost(part, firstEventMs) +
       harm +
-      readersCost +
-      LANE_COST * laneShare +
       seating.cost,
   };
 }
 
-function describe(target: RosterTarget, view: EngineView): EngineCandidate {
+/**
+ * Ids of the engines that are kept for short prompts: as many as those in flight
+ * need, in an order that all entries share.
+ */
+function shortLane(view: EngineView): ReadonlySet<string> {
+  const shorts = [...view.loads.values()].reduce(
+    (sum, load) => sum + load.shorts,
+    0,
+  );
+  const perEngine = Math.max(view.cost.slots * LANE_SLOT_USE, 1);
+  const size = Math.ceil(shorts / perEngine) + LANE_SPARE;
+  const ids = view.targets
+    .filter((target) => target.avoidUntilMs <= view.nowMs)
+    .toSorted((a, b) => a.laneRank - b.laneRank)
+    .slice(0, size)
+    .map((target) => target.id);
+  return new Set(ids);
+}
+
+function describe(
+  target: RosterTarget,
+  view: EngineView,
+  lane: ReadonlySet<string>,
+): EngineCandidate {
   const load = view.loads.get(target.id) ?? NO_LOAD;
   const passMs =
     estimatePassMs(view.cost, load.writers, load.contextTokens) * target.pace;
-  return { target, load, passMs };
+  return { target, load, passMs, isShortLane: lane.has(target.id) };
 }
 
-/** Time until a part is read: what is before it, half a pass, and itself. */
-function partEndMs(readMs: number, candidate: EngineCandidate): number {
+/**
+ * Time until a part is read: what is before it, half a pass, and itself.
+ * Helpers read ahead of their own prompts.
+ */
+function partEndMs(part: PromptPart, candidate: EngineCandidate): number {
   const { target, load, passMs } = candidate;
-  return (load.readMs + readMs) * target.pace + passMs / 2;
+  const beforeMs = part.isHelped ? load.helperReadMs : load.readMs;
+  return (beforeMs + part.readMs) * target.pace + passMs / 2;
 }
 
 /** Expected loss of a prompt whose first event comes after `endMs`. */
@@ -307,6 +349,11 @@
   return load.readersValue * rampOf(readMs * target.pace, 0, READER_SLACK_MS);
 }
 
+function laneCost(part: PromptPart, candidate: EngineCandidate): number {
+  if (part.isShort) return candidate.isShortLane ? 0 : SHORT_STRAY_COST;
+  return candidate.isShortLane ? LONG_INTRUSION_COST : 0;
+}
+
 /** 0 up to `from`, 1 from `to` on, and linear between. */
 function rampOf(value: number, from: number, to: number): number {
   return Math.min(Math.max((value - from) / (to - from), 0), 1);
@@ -366,10 +413,12 @@
   };
 }
 
-/** Cost of writing an answer at a target: its slots and its passes. */
+/** Cost of writing an answer at a target: its slots, its passes, and its own
+ * prompts, which are read before the first part of this one. */
 function writerCost({ target, load, passMs }: EngineCandidate): number {
   const excess = Math.max(load.requests + 1 - target.slots, 0);
-  return excess * SLOT_COST + (passMs / MS_PER_S) * SECOND_COST;
+  const ownMs = load.readMs - load.helperReadMs + passMs;
+  return excess * SLOT_COST + ownMs / MS_PER_S;
 }
 
 function freeTokens(candidate: EngineCandidate, view: EngineView): number {
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -47,6 +47,7 @@
   z.number(),
   z.number(),
   z.boolean(),
+  z.boolean(),
   z.array(hash),
   z.array(z.tuple([hash, z.number()])),
 ]);
@@ -149,6 +150,7 @@
       Math.round(flight.gapTargetMs),
       Math.round(flight.value * VALUE_SCALE),
       flight.isWriting,
+      flight.isShort,
       flight.isWriting
         ? []
         : flight.helperIds
@@ -181,10 +183,11 @@
       gapTargetMs: row[5],
       value: row[6] / VALUE_SCALE,
       isWriting: row[7],
-      helperIds: row[8]
+      isShort: row[8],
+      helperIds: row[9]
         .map(codec.idOf)
         .filter((helperId) => helperId !== undefined),
-      seats: row[9].flatMap(([seatHash, tokens]) => {
+      seats: row[10].flatMap(([seatHash, tokens]) => {
         const seatId = codec.idOf(seatHash);
         return seatId === undefined ? [] : [{ targetId: seatId, tokens }];
       }),
--- a/packages/gateway/src/planSend/index.ts
+++ b/packages/gateway/src/planSend/index.ts
@@ -37,6 +37,7 @@
   readonly seats: readonly MemorySeat[];
   readonly memoryTokens: number;
   readonly contextTokens: number;
+  readonly isShort: boolean;
   /** What its being on time is worth, among prompts. */
   readonly value: number;
 }
@@ -98,5 +99,6 @@
     memoryTokens: 0,
     contextTokens: 0,
     value: 1,
+    isShort: false,
   };
 }
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -293,6 +293,7 @@
       memoryTokens: plan.memoryTokens,
       contextTokens: plan.contextTokens,
       value: plan.value,
+      isShort: plan.isShort,
       seats: plan.seats.map((seat) => ({
         targetId: seat.target.id,
         tokens: seat.tokens,
