--- a/packages/core/src/forwarding/engineLoad/index.ts
+++ b/packages/core/src/forwarding/engineLoad/index.ts
@@ -35,9 +35,6 @@
   readonly shorts: number;
   /** Reading still to be done. */
   readonly readMs: number;
-  /** The part of it that is done for prompts of other engines, which engines
-   * read ahead of their own. */
-  readonly helperReadMs: number;
   /** Value of the engine's own prompts that are not read yet. */
   readonly readersValue: number;
   readonly writers: number;
@@ -85,7 +82,6 @@
   requests: 0,
   shorts: 0,
   readMs: 0,
-  helperReadMs: 0,
   readersValue: 0,
   writers: 0,
   writersValue: 0,
@@ -97,6 +93,12 @@
 /** What a peer told counts for this long: four of its heartbeats. */
 export const PEER_LOAD_LIFETIME_MS = 1500;
 
+/** A first event comes this long after its prompt is read: two passes. */
+const USUAL_OVERDUE_MS = 150;
+
+/** An engine that is overdue is taken to need as long again, up to this. */
+const MOST_OVERDUE_MS = 1500;
+
 /** Load before the first request. */
 export const initialLoad: LoadState = { flights: new Map(), peers: new Map() };
 
@@ -120,9 +122,8 @@
 /**
  * Sums the load of all entries by target.
  *
- * Reading is taken to be done in the order in which parts were sent, those of
- * other engines' prompts first, so all entries that know the same requests
- * predict the same.
+ * Reading is taken to be done in the order in which parts were sent, so all
+ * entries that know the same requests predict the same.
  *
  * @param state - The load.
  * @param nowMs - Monotonic time.
@@ -184,15 +185,15 @@
     loads.set(targetId, addLoads(loads.get(targetId) ?? NO_LOAD, load));
   };
   const readEndsAtMs = new Map<string, number>();
-  const helperEndsAtMs = new Map<string, number>();
-  const queue = (
-    endsAtMs: Map<string, number>,
-    targetId: string,
-    flight: Flight,
-  ): void => {
-    const freeAtMs = endsAtMs.get(targetId) ?? -Infinity;
+  /** How late an engine's own prompts are: it has more to do than is known. */
+  const overdueAt = (targetId: string, endsAtMs: number): number => {
+    const reads = loads.get(targetId)?.readersValue ?? 0;
+    return reads > 0 ? Math.max(nowMs - endsAtMs - USUAL_OVERDUE_MS, 0) : 0;
+  };
+  const queue = (targetId: string, flight: Flight): void => {
+    const freeAtMs = readEndsAtMs.get(targetId) ?? -Infinity;
     const beginsAtMs = Math.max(freeAtMs, flight.startedAtMs);
-    endsAtMs.set(targetId, beginsAtMs + flight.partReadMs);
+    readEndsAtMs.set(targetId, beginsAtMs + flight.partReadMs);
   };
   flights
     .toSorted((a, b) => a.startedAtMs - b.startedAtMs)
@@ -202,17 +203,14 @@
         add(targetId, { contextTokens: tokens, memoryTokens: tokens });
       });
       if (flight.isWriting) return;
-      queue(readEndsAtMs, flight.targetId, flight);
+      queue(flight.targetId, flight);
       flight.helperIds.forEach((helperId) => {
-        queue(readEndsAtMs, helperId, flight);
-        queue(helperEndsAtMs, helperId, flight);
+        queue(helperId, flight);
       });
     });
   readEndsAtMs.forEach((endsAtMs, targetId) => {
-    add(targetId, { readMs: Math.max(endsAtMs - nowMs, 0) });
-  });
-  helperEndsAtMs.forEach((endsAtMs, targetId) => {
-    add(targetId, { helperReadMs: Math.max(endsAtMs - nowMs, 0) });
+    const overdueMs = Math.min(overdueAt(targetId, endsAtMs), MOST_OVERDUE_MS);
+    add(targetId, { readMs: Math.max(endsAtMs - nowMs, 0) + overdueMs });
   });
   return loads;
 }
@@ -235,7 +233,6 @@
     requests: a.requests + (b.requests ?? 0),
     shorts: a.shorts + (b.shorts ?? 0),
     readMs: a.readMs + (b.readMs ?? 0),
-    helperReadMs: a.helperReadMs + (b.helperReadMs ?? 0),
     readersValue: a.readersValue + (b.readersValue ?? 0),
     writers: a.writers + (b.writers ?? 0),
     writersValue: a.writersValue + (b.writersValue ?? 0),
--- a/packages/core/src/forwarding/planPrompt/index.ts
+++ b/packages/core/src/forwarding/planPrompt/index.ts
@@ -321,12 +321,10 @@
 
 /**
  * Time until a part is read: what is before it, half a pass, and itself.
- * Helpers read ahead of their own prompts.
  */
 function partEndMs(part: PromptPart, candidate: EngineCandidate): number {
   const { target, load, passMs } = candidate;
-  const beforeMs = part.isHelped ? load.helperReadMs : load.readMs;
-  return (beforeMs + part.readMs) * target.pace + passMs / 2;
+  return (load.readMs + part.readMs) * target.pace + passMs / 2;
 }
 
 /** Expected loss of a prompt whose first event comes after `endMs`. */
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -66,6 +66,8 @@
       readonly atMs: number;
       readonly id: string;
       readonly reason: string;
+      /** Whether it only kept a request waiting, which load explains too. */
+      readonly isSlow: boolean;
     }
   | { readonly type: 'roster.ticked'; readonly atMs: number };
 
@@ -84,6 +86,9 @@
 /** First pause after a failure; it doubles with each failure in a row. */
 const FIRST_AVOID_MS = 400;
 
+/** Pause after a silence that may be due to load: a few passes. */
+const SLOW_AVOID_MS = 300;
+
 /** Longest pause; a target that was away serves again within this time. */
 const LONGEST_AVOID_MS = 4000;
 
@@ -293,11 +298,10 @@
 ): RosterStep {
   const known = state.targets.get(event.id);
   if (known === undefined) return { state, effects: [] };
-  const failures = known.failures + 1;
-  const pauseMs = Math.min(
-    FIRST_AVOID_MS * 2 ** (failures - 1),
-    LONGEST_AVOID_MS,
-  );
+  const failures = event.isSlow ? known.failures : known.failures + 1;
+  const pauseMs = event.isSlow
+    ? SLOW_AVOID_MS
+    : Math.min(FIRST_AVOID_MS * 2 ** (failures - 1), LONGEST_AVOID_MS);
   return {
     state: withTarget(state, {
       ...known,
--- a/packages/gateway/src/forwardRequest/_lib/noteOutcome.ts
+++ b/packages/gateway/src/forwardRequest/_lib/noteOutcome.ts
@@ -28,13 +28,31 @@
       return;
     case 'notSent':
       if (plan.seats.length > 0) return;
-      dispatch({ type: 'roster.failed', atMs, id, reason: end.reason });
+      dispatch({
+        type: 'roster.failed',
+        atMs,
+        id,
+        reason: end.reason,
+        isSlow: false,
+      });
       return;
     case 'stalled':
-      dispatch({ type: 'roster.failed', atMs, id, reason: 'stalled' });
+      dispatch({
+        type: 'roster.failed',
+        atMs,
+        id,
+        reason: 'stalled',
+        isSlow: true,
+      });
       return;
     case 'broken':
-      dispatch({ type: 'roster.failed', atMs, id, reason: end.reason });
+      dispatch({
+        type: 'roster.failed',
+        atMs,
+        id,
+        reason: end.reason,
+        isSlow: false,
+      });
       dispatch({
         type: 'suspects.crashed',
         atMs,
@@ -57,5 +75,6 @@
     atMs: context.now(),
     id: blamed.id,
     reason: 'named in a refusal',
+    isSlow: false,
   });
 }
