--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -41,7 +41,7 @@
       '**/dist/**',
       '**/generated/**',
       'bench/out/**',
-    'target/**',
+      'target/**',
       '**/*.mjs',
       'mocha.setup.ts',
       'packages/*/bin/**',
--- a/packages/core/src/forwarding/decideNext/index.ts
+++ b/packages/core/src/forwarding/decideNext/index.ts
@@ -92,7 +92,9 @@
   if (progress.isCrasher) return false;
   if (progress.timeLeftMs < LEAST_TIME_MS) return false;
   if (end.type === 'notSent') {
-    return progress.unsent < MOST_UNSENT && progress.sends < progress.maxAttempts;
+    return (
+      progress.unsent < MOST_UNSENT && progress.sends < progress.maxAttempts
+    );
   }
   const provedNotRun = end.type === 'refused' && !progress.mayHaveRun;
   return (
--- a/packages/core/src/forwarding/peerList/index.ts
+++ b/packages/core/src/forwarding/peerList/index.ts
@@ -37,7 +37,8 @@
 export interface PeersEffect {
   readonly type: 'peers.changed';
   readonly name: string;
-  readonly change: 'joined' | 'restarted' | 'ready' | 'notReady' | 'leaving' | 'lost';
+  readonly change:
+    'joined' | 'restarted' | 'ready' | 'notReady' | 'leaving' | 'lost';
 }
 
 /** A peer unheard for this long is told to no caller; it tells every
--- a/packages/core/src/forwarding/pickTarget/index.ts
+++ b/packages/core/src/forwarding/pickTarget/index.ts
@@ -50,8 +50,7 @@
 
 function costOf(target: RosterTarget, view: ServiceView): number {
   const load = view.loads.get(target.id) ?? NO_LOAD;
-  const distance =
-    target.dataCentre === view.dataCentre ? 0 : DISTANCE_COST;
+  const distance = target.dataCentre === view.dataCentre ? 0 : DISTANCE_COST;
   const avoided = target.avoidUntilMs > view.nowMs ? AVOIDED_COST : 0;
   return (load.requests + 1) * target.pace + distance + avoided;
 }
--- a/packages/core/src/forwarding/planPrompt/index.ts
+++ b/packages/core/src/forwarding/planPrompt/index.ts
@@ -1,5 +1,9 @@
 import type { EngineCost } from '@endivegate/contracts/forwarding';
-import { type LoadByTarget, NO_LOAD, type TargetLoad } from '../engineLoad/index.ts';
+import {
+  type LoadByTarget,
+  NO_LOAD,
+  type TargetLoad,
+} from '../engineLoad/index.ts';
 import { estimatePassMs, estimateReadMs } from '../engineTimes/index.ts';
 import type { RosterTarget } from '../targetRoster/index.ts';
 
@@ -181,9 +185,7 @@
   const { partCounts = PART_COUNTS } = options;
   const readMs = estimateReadMs(view.cost, demand.promptTokens);
   const lane = shortLane(view);
-  const candidates = view.targets.map((target) =>
-    describe(target, view, lane),
-  );
+  const candidates = view.targets.map((target) => describe(target, view, lane));
   const plans = partCounts
     .filter((parts) => parts === 1 || readMs / parts >= LEAST_PART_MS)
     .filter((parts) => parts <= candidates.length)
@@ -203,10 +205,7 @@
  * @example
  * partCost({ readMs: 200, isShort: false, aimMs: 1500, value: 5 }, candidate);
  */
-export function partCost(
-  part: PromptPart,
-  candidate: EngineCandidate,
-): number {
+export function partCost(part: PromptPart, candidate: EngineCandidate): number {
   return (
     latenessCost(part, partEndMs(part, candidate)) +
     writersHarm(part.readMs, candidate) +
@@ -251,10 +250,7 @@
   const seating = seatPrompt(demand, engines, view);
   const endMs = Math.max(
     ...engines.map((candidate) =>
-      partEndMs(
-        { ...part, isHelped: candidate !== seating.first },
-        candidate,
-      ),
+      partEndMs({ ...part, isHelped: candidate !== seating.first }, candidate),
     ),
   );
   const firstEventMs = endMs + writeMs(seating, view);
@@ -262,9 +258,7 @@
     (sum, candidate) =>
       sum +
       writersHarm(part.readMs, candidate) +
-      (candidate === seating.first
-        ? 0
-        : readersHarm(part.readMs, candidate)) +
+      (candidate === seating.first ? 0 : readersHarm(part.readMs, candidate)) +
       laneCost(part, candidate) +
       avoidanceCost(candidate, view.nowMs) +
       PART_COST,
@@ -282,10 +276,7 @@
       isShort: part.isShort,
       firstEventMs,
     },
-    cost:
-      latenessCost(part, firstEventMs) +
-      harm +
-      seating.cost,
+    cost: latenessCost(part, firstEventMs) + harm + seating.cost,
   };
 }
 
@@ -411,18 +402,14 @@
   };
 }
 
-/** Cost of writing an answer at a target: its slots, its passes, and its own
- * prompts, which are read before the first part of this one. */
+/** Cost of writing an answer at a target: its slots and its passes. */
 function writerCost({ target, load, passMs }: EngineCandidate): number {
   const excess = Math.max(load.requests + 1 - target.slots, 0);
-  const ownMs = load.readMs - load.helperReadMs + passMs;
-  return excess * SLOT_COST + ownMs / MS_PER_S;
+  return excess * SLOT_COST + passMs / MS_PER_S;
 }
 
 function freeTokens(candidate: EngineCandidate, view: EngineView): number {
-  return (
-    view.cost.memoryTokens * MEMORY_USE - candidate.load.memoryTokens
-  );
+  return view.cost.memoryTokens * MEMORY_USE - candidate.load.memoryTokens;
 }
 
 /** Time from the end of reading to the first event: a pass with this writer. */
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -223,8 +223,7 @@
         ? new Map(state.leftIds).set(leftKey(target), atMs)
         : state.leftIds,
     },
-    effects:
-      change === undefined ? [] : [changed(target.id, change, 'listed')],
+    effects: change === undefined ? [] : [changed(target.id, change, 'listed')],
   };
 }
 
--- a/packages/gateway/src/createFront/index.ts
+++ b/packages/gateway/src/createFront/index.ts
@@ -14,7 +14,11 @@
   CallerLimits,
   ForwardingRoute,
 } from '@endivegate/contracts/forwarding';
-import { createReply, type OwnFailure, type Reply } from '../createReply/index.ts';
+import {
+  createReply,
+  type OwnFailure,
+  type Reply,
+} from '../createReply/index.ts';
 import { forwardRequest } from '../forwardRequest/index.ts';
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 import type { CallerHead } from '../httpDialect/index.ts';
@@ -205,7 +209,9 @@
     closeIdle() {
       [...sockets]
         .filter((socket) => !busySockets.has(socket))
-        .forEach((socket) => socket.destroySoon());
+        .forEach((socket) => {
+          socket.destroySoon();
+        });
     },
   };
 }
@@ -221,7 +227,11 @@
   const { limits } = table.config;
   const oversize = checkSizes(request, limits);
   if (oversize !== undefined) return rejected(oversize);
-  const route = matchRoute(table, request.headers.host ?? '', request.url ?? '');
+  const route = matchRoute(
+    table,
+    request.headers.host ?? '',
+    request.url ?? '',
+  );
   if (route === undefined) {
     return rejected({ status: NOT_FOUND, message: 'no such route' });
   }
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -151,9 +151,7 @@
       Math.round(flight.value * VALUE_SCALE),
       flight.isWriting,
       flight.isShort,
-      flight.helperIds
-        .map(codec.hashOf)
-        .filter((one) => one !== undefined),
+      flight.helperIds.map(codec.hashOf).filter((one) => one !== undefined),
       flight.seats.flatMap(({ targetId, tokens }) => {
         const seatHash = codec.hashOf(targetId);
         return seatHash === undefined ? [] : [[seatHash, tokens]];
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -143,7 +143,9 @@
       .forEach((address) => {
         send(DIRECT, message, address);
       });
-    const told = peers.filter((peer) => options.seedAddresses.includes(peer.peerAddress));
+    const told = peers.filter((peer) =>
+      options.seedAddresses.includes(peer.peerAddress),
+    );
     told.forEach((peer) => {
       send(DIRECT, message, peer.peerAddress);
     });
--- a/packages/gateway/src/followPrefix/index.ts
+++ b/packages/gateway/src/followPrefix/index.ts
@@ -48,16 +48,16 @@
 export function followPrefix(options: FollowPrefixOptions): () => void {
   const { store, log, prefix, now, random = Math.random } = options;
   const sleep = options.sleep ?? sleepFor;
-  let isStopped = false;
+  const stopped = new AbortController();
   let failures = 0;
   let failingSinceMs: number | undefined;
   let isLost = false;
   let startedAtMs = now();
 
   async function follow(): Promise<void> {
-    while (!isStopped) {
+    while (!stopped.signal.aborted) {
       const listed = await store.list(prefix)();
-      if (isStopped) return;
+      if (stopped.signal.aborted) return;
       if (E.isLeft(listed)) {
         await failed('list', listed.left);
         continue;
@@ -71,10 +71,10 @@
   /** Returns when the items have to be listed again. */
   async function watchFrom(firstRevision: number): Promise<void> {
     let afterRevision = firstRevision;
-    while (!isStopped) {
+    while (!stopped.signal.aborted) {
       const { waitMs } = options;
       const watched = await store.watch({ prefix, afterRevision, waitMs })();
-      if (isStopped) return;
+      if (stopped.signal.aborted) return;
       if (E.isLeft(watched)) {
         await failed('watch', watched.left);
         return;
@@ -125,7 +125,7 @@
     log.warn('store.followFailed', { prefix, reason: String(error) });
   });
   return () => {
-    isStopped = true;
+    stopped.abort();
   };
 }
 
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -96,7 +96,7 @@
   }
 
   function sendTo(plan: SendPlan): void {
-    let isEnded = false;
+    const ended = new AbortController();
     const started = runSend(
       {
         call,
@@ -109,14 +109,14 @@
         onSent,
         onEvent,
         onEnd(result) {
-          isEnded = true;
+          ended.abort();
           running = undefined;
           sendEnded(plan, result);
         },
       },
       context,
     );
-    if (!isEnded) running = started;
+    if (!ended.signal.aborted) running = started;
   }
 
   function onSent(): void {
--- a/packages/gateway/src/httpDialect/index.ts
+++ b/packages/gateway/src/httpDialect/index.ts
@@ -51,7 +51,9 @@
 /** How a deployment spells what the gateway needs to know of HTTP messages. */
 export interface HttpDialect {
   readonly readCaller: (headers: IncomingHttpHeaders) => CallerHead;
-  readonly writeSend: (head: SendHead) => readonly (readonly [string, string])[];
+  readonly writeSend: (
+    head: SendHead,
+  ) => readonly (readonly [string, string])[];
   readonly readTarget: (
     status: number,
     headers: IncomingHttpHeaders,
@@ -102,6 +104,8 @@
   );
   return pairs.filter(([name]) => {
     const key = name.toLowerCase();
-    return !CONNECTION_HEADERS.has(key) && !named.has(key) && !withheld.has(key);
+    return (
+      !CONNECTION_HEADERS.has(key) && !named.has(key) && !withheld.has(key)
+    );
   });
 }
--- a/packages/gateway/src/runSend/_lib/stallLimitMs.ts
+++ b/packages/gateway/src/runSend/_lib/stallLimitMs.ts
@@ -68,7 +68,8 @@
     route.targetLatencyMs * CALLER_AIM_FACTOR,
     route.gapTargetMs * CALLER_GAP_FACTOR,
   );
-  const explainedMs = backlogMs > 0 ? silentMs + backlogMs + BACKLOG_MARGIN_MS : 0;
+  const explainedMs =
+    backlogMs > 0 ? silentMs + backlogMs + BACKLOG_MARGIN_MS : 0;
   const canWait = explainedMs <= patienceMs - RESUME_MS;
   return Math.max(usualMs, canWait ? explainedMs : 0) - silentMs;
 }
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -108,7 +108,8 @@
       (held) => {
         if (isOver) return;
         if (E.isRight(held)) send(held.right);
-        else finish({ type: 'notSent', reason: `no memory: ${held.left.type}` });
+        else
+          finish({ type: 'notSent', reason: `no memory: ${held.left.type}` });
       },
     );
   }
@@ -332,9 +333,7 @@
   const leftMs = Math.floor(run.deadlineAtMs - context.now());
   return [
     ...passedHeaders(call.rawHeaders, context.dialect.withheldHeaders),
-    ...(hasBody
-      ? [['Content-Length', String(call.body.length)] as const]
-      : []),
+    ...(hasBody ? [['Content-Length', String(call.body.length)] as const] : []),
     ...context.dialect.writeSend({
       targetId: run.plan.target.id,
       deadlineMs: Math.max(leftMs, LEAST_DEADLINE_MS),
--- a/packages/gateway/src/sendRequest/index.ts
+++ b/packages/gateway/src/sendRequest/index.ts
@@ -119,7 +119,7 @@
     socket.prependOnceListener('end', () => {
       if (!isOver && answer !== undefined && isUnframed(answer)) {
         socket.write(RESET_PROBE, (error) => {
-          if (error != null) noteCut();
+          if (error !== null && error !== undefined) noteCut();
         });
       }
     });
@@ -222,7 +222,8 @@
   attemptId: string,
 ): string | undefined {
   const isSuccess = status >= SUCCESS_FROM && status < SUCCESS_BELOW;
-  const isForeign = head.attemptId !== undefined && head.attemptId !== attemptId;
+  const isForeign =
+    head.attemptId !== undefined && head.attemptId !== attemptId;
   if (isForeign) return 'answer to another request';
   if (!isSuccess) return undefined;
   if (head.attemptId === undefined) return 'success without the request id';
--- a/packages/gateway/src/splitEvents/index.ts
+++ b/packages/gateway/src/splitEvents/index.ts
@@ -26,7 +26,8 @@
   let pending: Buffer = Buffer.alloc(0);
   return {
     push(chunk) {
-      const bytes = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+      const bytes =
+        pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
       const events: StreamEvent[] = [];
       let from = 0;
       let at = bytes.indexOf(EVENT_END);
