--- /dev/null
+++ b/packages/core/src/forwarding/decideNext/test.ts
@@ -0,0 +1,120 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { decideNext, type SendEnd, type SendProgress } from './index.ts';
+
+const progress: SendProgress = {
+  repeat: 'idempotent',
+  resumable: false,
+  sends: 1,
+  unsent: 0,
+  maxAttempts: 2,
+  mayHaveRun: true,
+  answerBegun: false,
+  timeLeftMs: 500,
+  budgetLeft: true,
+  isCrasher: false,
+};
+
+const broken: SendEnd = { type: 'broken', reason: 'reset' };
+const refused: SendEnd = { type: 'refused', status: 503 };
+
+const anyEnd: fc.Arbitrary<SendEnd> = fc.oneof(
+  fc.constant<SendEnd>({ type: 'notSent', reason: 'connect' }),
+  fc.constant(refused),
+  fc.constant(broken),
+  fc.constant<SendEnd>({ type: 'stalled' }),
+  fc.constantFrom(200, 404, 500).map((status) => ({
+    type: 'answered' as const,
+    status,
+  })),
+);
+
+const anyProgress: fc.Arbitrary<SendProgress> = fc.record({
+  repeat: fc.constantFrom('idempotent', 'atMostOnce', 'stream'),
+  resumable: fc.boolean(),
+  sends: fc.integer({ min: 0, max: 3 }),
+  unsent: fc.integer({ min: 0, max: 5 }),
+  maxAttempts: fc.integer({ min: 1, max: 3 }),
+  mayHaveRun: fc.boolean(),
+  answerBegun: fc.boolean(),
+  timeLeftMs: fc.integer({ min: -100, max: 1000 }),
+  budgetLeft: fc.boolean(),
+  isCrasher: fc.boolean(),
+});
+
+describe('decideNext', () => {
+  it('sends a broken idempotent request again', () => {
+    expect(decideNext(broken, progress).type).to.equal('sendAgain');
+  });
+
+  it('fails a broken call that may run once', () => {
+    const once = { ...progress, repeat: 'atMostOnce' as const };
+    expect(decideNext(broken, once).type).to.equal('fail');
+  });
+
+  it('resumes a broken stream only where its route allows it', () => {
+    const stream = {
+      ...progress,
+      repeat: 'stream' as const,
+      answerBegun: true,
+    };
+    expect(decideNext(broken, stream).type).to.equal('cutOff');
+    const resumable = { ...stream, resumable: true };
+    expect(decideNext(broken, resumable).type).to.equal('sendAgain');
+  });
+
+  it('sends a refused call that may run once elsewhere, and then refuses it', () => {
+    const once = {
+      ...progress,
+      repeat: 'atMostOnce' as const,
+      mayHaveRun: false,
+    };
+    expect(decideNext(refused, once).type).to.equal('sendAgain');
+    const last = { ...once, sends: 2 };
+    expect(decideNext(refused, last).type).to.equal('refuse');
+  });
+
+  it("repeats a target's own failure of an idempotent request, then delivers it", () => {
+    const failed: SendEnd = { type: 'answered', status: 500 };
+    expect(decideNext(failed, progress).type).to.equal('sendAgain');
+    const last = { ...progress, sends: 2 };
+    expect(decideNext(failed, last).type).to.equal('deliver');
+  });
+
+  it('never sends again what may have run and may run once', () => {
+    fc.assert(
+      fc.property(anyEnd, anyProgress, (end, known) => {
+        const isOnce =
+          known.repeat === 'atMostOnce' ||
+          (known.repeat === 'stream' && !known.resumable);
+        const ran = end.type === 'broken' || end.type === 'stalled';
+        if (!isOnce || !(known.mayHaveRun || ran)) return true;
+        if (end.type === 'notSent') return true;
+        const after = { ...known, mayHaveRun: true };
+        return decideNext(end, after).type !== 'sendAgain';
+      }),
+      { seed: 2 },
+    );
+  });
+
+  it('never refuses as not run what may have run', () => {
+    fc.assert(
+      fc.property(anyEnd, anyProgress, (end, known) => {
+        const after = { ...known, mayHaveRun: true };
+        return decideNext(end, after).type !== 'refuse';
+      }),
+      { seed: 3 },
+    );
+  });
+
+  it('never sends to more targets than allowed, nor beyond the budget', () => {
+    fc.assert(
+      fc.property(anyEnd, anyProgress, (end, known) => {
+        if (decideNext(end, known).type !== 'sendAgain') return true;
+        const isFree = end.type === 'notSent';
+        return known.sends < known.maxAttempts && (known.budgetLeft || isFree);
+      }),
+      { seed: 4 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/core/src/forwarding/engineLoad/test.ts
@@ -0,0 +1,85 @@
+import { expect } from 'chai';
+import {
+  allLoads,
+  type Flight,
+  initialLoad,
+  type LoadEvent,
+  NO_LOAD,
+  PEER_LOAD_LIFETIME_MS,
+  reduceLoad,
+} from './index.ts';
+
+const flight: Flight = {
+  flightId: 'f1',
+  targetId: 'a',
+  helperIds: ['b'],
+  partReadMs: 200,
+  memoryTokens: 1000,
+  contextTokens: 1000,
+  value: 2,
+  isShort: false,
+  seats: [{ targetId: 'c', tokens: 500 }],
+  gapTargetMs: 600,
+  startedAtMs: 0,
+  isWriting: false,
+};
+
+const run = (events: readonly LoadEvent[]) =>
+  events.reduce((state, event) => reduceLoad(state, event).state, initialLoad);
+
+const started = (one: Flight): LoadEvent => ({
+  type: 'load.started',
+  flight: one,
+});
+
+describe('engineLoad', () => {
+  it('counts a part at each engine, and memory where it lies', () => {
+    const loads = allLoads(run([started(flight)]), 50);
+    expect(loads.get('a')).to.deep.include({ requests: 1, readMs: 150 });
+    expect(loads.get('b')).to.deep.include({ requests: 0, readMs: 150 });
+    expect(loads.get('c')).to.deep.include({ memoryTokens: 500, readMs: 0 });
+  });
+
+  it('queues the parts of one engine, also those that peers told of', () => {
+    const state = run([
+      started(flight),
+      {
+        type: 'load.heard',
+        peer: 'p',
+        atMs: 20,
+        flights: [{ ...flight, helperIds: [], startedAtMs: 10 }],
+      },
+    ]);
+    expect(allLoads(state, 100).get('a')?.readMs).to.equal(300);
+  });
+
+  it('takes what a peer told for a while only', () => {
+    const state = run([
+      { type: 'load.heard', peer: 'p', atMs: 0, flights: [flight] },
+    ]);
+    const before = allLoads(state, PEER_LOAD_LIFETIME_MS - 1);
+    expect(before.get('a')?.requests).to.equal(1);
+    expect(allLoads(state, PEER_LOAD_LIFETIME_MS).size).to.equal(0);
+  });
+
+  it('has no reading left once the first token has come, nothing at the end', () => {
+    const writing = run([
+      started(flight),
+      { type: 'load.firstToken', flightId: 'f1' },
+    ]);
+    const load = allLoads(writing, 50).get('a') ?? NO_LOAD;
+    expect(load).to.deep.include({ readMs: 0, writers: 1, writersValue: 2 });
+    const ended = run([
+      started(flight),
+      { type: 'load.ended', flightId: 'f1' },
+    ]);
+    expect(allLoads(ended, 50).size).to.equal(0);
+  });
+
+  it('takes an engine whose prompt is overdue to be busy', () => {
+    const state = run([started(flight)]);
+    expect(allLoads(state, 300).get('a')?.readMs).to.equal(0);
+    expect(allLoads(state, 1000).get('a')?.readMs).to.equal(650);
+    expect(allLoads(state, 9000).get('a')?.readMs).to.equal(1500);
+  });
+});
--- /dev/null
+++ b/packages/core/src/forwarding/peerList/test.ts
@@ -0,0 +1,56 @@
+import { expect } from 'chai';
+import {
+  initialPeers,
+  PEER_SILENCE_MS,
+  type PeersEvent,
+  type PeerSelf,
+  reducePeers,
+  servingPeers,
+} from './index.ts';
+
+const self: PeerSelf = {
+  name: 'p',
+  peerAddress: '10.0.0.1:7340',
+  callerAddress: '10.0.0.1:80',
+  dataCentre: 'a',
+  startedAtUnixMs: 1000,
+  isReady: true,
+  isLeaving: false,
+  configVersion: 1,
+};
+
+const heard = (atMs: number, more: Partial<PeerSelf> = {}): PeersEvent => ({
+  type: 'peers.heard',
+  atMs,
+  self: { ...self, ...more },
+});
+
+const serving = (events: readonly PeersEvent[], nowMs: number) =>
+  servingPeers(
+    events.reduce(
+      (state, event) => reducePeers(state, event).state,
+      initialPeers,
+    ),
+    nowMs,
+  ).length;
+
+describe('peerList', () => {
+  it('serves while it is heard, ready and not leaving', () => {
+    expect(serving([heard(0)], 10)).to.equal(1);
+    expect(serving([heard(0)], PEER_SILENCE_MS)).to.equal(0);
+    expect(serving([heard(0, { isReady: false })], 10)).to.equal(0);
+    expect(serving([heard(0), heard(1, { isLeaving: true })], 10)).to.equal(0);
+  });
+
+  it('ignores a late datagram of an earlier process', () => {
+    const newer = heard(0, { startedAtUnixMs: 2000 });
+    expect(serving([newer, heard(1, { isReady: false })], 10)).to.equal(1);
+  });
+
+  it('takes a process whose clock was set back once the other is silent', () => {
+    const later = heard(0, { startedAtUnixMs: 9_000_000 });
+    expect(serving([later, heard(PEER_SILENCE_MS)], PEER_SILENCE_MS)).to.equal(
+      1,
+    );
+  });
+});
--- a/packages/gateway/src/followPrefix/index.ts
+++ b/packages/gateway/src/followPrefix/index.ts
@@ -49,15 +49,16 @@
   const { store, log, prefix, now, random = Math.random } = options;
   const sleep = options.sleep ?? sleepFor;
   const stopped = new AbortController();
+  const isStopped = (): boolean => stopped.signal.aborted;
   let failures = 0;
   let failingSinceMs: number | undefined;
   let isLost = false;
   let startedAtMs = now();
 
   async function follow(): Promise<void> {
-    while (!stopped.signal.aborted) {
+    while (!isStopped()) {
       const listed = await store.list(prefix)();
-      if (stopped.signal.aborted) return;
+      if (isStopped()) return;
       if (E.isLeft(listed)) {
         await failed('list', listed.left);
         continue;
@@ -71,10 +72,10 @@
   /** Returns when the items have to be listed again. */
   async function watchFrom(firstRevision: number): Promise<void> {
     let afterRevision = firstRevision;
-    while (!stopped.signal.aborted) {
+    while (!isStopped()) {
       const { waitMs } = options;
       const watched = await store.watch({ prefix, afterRevision, waitMs })();
-      if (stopped.signal.aborted) return;
+      if (isStopped()) return;
       if (E.isLeft(watched)) {
         await failed('watch', watched.left);
         return;
