Do not cut the last send for silence; share the retry slack with the gone

Tests: 'answers at the route's time whatever the target does' (502 before, 504 after), 'gives a process that has just started nothing of the slack'.

--- a/packages/core/src/forwarding/retryBudget/index.ts
+++ b/packages/core/src/forwarding/retryBudget/index.ts
@@ -19,6 +19,9 @@
   readonly slack: number;
   /** Entries that share `slack`. */
   readonly entries: number;
+  /** Time since this process began to count; what its predecessor sent within
+   * the window is not known. */
+  readonly countedMs: number;
 }
 
 /** A request of a caller, or a send beyond the first of one. */
@@ -80,7 +83,7 @@
  * @returns Whether a request may be sent once more.
  *
  * @example
- * mayRepeat(state, { service, atMs }, { ratio: 0.2, windowMs, slack, entries });
+ * mayRepeat(state, { service, atMs }, options);
  */
 export function mayRepeat(
   state: BudgetState,
@@ -93,7 +96,9 @@
   );
   const requests = sumOf(buckets, (bucket) => bucket.requests);
   const repeats = sumOf(buckets, (bucket) => bucket.repeats);
-  const slack = (SLACK_USE * options.slack) / Math.max(options.entries, 1);
+  const known = Math.min(options.countedMs / options.windowMs, 1);
+  const slack =
+    (known * SLACK_USE * options.slack) / Math.max(options.entries, 1);
   return repeats + 1 <= options.ratio * requests + slack;
 }
 
--- a/packages/core/src/forwarding/retryBudget/test.ts
+++ b/packages/core/src/forwarding/retryBudget/test.ts
@@ -13,6 +13,7 @@
   windowMs: 10_000,
   slack: 100,
   entries: 8,
+  countedMs: 60_000,
 };
 
 const count = (
@@ -54,6 +55,14 @@
     expect(mayRepeat(used, { ...query, atMs: 12_000 }, options)).to.equal(true);
   });
 
+  it('gives a process that has just started nothing of the slack', () => {
+    const fresh = { ...options, countedMs: 0 };
+    const query = { service: 's', atMs: 0 };
+    expect(mayRepeat(initialBudget, query, fresh)).to.equal(false);
+    const half = { ...options, countedMs: 5_000 };
+    expect(mayRepeat(initialBudget, query, half)).to.equal(true);
+  });
+
   it('keeps all entries together within the budget, in every window', () => {
     const anySteps = fc.array(
       fc.tuple(
--- /dev/null
+++ b/packages/gateway/src/followPrefix/test.ts
@@ -0,0 +1,156 @@
+import { expect } from 'chai';
+import * as E from 'fp-ts/lib/Either.js';
+import type { EventLog } from '../createEventLog/index.ts';
+import type {
+  StoreChange,
+  StoreError,
+  StoredItem,
+  StorePort,
+} from '../storePort/index.ts';
+import { followPrefix } from './index.ts';
+
+const silent: EventLog = {
+  info: () => undefined,
+  warn: () => undefined,
+  droppedLines: () => 0,
+  flush: (done) => {
+    done();
+  },
+};
+
+const item = (key: string, revision: number): StoredItem => ({
+  key,
+  value: Buffer.from(key),
+  revision,
+});
+
+const put = (key: string, revision: number): StoreChange => ({
+  type: 'put',
+  item: item(key, revision),
+});
+
+type Scripted =
+  | { readonly list: readonly StoredItem[]; readonly revision: number }
+  | { readonly changes: readonly StoreChange[]; readonly revision: number }
+  | { readonly error: StoreError };
+
+/** Plays a script against a follower; ends when the script does. */
+async function follow(script: readonly Scripted[]): Promise<readonly string[]> {
+  const seen: string[] = [];
+  let step = 0;
+  let clockMs = 0;
+  let stop: () => void = () => undefined;
+  await new Promise<void>((resolve) => {
+    const next = (call: string): Scripted | undefined => {
+      const scripted = script[step];
+      step += 1;
+      if (scripted === undefined) {
+        stop();
+        resolve();
+        return undefined;
+      }
+      seen.push(call);
+      return scripted;
+    };
+    const store = {
+      list: () => () => {
+        const scripted = next('list');
+        if (scripted === undefined || 'error' in scripted) {
+          return Promise.resolve(
+            E.left(
+              scripted?.error ?? { type: 'unanswered', reason: 'script ended' },
+            ),
+          );
+        }
+        const items = 'list' in scripted ? scripted.list : [];
+        return Promise.resolve(E.right({ items, revision: scripted.revision }));
+      },
+      watch: (query: { readonly afterRevision: number }) => () => {
+        const scripted = next(`watch ${query.afterRevision}`);
+        if (scripted === undefined || 'error' in scripted) {
+          return Promise.resolve(
+            E.left(
+              scripted?.error ?? { type: 'unanswered', reason: 'script ended' },
+            ),
+          );
+        }
+        const changes = 'changes' in scripted ? scripted.changes : [];
+        return Promise.resolve(
+          E.right({ changes, revision: scripted.revision }),
+        );
+      },
+    } as unknown as StorePort;
+    stop = followPrefix({
+      store,
+      log: silent,
+      prefix: 'x/',
+      waitMs: 1000,
+      gatherMs: 0,
+      onList: (items) => {
+        seen.push(`listed ${items.map((one) => one.key).join()}`);
+      },
+      onChange: (change) => {
+        seen.push(change.type === 'put' ? `put ${change.item.key}` : 'removed');
+      },
+      onLost: () => {
+        seen.push('lost');
+      },
+      now: () => clockMs,
+      sleep: (ms) => {
+        clockMs += ms;
+        return Promise.resolve();
+      },
+      random: () => 0.5,
+    });
+  });
+  return seen;
+}
+
+describe('followPrefix', () => {
+  it('watches on from the revision of each answer', async () => {
+    const seen = await follow([
+      { list: [item('x/a', 3)], revision: 5 },
+      { changes: [put('x/b', 6)], revision: 6 },
+      { changes: [], revision: 9 },
+      { changes: [{ type: 'removed', key: 'x/a' }], revision: 10 },
+    ]);
+    expect(seen).to.deep.equal([
+      'list',
+      'listed x/a',
+      'watch 5',
+      'put x/b',
+      'watch 6',
+      'watch 9',
+      'removed',
+    ]);
+  });
+
+  it('lists again when its history is gone', async () => {
+    const seen = await follow([
+      { list: [], revision: 5 },
+      { error: { type: 'historyGone' } },
+      { list: [item('x/b', 8)], revision: 8 },
+      { changes: [], revision: 8 },
+    ]);
+    expect(seen).to.deep.equal([
+      'list',
+      'listed ',
+      'watch 5',
+      'list',
+      'listed x/b',
+      'watch 8',
+    ]);
+  });
+
+  it('says that the store is lost only when it stays away', async () => {
+    const refused: Scripted = { error: { type: 'refused', status: 503 } };
+    const once = await follow([refused, { list: [], revision: 1 }]);
+    expect(once).not.to.include('lost');
+    const long = await follow([
+      { list: [], revision: 1 },
+      ...Array<Scripted>(8).fill(refused),
+      { list: [], revision: 1 },
+    ]);
+    expect(long.filter((one) => one === 'lost')).to.have.length(1);
+  });
+});
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -4,7 +4,6 @@
   mayRepeat,
   type NextStep,
   type SendProgress,
-  servingPeers,
 } from '@endivegate/core/forwarding';
 import type { Reply } from '../createReply/index.ts';
 import { passedHeaders } from '../httpDialect/index.ts';
@@ -102,6 +101,7 @@
         call,
         plan,
         number: sends + unsent + 1,
+        isLast: sends + 1 >= route.maxAttempts,
         deadlineAtMs,
         resumeAfterId: lastEventId,
       },
@@ -164,7 +164,9 @@
   function progress(): SendProgress {
     const state = runtime.state();
     const atMs = now();
-    const entries = servingPeers(state.peers, atMs).length + 1;
+    // Also entries that are gone may have used the budget within its window.
+    const entries = state.peers.size + 1;
+    const countedMs = atMs - context.startedAtMs;
     return {
       repeat: route.repeat,
       resumable: route.resumable,
@@ -177,7 +179,7 @@
       budgetLeft: mayRepeat(
         state.budget,
         { service: service.name, atMs },
-        { ...context.bounds.retry, entries },
+        { ...context.bounds.retry, entries, countedMs },
       ),
       isCrasher:
         state.suspects.size > 0 && isCrasher(state.suspects, fingerprint()),
--- a/packages/gateway/src/forwardRequest/types.ts
+++ b/packages/gateway/src/forwardRequest/types.ts
@@ -35,6 +35,8 @@
   readonly metrics: GatewayMetrics;
   readonly bounds: GatewayBounds;
   readonly dataCentre: string;
+  /** Monotonic time at which the gateway started. */
+  readonly startedAtMs: number;
   /** Monotonic time in ms. */
   readonly now: () => number;
 }
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -26,7 +26,7 @@
 
 /** Bounds of a deployment that the gateway keeps. */
 export interface GatewayBounds {
-  readonly retry: Omit<RetryBudgetOptions, 'entries'>;
+  readonly retry: Omit<RetryBudgetOptions, 'entries' | 'countedMs'>;
   /** From the request to stop until the process is killed. */
   readonly graceMs: number;
 }
--- a/packages/gateway/src/runSend/_lib/stallLimitMs.ts
+++ b/packages/gateway/src/runSend/_lib/stallLimitMs.ts
@@ -5,6 +5,8 @@
 export interface StallQuery {
   readonly route: ForwardingRoute;
   readonly plan: SendPlan;
+  /** Whether no other send may follow this one. */
+  readonly isLast: boolean;
   /** Whether this send has brought an event. */
   readonly hasBegun: boolean;
   readonly timeLeftMs: number;
@@ -49,7 +51,8 @@
  * is done before the caller loses patience.
  */
 export function stallLimitMs(query: StallQuery): number | undefined {
-  const { route, plan, hasBegun, timeLeftMs, silentMs } = query;
+  const { route, plan, isLast, hasBegun, timeLeftMs, silentMs } = query;
+  if (isLast) return undefined;
   if (route.repeat === 'atMostOnce') return undefined;
   if (route.repeat === 'stream' && !route.resumable) return undefined;
   if (route.repeat === 'idempotent') return timeLeftMs * PLAIN_SHARE - silentMs;
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -23,6 +23,8 @@
   readonly plan: SendPlan;
   /** Number of this send, from 1. */
   readonly number: number;
+  /** Whether no other send may follow this one. */
+  readonly isLast: boolean;
   readonly deadlineAtMs: number;
   /** Id of the last event that the caller has, when a stream is resumed. */
   readonly resumeAfterId: number | undefined;
@@ -193,6 +195,7 @@
     return stallLimitMs({
       route: call.route,
       plan,
+      isLast: run.isLast,
       hasBegun: events > 0,
       timeLeftMs: run.deadlineAtMs - startedAtMs,
       backlogMs: load?.readMs ?? 0,
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -42,6 +42,8 @@
   readonly callerAddresses: () => readonly string[];
   /** Leaves: announces it, finishes what is open, then calls back. */
   readonly leave: (done: () => void) => void;
+  /** Closes everything at once. */
+  readonly stop: () => void;
 }
 
 /** Callers keep an address list for three times its lifetime of 1 s at most,
@@ -85,6 +87,7 @@
       metrics,
       bounds,
       dataCentre: options.dataCentre,
+      startedAtMs: now(),
       now,
     },
     { isLeaving: () => isLeaving },
@@ -154,17 +157,21 @@
         elapsedMs >= STALE_CALLERS_MS && front.openRequests() === 0;
       if (!isQuiet && elapsedMs < bounds.graceMs * GRACE_USE) return;
       clearInterval(check);
-      clearInterval(ticker);
       log.info('left', { elapsedMs, openRequests: front.openRequests() });
-      front.server.close();
-      front.closeIdle();
-      peers.close();
-      pool.close();
+      stop();
       done();
     }, LEAVE_CHECK_MS);
   }
 
-  return { runtime, peers, isReady, callerAddresses, leave };
+  function stop(): void {
+    clearInterval(ticker);
+    front.server.close();
+    front.closeIdle();
+    peers.close();
+    pool.close();
+  }
+
+  return { runtime, peers, isReady, callerAddresses, leave, stop };
 }
 
 function listen(server: Server, address: string): void {
--- /dev/null
+++ b/packages/gateway/src/startGateway/test.ts
@@ -0,0 +1,406 @@
+import { expect } from 'chai';
+import {
+  createServer,
+  type IncomingMessage,
+  request as httpRequest,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import { type AddressInfo, connect, createServer as createTcp } from 'node:net';
+import type {
+  ForwardingConfig,
+  ForwardingRoute,
+  ListedTarget,
+} from '@endivegate/contracts/forwarding';
+import * as E from 'fp-ts/lib/Either.js';
+import { createEventLog } from '../createEventLog/index.ts';
+import { createGatewayMetrics } from '../createGatewayMetrics/index.ts';
+import { testDialect } from '../testDialect/index.ts';
+import { type Gateway, startGateway } from './index.ts';
+
+const HOST = '127.0.0.1';
+
+const base: ForwardingRoute = {
+  name: 'read',
+  host: 'api.example',
+  prefix: '/read/',
+  repeat: 'idempotent',
+  timeoutMs: 2000,
+  targetLatencyMs: 100,
+  gapTargetMs: 0,
+  priority: 1,
+  shares: [{ service: 'plain', weight: 1 }],
+  maxAttempts: 2,
+  anonymous: false,
+  resumable: false,
+};
+
+const config: ForwardingConfig = {
+  version: 1,
+  routes: [
+    base,
+    { ...base, name: 'open', prefix: '/open/', anonymous: true },
+    { ...base, name: 'pay', prefix: '/pay/', repeat: 'atMostOnce' },
+    {
+      ...base,
+      name: 'stream',
+      prefix: '/stream/',
+      repeat: 'stream',
+      resumable: true,
+      gapTargetMs: 500,
+    },
+    {
+      ...base,
+      name: 'fixed',
+      prefix: '/fixed/',
+      repeat: 'stream',
+      gapTargetMs: 500,
+    },
+    { ...base, name: 'brief', prefix: '/brief/', timeoutMs: 120 },
+  ],
+  services: [{ name: 'plain', healthPath: '/h', maxConnections: 100 }],
+  workspaces: [{ name: 'w1', keys: ['k1'] }],
+  limits: {
+    maxHeaderBytes: 2000,
+    maxBodyBytes: 1000,
+    headerTimeoutMs: 3000,
+    idleTimeoutMs: 15_000,
+  },
+};
+
+interface Received {
+  readonly target: string;
+  readonly url: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+}
+
+interface Answered {
+  readonly status: number;
+  readonly body: string;
+  readonly headers: IncomingMessage['headers'];
+  /** Whether the answer ended as its framing says. */
+  readonly isWhole: boolean;
+}
+
+const portOf = (server: { address: () => unknown }) =>
+  (server.address() as AddressInfo).port;
+
+const listenAny = <S extends Server>(server: S) =>
+  new Promise<S>((resolve) => {
+    server.listen(0, HOST, () => {
+      resolve(server);
+    });
+  });
+
+async function freePort(): Promise<number> {
+  const server = createTcp();
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  const port = portOf(server);
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+/** Answers as a target that signs what it ran. */
+function sign(request: IncomingMessage, response: ServerResponse): void {
+  response.setHeader('x-request', String(request.headers['x-request']));
+  response.setHeader('x-signed', '1');
+}
+
+describe('startGateway', () => {
+  const received: Received[] = [];
+  let servers: Server[] = [];
+  let gateway: Gateway;
+  let callerPort = 0;
+
+  async function start(...behaviours: RequestListener[]): Promise<void> {
+    received.length = 0;
+    servers = await Promise.all(
+      behaviours.map((behave, index) =>
+        listenAny(
+          createServer((request, response) => {
+            const chunks: Buffer[] = [];
+            request.on('data', (chunk: Buffer) => chunks.push(chunk));
+            request.on('end', () => {
+              received.push({
+                target: `t${index}`,
+                url: request.url ?? '',
+                headers: request.headers,
+                body: Buffer.concat(chunks).toString(),
+              });
+              behave(request, response);
+            });
+          }),
+        ),
+      ),
+    );
+    callerPort = await freePort();
+    gateway = startGateway({
+      name: 'e1',
+      dataCentre: 'a',
+      callerAddress: `${HOST}:${callerPort}`,
+      peerAddress: `${HOST}:${await freePort()}`,
+      seedAddresses: [],
+      bounds: {
+        retry: { ratio: 0.2, windowMs: 10_000, slack: 100 },
+        graceMs: 8000,
+      },
+      dialect: testDialect,
+      orders: {
+        reserve: () => () => Promise.resolve(E.right(undefined)),
+        release: () => () => Promise.resolve(E.right(undefined)),
+      },
+      log: createEventLog({
+        entryId: 'e1',
+        write: (_text, done) => {
+          done();
+        },
+      }),
+      metrics: createGatewayMetrics(),
+      // Counted as up for longer than the retry budget's window.
+      now: createLateClock(),
+    });
+    const targets = servers.map((server, index): ListedTarget => ({
+      id: `t${index}`,
+      service: 'plain',
+      address: `${HOST}:${portOf(server)}`,
+      dataCentre: index === 0 ? 'a' : 'b',
+      draining: false,
+      slots: 4,
+      bornMs: 0,
+    }));
+    gateway.runtime.dispatch({ type: 'roster.listed', atMs: 0, targets });
+  }
+
+  /** Jumps ahead once after the gateway has noted its start. */
+  function createLateClock(): () => number {
+    let calls = 0;
+    return () => {
+      calls += 1;
+      return performance.now() + (calls > 1 ? 60_000 : 0);
+    };
+  }
+
+  afterEach(async () => {
+    servers.forEach((server) => {
+      server.closeAllConnections();
+      server.close();
+    });
+    gateway.stop();
+    await new Promise((resolve) => setImmediate(resolve));
+  });
+
+  const ask = (
+    path: string,
+    options: {
+      readonly headers?: Readonly<Record<string, string>>;
+      readonly body?: string;
+      readonly method?: string;
+    } = {},
+  ) =>
+    new Promise<Answered>((resolve, reject) => {
+      const request = httpRequest(
+        {
+          host: HOST,
+          port: callerPort,
+          path,
+          agent: false,
+          method:
+            options.method ?? (options.body === undefined ? 'GET' : 'POST'),
+          headers: {
+            host: 'api.example',
+            'x-request': 'a1',
+            authorization: 'Bearer k1',
+            ...options.headers,
+          },
+        },
+        (response) => {
+          const chunks: Buffer[] = [];
+          const done = (isWhole: boolean) => {
+            resolve({
+              status: response.statusCode ?? 0,
+              headers: response.headers,
+              body: Buffer.concat(chunks).toString(),
+              isWhole,
+            });
+          };
+          response.on('data', (chunk: Buffer) => chunks.push(chunk));
+          response.on('end', () => {
+            done(response.complete);
+          });
+          response.on('error', () => {
+            done(false);
+          });
+        },
+      );
+      request.on('error', reject);
+      request.end(options.body);
+    });
+
+  const ok: RequestListener = (request, response) => {
+    sign(request, response);
+    response.end('fine');
+  };
+
+  const refuseIt: RequestListener = (_request, response) => {
+    response.writeHead(503, { 'x-not-run': '1' });
+    response.end();
+  };
+
+  const reset: RequestListener = (request) => {
+    request.socket.resetAndDestroy();
+  };
+
+  it('refuses, as not run, until it has a configuration', async () => {
+    await start(ok);
+    const answer = await ask('/read/1');
+    expect(answer.status).to.equal(503);
+    expect(answer.headers['retry-after']).to.equal('0.300');
+  });
+
+  it('forwards a call unchanged, without the key', async () => {
+    await start(ok);
+    gateway.runtime.applyConfig(config, 'test');
+    const answer = await ask('/pay/1?x=%20y', {
+      body: 'abc',
+      headers: { 'x-own': '7', 'x-deadline-ms': '700' },
+    });
+    expect(answer).to.include({ status: 200, body: 'fine', isWhole: true });
+    const [call] = received;
+    expect(call).to.include({ url: '/pay/1?x=%20y', body: 'abc' });
+    expect(call?.headers).to.include({ 'x-own': '7', 'x-target': 't0' });
+    expect(call?.headers.authorization).to.equal(undefined);
+    expect(Number(call?.headers['x-deadline-ms'])).to.be.at.most(700);
+  });
+
+  it('rejects what no route, key or limit allows, and forwards nothing', async () => {
+    await start(ok);
+    gateway.runtime.applyConfig(config, 'test');
+    const statuses = await Promise.all([
+      ask('/nowhere/').then((one) => one.status),
+      ask('/read/1', { headers: { host: 'other' } }).then((one) => one.status),
+      ask('/read/1', { headers: { authorization: 'Bearer no' } }).then(
+        (one) => one.status,
+      ),
+      ask('/read/1', { headers: { 'x-long': 'x'.repeat(3000) } }).then(
+        (one) => one.status,
+      ),
+      ask('/pay/1', { body: 'x'.repeat(1001) }).then((one) => one.status),
+    ]);
+    expect(statuses).to.deep.equal([404, 404, 401, 431, 413]);
+    expect(received).to.have.length(0);
+    const open = await ask('/open/1', { headers: { authorization: '' } });
+    expect(open.status).to.equal(200);
+  });
+
+  it('answers nothing of a request that is framed in two ways', async () => {
+    await start(ok);
+    gateway.runtime.applyConfig(config, 'test');
+    const text = await new Promise<string>((resolve) => {
+      const socket = connect(callerPort, HOST);
+      const chunks: Buffer[] = [];
+      socket.on('data', (chunk) => chunks.push(chunk));
+      socket.on('close', () => {
+        resolve(Buffer.concat(chunks).toString());
+      });
+      socket.write(
+        'POST /pay/1 HTTP/1.1\r\nHost: api.example\r\nx-request: a1\r\n' +
+          'Authorization: Bearer k1\r\nContent-Length: 4\r\n' +
+          'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/2 HTTP/1.1\r\n\r\n',
+      );
+    });
+    expect(text).to.match(/^HTTP\/1.1 400 /);
+    expect(received).to.have.length(0);
+  });
+
+  it('sends a broken read elsewhere, but not a call that may run once', async () => {
+    await start(reset, ok);
+    gateway.runtime.applyConfig(config, 'test');
+    expect((await ask('/read/1')).status).to.equal(200);
+    servers.forEach((server) => {
+      server.closeAllConnections();
+    });
+    await start(reset, reset);
+    gateway.runtime.applyConfig(config, 'test');
+    const failed = await ask('/pay/1', { body: 'x' });
+    expect(failed.status).to.equal(502);
+    expect(received).to.have.length(1);
+  });
+
+  it('refuses as not run only what every target refused', async () => {
+    await start(refuseIt, refuseIt);
+    gateway.runtime.applyConfig(config, 'test');
+    const answer = await ask('/pay/1', { body: 'x' });
+    expect(answer.status).to.equal(503);
+    expect(answer.headers['retry-after']).to.equal('0.150');
+    expect(received).to.have.length(2);
+  });
+
+  it('goes on with a broken stream at another target, event by event', async () => {
+    const events = [1, 2, 3, 4].map((id) => `id: ${id}\ndata: e${id}\n\n`);
+    const stream: RequestListener = (request, response) => {
+      sign(request, response);
+      const after = Number(request.headers['last-event-id'] ?? 0);
+      response.write(events.slice(after, after + 2).join(''));
+      if (after + 2 >= events.length) {
+        response.end();
+        return;
+      }
+      response.write('id: 3\ndata: tor');
+      setTimeout(() => request.socket.resetAndDestroy(), 20);
+    };
+    await start(stream, stream);
+    gateway.runtime.applyConfig(config, 'test');
+    const answer = await ask('/stream/1', { body: 'x' });
+    expect(answer).to.include({ body: events.join(''), isWhole: true });
+    expect(received.map((one) => one.headers['last-event-id'])).to.deep.equal([
+      undefined,
+      '2',
+    ]);
+  });
+
+  it('lets a stream that may not be resumed look cut off', async () => {
+    const cut: RequestListener = (request, response) => {
+      sign(request, response);
+      response.write('id: 1\ndata: a\n\n');
+      setTimeout(() => request.socket.resetAndDestroy(), 20);
+    };
+    await start(cut, ok);
+    gateway.runtime.applyConfig(config, 'test');
+    const answer = await ask('/fixed/1', { body: 'x' });
+    expect(answer.isWhole).to.equal(false);
+    expect(received).to.have.length(1);
+  });
+
+  it("answers at the route's time whatever the target does", async () => {
+    await start(
+      () => undefined,
+      () => undefined,
+    );
+    gateway.runtime.applyConfig(config, 'test');
+    const answer = await ask('/brief/1');
+    expect(answer.status).to.equal(504);
+  });
+
+  it('cancels the send when the caller has gone', async () => {
+    let leave: () => void = () => undefined;
+    let noteClosed: () => void = () => undefined;
+    const closed = new Promise<void>((resolve) => {
+      noteClosed = resolve;
+    });
+    await start((request) => {
+      request.socket.on('close', noteClosed);
+      leave();
+    });
+    gateway.runtime.applyConfig(config, 'test');
+    const caller = connect(callerPort, HOST);
+    leave = () => caller.destroy();
+    caller.write(
+      'GET /read/1 HTTP/1.1\r\nHost: api.example\r\nx-request: a1\r\n' +
+        'Authorization: Bearer k1\r\n\r\n',
+    );
+    await closed;
+    expect(received).to.have.length(1);
+  });
+});
