Follow all of the store by one watch

Cause: a waiting watch is a call that is paid for, and each entry held two and listed the announced entries every 10 s.

--- a/packages/gateway/src/announceEntry/index.ts
+++ b/packages/gateway/src/announceEntry/index.ts
@@ -10,32 +10,31 @@
   readonly name: string;
   /** Address at which peers reach this entry. */
   readonly peerAddress: string;
-  /** Called with the addresses that other entries announced. */
-  readonly onAddresses: (addresses: readonly string[]) => void;
   readonly sleep?: (ms: number) => Promise<void>;
 }
 
-const ENTRIES_PREFIX = 'endivegate/entries/';
+/** Keys of announced entries begin so; their values are peers' addresses. */
+export const ENTRIES_PREFIX = 'endivegate/entries/';
 
 /** An entry that is gone is listed for this long at most. */
-const LEASE_MS = 30_000;
+const LEASE_MS = 60_000;
 
 /** A third of the lease, so that two renewals may fail. */
-const RENEW_MS = 10_000;
+const RENEW_MS = 20_000;
 
 const RETRY_MS = 1000;
 
 /**
- * Announces this entry in the store, and reads who else is announced there.
+ * Announces this entry in the store, where all entries see who is there.
  *
  * Entries hear of each other from each other; the store is what they meet
  * through when the addresses in their settings are stale.
  *
- * @param options - The store, this entry, and who is told.
+ * @param options - The store and this entry.
  * @returns A function that stops announcing.
  *
  * @example
- * announceEntry({ store, log, name, peerAddress, onAddresses });
+ * announceEntry({ store, log, name, peerAddress });
  */
 export function announceEntry(options: AnnounceEntryOptions): () => void {
   const { store, log } = options;
@@ -45,7 +44,7 @@
 
   async function run(): Promise<void> {
     while (!isStopped) {
-      const isDone = (await announce()) && (await readOthers());
+      const isDone = await announce();
       await sleep(isDone ? RENEW_MS : RETRY_MS);
     }
   }
@@ -69,15 +68,6 @@
     return true;
   }
 
-  async function readOthers(): Promise<boolean> {
-    const listed = await store.list(ENTRIES_PREFIX, { mayBeStale: true })();
-    if (E.isLeft(listed)) return told('list', listed);
-    options.onAddresses(
-      listed.right.items.map((item) => item.value.toString('utf8')),
-    );
-    return true;
-  }
-
   function told(
     call: string,
     result: E.Left<Parameters<typeof describeStoreError>[0]>,
