--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -97,9 +97,15 @@
 
 const HASH_RANGE = 2 ** 32;
 
-const PACE_GAIN = 0.2;
+/** Weight of an observed pace that is slower than known, and of a faster one:
+ * a slow target is to be noticed within a few streams. */
+const SLOWER_GAIN = 0.4;
+const FASTER_GAIN = 0.2;
 const PACE_BOUND = 20;
 
+/** Pauses up to this many times the predicted ones are taken for load. */
+const PACE_NOISE = 1.6;
+
 /** Roster before the first list. */
 export const initialRoster: RosterState = {
   targets: new Map(),
@@ -283,14 +289,20 @@
 ): RosterStep {
   const known = state.targets.get(event.id);
   if (known === undefined) return { state, effects: [] };
-  const ratio = Math.min(event.ratio ?? known.pace, PACE_BOUND);
-  const pace = known.pace + PACE_GAIN * (ratio - known.pace);
+  const ratio = paceOf(event.ratio ?? known.pace);
+  const gain = ratio > known.pace ? SLOWER_GAIN : FASTER_GAIN;
+  const pace = Math.max(known.pace + gain * (ratio - known.pace), 1);
   return {
     state: withTarget(state, { ...known, failures: 0, avoidUntilMs: 0, pace }),
     effects: [],
   };
 }
 
+/** Load explains pauses that are a little longer than predicted. */
+function paceOf(ratio: number): number {
+  return ratio < PACE_NOISE ? 1 : Math.min(ratio, PACE_BOUND);
+}
+
 function fail(
   state: RosterState,
   event: Extract<RosterEvent, { type: 'roster.failed' }>,
--- a/packages/core/src/forwarding/targetRoster/test.ts
+++ b/packages/core/src/forwarding/targetRoster/test.ts
@@ -114,6 +114,20 @@
     expect(avoid([failed(0), success])).to.equal(0);
   });
 
+  it('learns the pace of a slow target within a few streams, and forgets it', () => {
+    const seen = (ratio: number): RosterEvent => ({
+      type: 'roster.succeeded',
+      atMs: 0,
+      id: 't1',
+      ratio,
+    });
+    const paceAfter = (...ratios: number[]) =>
+      run([listed(0, target), ...ratios.map(seen)]).targets.get('t1')?.pace;
+    expect(paceAfter(4, 4, 4)).to.be.above(3);
+    expect(paceAfter(0.5)).to.equal(1);
+    expect(paceAfter(4, 1, 1, 1, 1, 1, 1, 1, 1)).to.be.below(1.3);
+  });
+
   it('never offers a target after its draining, for any order of events', () => {
     const anyEvent: fc.Arbitrary<RosterEvent> = fc.oneof(
       fc.constant<RosterEvent>(listed(0, target)),
--- a/packages/gateway/src/forwardRequest/_lib/noteOutcome.ts
+++ b/packages/gateway/src/forwardRequest/_lib/noteOutcome.ts
@@ -18,7 +18,7 @@
   const { id } = plan.target;
   switch (end.type) {
     case 'answered':
-      dispatch({ type: 'roster.succeeded', atMs, id, ratio: undefined });
+      dispatch({ type: 'roster.succeeded', atMs, id, ratio: result.pace });
       if (state().suspects.size > 0) {
         dispatch({ type: 'suspects.cleared', fingerprint: fingerprint() });
       }
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -1,4 +1,8 @@
-import { allLoads, type SendEnd } from '@endivegate/core/forwarding';
+import {
+  allLoads,
+  estimatePassMs,
+  type SendEnd,
+} from '@endivegate/core/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 import {
@@ -42,6 +46,8 @@
   readonly target: TargetHead | undefined;
   /** Undefined for streams. */
   readonly answer: CollectedAnswer | undefined;
+  /** Observed ÷ published time of a pass, where events showed it. */
+  readonly pace: number | undefined;
 }
 
 /** Receives what becomes of a send; `onEnd` comes once and last. */
@@ -56,6 +62,9 @@
 /** Deadlines that are told to targets are at least this. */
 const LEAST_DEADLINE_MS = 1;
 
+/** Pauses from which an engine's pace is judged. */
+const LEAST_GAPS = 4;
+
 /** A target that is to be borne for less than this is given up at once. */
 const LEAST_WAIT_MS = 5;
 
@@ -89,7 +98,7 @@
   let isStream = false;
   let events = 0;
   let lastEventAtMs = startedAtMs;
-  let longestGapMs = 0;
+  const gapsMs: number[] = [];
   let isOver = false;
   let stallTimer: NodeJS.Timeout | undefined;
   let sending: RunningSend | undefined;
@@ -153,7 +162,7 @@
     if (isOver || head === undefined) return true;
     const atMs = now();
     if (events === 0) noteFirstEvent();
-    else longestGapMs = Math.max(longestGapMs, atMs - lastEventAtMs);
+    else gapsMs.push(atMs - lastEventAtMs);
     events += 1;
     lastEventAtMs = atMs;
     armStallTimer();
@@ -212,6 +221,7 @@
 
   function finish(reported: SendEnd, targetHead?: TargetHead): void {
     if (isOver) return;
+    const pace = observedPace();
     stop();
     const end = isStream
       ? checkStreamEnd(reported, {
@@ -227,14 +237,28 @@
       reason: 'reason' in end ? end.reason : undefined,
       elapsedMs: Math.round(now() - startedAtMs),
       events,
-      longestGapMs: Math.round(longestGapMs),
+      longestGapMs: Math.round(Math.max(0, ...gapsMs)),
     });
     context.metrics.sent({ end: end.type });
     const answer =
       isStream || head === undefined
         ? undefined
         : { head, body: Buffer.concat(chunks) };
-    handlers.onEnd({ end, target: targetHead, answer });
+    handlers.onEnd({ end, target: targetHead, answer, pace });
+  }
+
+  /** Usual pause between events ÷ the pass that the cost model predicts. */
+  function observedPace(): number | undefined {
+    const { engine } = call.service;
+    if (engine === undefined || gapsMs.length < LEAST_GAPS) return undefined;
+    const load = allLoads(runtime.state().load, now()).get(target.id);
+    const passMs = estimatePassMs(
+      engine,
+      Math.max(load?.writers ?? 0, 1),
+      load?.contextTokens ?? 0,
+    );
+    const median = gapsMs.toSorted((a, b) => a - b)[gapsMs.length >> 1];
+    return median === undefined ? undefined : median / passMs;
   }
 
   return {
