--- a/packages/gateway/src/planSend/index.ts
+++ b/packages/gateway/src/planSend/index.ts
@@ -42,6 +42,10 @@
   readonly value: number;
 }
 
+/** Numbers of engines for a prompt that was sent before: each helper that is
+ * gone makes a target refuse it, and there are few sends left. */
+const RESEND_PART_COUNTS = [1, 2, 3, 4];
+
 /** Share of the declared maximum that is planned with when there is no hint. */
 const OUTPUT_SHARE = 0.5;
 
@@ -79,6 +83,7 @@
       gapTargetMs: query.route.gapTargetMs,
     },
     { cost: service.engine, targets, loads, nowMs },
+    query.excludedIds.size > 0 ? { partCounts: RESEND_PART_COUNTS } : {},
   );
   return plan === undefined
     ? undefined
--- /dev/null
+++ b/packages/gateway/src/planSend/test.ts
@@ -0,0 +1,75 @@
+import { expect } from 'chai';
+import type {
+  ForwardingRoute,
+  ListedTarget,
+} from '@endivegate/contracts/forwarding';
+import {
+  gatewayReduce,
+  initialGatewayState,
+} from '@endivegate/core/forwarding';
+import { planSend, type SendQuery } from './index.ts';
+
+const targets = Array.from({ length: 20 }, (_, index): ListedTarget => ({
+  id: `t${index}`,
+  service: 's',
+  address: `10.0.0.${index}:80`,
+  dataCentre: 'a',
+  draining: false,
+  slots: 11,
+  bornMs: 0,
+}));
+
+const { state } = gatewayReduce(initialGatewayState, {
+  type: 'roster.listed',
+  atMs: 0,
+  targets,
+});
+
+const query: SendQuery = {
+  service: {
+    name: 's',
+    healthPath: '/h',
+    maxConnections: 100,
+    engine: {
+      slots: 11,
+      memoryTokens: 315_000,
+      stepsPerPass: 51,
+      stepMs: 0.85,
+      stepMsPerWriter: 0.006,
+      stepMsPerContextK: 0.00285,
+      readTokensPerMs: 177,
+      readMsPerMillionPairs: 0.184,
+      helperStepMs: 0.05,
+    },
+  },
+  route: { gapTargetMs: 1000 } as ForwardingRoute,
+  prompt: {
+    promptTokens: 300_000,
+    maxOutputTokens: 800,
+    hintedOutputTokens: undefined,
+  },
+  excludedIds: new Set(),
+  aimLeftMs: 3000,
+  nowMs: 0,
+  dataCentre: 'a',
+};
+
+describe('planSend', () => {
+  it('splits a prompt over fewer engines when it is sent again', () => {
+    const first = planSend(state, query);
+    expect(first?.helpers.length).to.be.above(3);
+    const again = planSend(state, { ...query, excludedIds: new Set(['t0']) });
+    expect(again?.helpers.length).to.be.at.most(3);
+    expect(again?.target.id).not.to.equal('t0');
+  });
+
+  it('plans a plain call without helpers', () => {
+    const plan = planSend(state, { ...query, prompt: undefined });
+    expect(plan?.helpers).to.have.length(0);
+    expect(plan?.firstEventMs).to.equal(undefined);
+  });
+
+  it('plans nothing without a target', () => {
+    expect(planSend(initialGatewayState, query)).to.equal(undefined);
+  });
+});
