--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -79,6 +79,7 @@
   let beats = 0;
   let gatherTimer: NodeJS.Timeout | undefined;
   let isFetching = false;
+  let isClosed = false;
 
   socket.on('error', (error) => {
     log.warn('peers.socketError', { reason: error.message });
@@ -168,6 +169,7 @@
   }
 
   function send(mark: number, message: Uint8Array, address: string): void {
+    if (isClosed) return;
     const [toHost = '', toPort = ''] = address.split(':');
     const bytes = [Uint8Array.of(mark), message];
     socket.send(bytes, Number(toPort), toHost, () => {
@@ -255,6 +257,8 @@
         .forEach((address) => addresses.add(address));
     },
     close() {
+      if (isClosed) return;
+      isClosed = true;
       clearInterval(beat);
       clearTimeout(gatherTimer);
       socket.close();
--- /dev/null
+++ b/packages/gateway/src/gatewayRuntime/test.ts
@@ -0,0 +1,46 @@
+import fc from 'fast-check';
+import type { ForwardingConfig } from '@endivegate/contracts/forwarding';
+import { createEventLog } from '../createEventLog/index.ts';
+import { createGatewayRuntime } from './index.ts';
+
+const configOf = (version: number): ForwardingConfig => ({
+  version,
+  routes: [],
+  services: [],
+  workspaces: [],
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+});
+
+describe('createGatewayRuntime', () => {
+  it('never goes back to an earlier configuration, whatever the order', () => {
+    fc.assert(
+      fc.property(fc.array(fc.integer({ min: 1, max: 50 })), (versions) => {
+        const runtime = createGatewayRuntime(
+          createEventLog({
+            entryId: 'e1',
+            write: (_text, done) => {
+              done();
+            },
+          }),
+        );
+        const told: number[] = [];
+        runtime.onConfig((table) => told.push(table.config.version));
+        versions.forEach((version) => {
+          runtime.applyConfig(configOf(version), 'test');
+        });
+        const isRising = told.every(
+          (version, index) => index === 0 || version > (told[index - 1] ?? 0),
+        );
+        const highest =
+          versions.length === 0 ? undefined : Math.max(...versions);
+        return isRising && runtime.table()?.config.version === highest;
+      }),
+      { seed: 9, numRuns: 50 },
+    );
+  });
+});
--- a/packages/gateway/src/startGateway/test.ts
+++ b/packages/gateway/src/startGateway/test.ts
@@ -108,11 +108,17 @@
   response.setHeader('x-signed', '1');
 }
 
+const settle = (ms = 5) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
 describe('startGateway', () => {
   const received: Received[] = [];
   let servers: Server[] = [];
   let gateway: Gateway;
   let callerPort = 0;
+  let skippedMs = 0;
 
   async function start(...behaviours: RequestListener[]): Promise<void> {
     received.length = 0;
@@ -176,9 +182,10 @@
   /** Jumps ahead once after the gateway has noted its start. */
   function createLateClock(): () => number {
     let calls = 0;
+    skippedMs = 0;
     return () => {
       calls += 1;
-      return performance.now() + (calls > 1 ? 60_000 : 0);
+      return performance.now() + skippedMs + (calls > 1 ? 60_000 : 0);
     };
   }
 
@@ -383,6 +390,42 @@
     expect(answer.status).to.equal(504);
   });
 
+  it('is ready and gives its address once it knows routes and targets', async () => {
+    await start(ok);
+    expect(gateway.isReady()).to.equal(false);
+    expect(gateway.callerAddresses()).to.deep.equal([]);
+    gateway.runtime.applyConfig(config, 'test');
+    expect(gateway.isReady()).to.equal(true);
+    expect(gateway.callerAddresses()).to.deep.equal([`${HOST}:${callerPort}`]);
+  });
+
+  it('leaves without cutting off an open answer, and serves stale callers', async () => {
+    let finish: () => void = () => undefined;
+    await start((request, response) => {
+      sign(request, response);
+      if (request.url === '/read/slow') finish = () => response.end('late');
+      else response.end('fine');
+    });
+    gateway.runtime.applyConfig(config, 'test');
+    const slow = ask('/read/slow');
+    while (received.length === 0) await settle();
+    const left = new AbortController();
+    gateway.leave(() => {
+      left.abort();
+    });
+    expect(gateway.isReady()).to.equal(false);
+    expect(gateway.callerAddresses()).to.deep.equal([]);
+    const stale = await ask('/pay/1', { body: 'x' });
+    expect(stale.status).to.equal(200);
+    expect(stale.headers.connection).to.equal('close');
+    skippedMs = 4000;
+    await settle(120);
+    expect(left.signal.aborted).to.equal(false);
+    finish();
+    expect(await slow).to.include({ status: 200, body: 'late', isWhole: true });
+    while (!left.signal.aborted) await settle();
+  });
+
   it('cancels the send when the caller has gone', async () => {
     let leave: () => void = () => undefined;
     let noteClosed: () => void = () => undefined;
