--- a/packages/core/src/forwarding/planPrompt/index.ts
+++ b/packages/core/src/forwarding/planPrompt/index.ts
@@ -128,9 +128,10 @@
 /** Cost of a target that failed moments ago. */
 const AVOIDED_COST = 200;
 
-/** Cost of each second until the first event, for plans that are otherwise as
- * good, and for those that are late anyway. */
-const SECOND_COST = 0.1;
+/** Cost of the time until the first event, as a share of its aim and by the
+ * second: predictions err, and engines that are free sooner serve others. */
+const AIM_COST = 0.7;
+const SECOND_COST = 0.6;
 
 /** Spread of random ties. */
 const TIE_COST = 0.02;
@@ -320,8 +321,10 @@
 
 /** Expected loss of a prompt whose first event comes after `endMs`. */
 function latenessCost(part: PromptPart, endMs: number): number {
-  const late = rampOf(endMs / Math.max(part.aimMs, 1), AIM_SAFE, AIM_LOST);
-  return part.value * (late + (SECOND_COST * endMs) / MS_PER_S);
+  const aimShare = endMs / Math.max(part.aimMs, 1);
+  const late = rampOf(aimShare, AIM_SAFE, AIM_LOST);
+  const delay = AIM_COST * aimShare + (SECOND_COST * endMs) / MS_PER_S;
+  return part.value * (late + delay);
 }
 
 /** Expected loss of streams at a target when a part lengthens a pause there. */
