--- a/packages/gateway/src/announceEntry/index.ts
+++ b/packages/gateway/src/announceEntry/index.ts
@@ -2,6 +2,7 @@
 import type { EventLog } from '../createEventLog/index.ts';
 import { describeStoreError } from '../followPrefix/index.ts';
 import type { StorePort } from '../storePort/index.ts';
+import { sleepFor } from '../sleepFor/index.ts';
 
 /** Options of {@link announceEntry}. */
 export interface AnnounceEntryOptions {
@@ -86,9 +87,3 @@
     isStopped = true;
   };
 }
-
-function sleepFor(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/gateway/src/followPrefix/index.ts
+++ b/packages/gateway/src/followPrefix/index.ts
@@ -6,6 +6,7 @@
   StoreError,
   StorePort,
 } from '../storePort/index.ts';
+import { sleepFor } from '../sleepFor/index.ts';
 
 /** Options of {@link followPrefix}. */
 export interface FollowPrefixOptions {
@@ -144,9 +145,3 @@
 ): Readonly<Record<string, string | number>> {
   return { ...error, type: error.type };
 }
-
-function sleepFor(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/gateway/src/httpDialect/index.ts
+++ b/packages/gateway/src/httpDialect/index.ts
@@ -109,3 +109,39 @@
     );
   });
 }
+
+/**
+ * Returns the text of a header.
+ *
+ * @param headers - Headers by lower-case name.
+ * @param name - Lower-case name.
+ * @returns Its first value, or undefined without one.
+ *
+ * @example
+ * headerText(request.headers, 'x-request');
+ */
+export function headerText(
+  headers: IncomingHttpHeaders,
+  name: string,
+): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+/**
+ * Returns the number that a header holds.
+ *
+ * @param headers - Headers by lower-case name.
+ * @param name - Lower-case name.
+ * @returns The number, or undefined when there is none.
+ *
+ * @example
+ * headerNumber(request.headers, 'x-deadline-ms');
+ */
+export function headerNumber(
+  headers: IncomingHttpHeaders,
+  name: string,
+): number | undefined {
+  const value = Number(headerText(headers, name) ?? NaN);
+  return Number.isFinite(value) ? value : undefined;
+}
