Test peers and silent connections; choose test ports that no connection takes

Cause of a test that failed once (startGateway, EADDRINUSE): a port was probed in the range of outgoing connections and taken by one before its use, beside busy processes. Ruled out: a listener left by the test before (another port). Change: testAddress picks below that range and passes over what listens. New: createPeerLink had no test: meeting over a third entry, newer configuration, leaving targets, suspects, requests in flight, silence.

--- /dev/null
+++ b/packages/gateway/src/createPeerLink/test.ts
@@ -0,0 +1,180 @@
+import { expect } from 'chai';
+import type {
+  ForwardingConfig,
+  ListedTarget,
+} from '@endivegate/contracts/forwarding';
+import { allLoads, servingPeers } from '@endivegate/core/forwarding';
+import { createEventLog } from '../createEventLog/index.ts';
+import {
+  createGatewayRuntime,
+  type GatewayRuntime,
+} from '../gatewayRuntime/index.ts';
+import { testAddress } from '../testAddress/index.ts';
+import { createPeerLink, type PeerLink } from './index.ts';
+
+const config: ForwardingConfig = {
+  version: 4,
+  routes: [],
+  services: [],
+  workspaces: [],
+  limits: {
+    maxHeaderBytes: 2000,
+    maxBodyBytes: 1000,
+    headerTimeoutMs: 3000,
+    idleTimeoutMs: 15_000,
+  },
+};
+
+const target: ListedTarget = {
+  id: 't1',
+  service: 's',
+  address: '10.0.0.1:80',
+  dataCentre: 'a',
+  draining: false,
+  slots: 4,
+  bornMs: 1,
+};
+
+interface Entry {
+  readonly runtime: GatewayRuntime;
+  readonly link: PeerLink;
+  readonly address: string;
+}
+
+/** Waits until a condition holds; the runner's time-out ends it otherwise. */
+async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+}
+
+describe('createPeerLink', () => {
+  const entries: Entry[] = [];
+  let skippedMs = 0;
+
+  async function startEntry(
+    name: string,
+    dataCentre: string,
+    seedAddresses: readonly string[],
+  ): Promise<Entry> {
+    const address = await testAddress();
+    const log = createEventLog({ entryId: name, write: () => true });
+    const runtime = createGatewayRuntime(log);
+    runtime.dispatch({ type: 'roster.listed', atMs: 0, targets: [target] });
+    const link = createPeerLink({
+      runtime,
+      log,
+      seedAddresses,
+      now: () => performance.now() + skippedMs,
+      self: () => ({
+        name,
+        peerAddress: address,
+        callerAddress: `${name}:80`,
+        dataCentre,
+        startedAtUnixMs: 1,
+        isReady: true,
+        isLeaving: false,
+        configVersion: runtime.table()?.config.version ?? 0,
+      }),
+    });
+    const entry = { runtime, link, address };
+    entries.push(entry);
+    return entry;
+  }
+
+  const peersOf = (entry: Entry): readonly string[] =>
+    [...entry.runtime.state().peers.keys()].toSorted();
+
+  beforeEach(() => {
+    skippedMs = 0;
+  });
+
+  afterEach(() => {
+    entries.forEach((entry) => {
+      entry.link.close();
+    });
+    entries.length = 0;
+  });
+
+  it('meets entries that only another one knows, over data centres', async () => {
+    const first = await startEntry('e1', 'a', []);
+    const second = await startEntry('e2', 'a', [first.address]);
+    const third = await startEntry('e3', 'b', [first.address]);
+    await until(() => peersOf(first).length === 2);
+    second.link.addAddresses([third.address]);
+    await until(() => peersOf(second).length === 2);
+    await until(() => peersOf(third).length === 2);
+    expect(peersOf(second)).to.deep.equal(['e1', 'e3']);
+  });
+
+  it('fetches a newer configuration from a peer, never an older one', async () => {
+    const first = await startEntry('e1', 'a', []);
+    first.runtime.applyConfig(config, 'store');
+    const second = await startEntry('e2', 'a', [first.address]);
+    second.runtime.applyConfig({ ...config, version: 3 }, 'store');
+    await until(() => second.runtime.table()?.config.version === 4);
+    expect(first.runtime.table()?.config.version).to.equal(4);
+  });
+
+  it('tells of targets that leave and of requests that break targets', async () => {
+    const first = await startEntry('e1', 'a', []);
+    const second = await startEntry('e2', 'b', [first.address]);
+    await until(() => peersOf(first).length === 1);
+    first.runtime.dispatch({
+      type: 'roster.put',
+      atMs: performance.now(),
+      target: { ...target, draining: true },
+    });
+    first.runtime.dispatch({
+      type: 'suspects.crashed',
+      atMs: performance.now(),
+      fingerprint: 'f1',
+      targetId: 't1',
+    });
+    const isTold = (): boolean =>
+      second.runtime.state().roster.targets.get('t1')?.draining === true &&
+      second.runtime.state().suspects.has('f1');
+    await until(isTold);
+  });
+
+  it('tells of requests in flight, and takes them for a while only', async () => {
+    const first = await startEntry('e1', 'a', []);
+    const second = await startEntry('e2', 'a', [first.address]);
+    await until(() => peersOf(first).length === 1);
+    first.runtime.dispatch({
+      type: 'load.started',
+      flight: {
+        flightId: 'f1',
+        targetId: 't1',
+        helperIds: [],
+        partReadMs: 100,
+        memoryTokens: 10,
+        contextTokens: 10,
+        value: 1,
+        isShort: true,
+        seats: [],
+        gapTargetMs: 250,
+        startedAtMs: performance.now(),
+        isWriting: false,
+      },
+    });
+    const requestsAt = (nowMs: number): number =>
+      allLoads(second.runtime.state().load, nowMs).get('t1')?.requests ?? 0;
+    await until(() => requestsAt(performance.now()) === 1);
+    expect(requestsAt(performance.now() + 60_000)).to.equal(0);
+  });
+
+  it('tells callers no more of a peer that went silent', async () => {
+    const first = await startEntry('e1', 'a', []);
+    const second = await startEntry('e2', 'a', [first.address]);
+    const serving = (): number =>
+      servingPeers(second.runtime.state().peers, performance.now() + skippedMs)
+        .length;
+    await until(() => serving() === 1);
+    first.link.close();
+    skippedMs = 5000;
+    expect(serving()).to.equal(0);
+  });
+});
--- a/packages/gateway/src/startGateway/test.ts
+++ b/packages/gateway/src/startGateway/test.ts
@@ -7,7 +7,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import { type AddressInfo, connect, createServer as createTcp } from 'node:net';
+import { type AddressInfo, connect } from 'node:net';
 import type {
   ForwardingConfig,
   ForwardingRoute,
@@ -17,6 +17,7 @@
 import { createEventLog } from '../createEventLog/index.ts';
 import { createGatewayMetrics } from '../createGatewayMetrics/index.ts';
 import { testDialect } from '../testDialect/index.ts';
+import { testAddress } from '../testAddress/index.ts';
 import { type Gateway, startGateway } from './index.ts';
 
 const HOST = '127.0.0.1';
@@ -94,14 +95,6 @@
     });
   });
 
-async function freePort(): Promise<number> {
-  const server = createTcp();
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const port = portOf(server);
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 /** Answers as a target that signs what it ran. */
 function sign(request: IncomingMessage, response: ServerResponse): void {
   response.setHeader('x-request', String(request.headers['x-request']));
@@ -141,12 +134,13 @@
         ),
       ),
     );
-    callerPort = await freePort();
+    const callerAddress = await testAddress();
+    callerPort = Number(callerAddress.split(':')[1]);
     gateway = startGateway({
       name: 'e1',
       dataCentre: 'a',
-      callerAddress: `${HOST}:${callerPort}`,
-      peerAddress: `${HOST}:${await freePort()}`,
+      callerAddress,
+      peerAddress: await testAddress(),
       seedAddresses: [],
       bounds: {
         retry: { ratio: 0.2, windowMs: 10_000, slack: 100 },
@@ -367,6 +361,39 @@
     ]);
   });
 
+  it('goes on at another target when a connection falls silent', async () => {
+    const events = [1, 2].map((id) => `id: ${id}\ndata: e${id}\n\n`);
+    const silentAfterFirst: RequestListener = (request, response) => {
+      sign(request, response);
+      const after = Number(request.headers['last-event-id'] ?? 0);
+      response.write(events[after] ?? '');
+      if (after > 0) response.end();
+    };
+    await start(silentAfterFirst, silentAfterFirst);
+    gateway.runtime.applyConfig(config, 'test');
+    const answer = await ask('/stream/1', { body: 'x' });
+    expect(answer).to.include({ body: events.join(''), isWhole: true });
+    expect(received.map((one) => one.headers['last-event-id'])).to.deep.equal([
+      undefined,
+      '1',
+    ]);
+  });
+
+  it('reads elsewhere when a target takes a request and falls silent', async () => {
+    let asked = 0;
+    const silentFirst: RequestListener = (request, response) => {
+      asked += 1;
+      if (asked === 1) return;
+      sign(request, response);
+      response.end('read');
+    };
+    await start(silentFirst, silentFirst);
+    gateway.runtime.applyConfig(config, 'test');
+    const answer = await ask('/read/1');
+    expect(answer).to.include({ status: 200, body: 'read' });
+    expect(asked).to.equal(2);
+  });
+
   it('lets a stream that may not be resumed look cut off', async () => {
     const cut: RequestListener = (request, response) => {
       sign(request, response);
