Leave engines to others when a prompt cannot be on time; avoid targets that moved

Late time is now nearly free until its caller would leave; late streams and resumed ones count a quarter at their engines. - A target that answers 421 (its address is another process's) was not avoided: each request for it used up the retry budget and was then refused. A stream's silence timer looks up the load only when it fires, not at each event. Ruled out: refusals by full engines (places were free).

--- a/packages/core/src/forwarding/engineLoad/index.ts
+++ b/packages/core/src/forwarding/engineLoad/index.ts
@@ -67,6 +67,8 @@
       readonly type: 'load.firstToken';
       readonly flightId: string;
     }
+  /** It is late: less is lost when it is delayed further. */
+  | { readonly type: 'load.late'; readonly flightId: string }
   | { readonly type: 'load.ended'; readonly flightId: string }
   | {
       readonly type: 'load.heard';
@@ -77,6 +79,9 @@
     }
   | { readonly type: 'load.peerGone'; readonly peer: string };
 
+/** Part of its value that a late request keeps. */
+export const LATE_VALUE = 0.25;
+
 /** Load of a target that has nothing to do. */
 export const NO_LOAD: TargetLoad = {
   requests: 0,
@@ -158,6 +163,15 @@
         flights: new Map(state.flights).set(event.flightId, writing),
       };
     }
+    case 'load.late': {
+      const flight = state.flights.get(event.flightId);
+      if (flight === undefined) return state;
+      const late = { ...flight, value: flight.value * LATE_VALUE };
+      return {
+        ...state,
+        flights: new Map(state.flights).set(event.flightId, late),
+      };
+    }
     case 'load.ended': {
       const flights = new Map(state.flights);
       flights.delete(event.flightId);
--- a/packages/core/src/forwarding/engineLoad/test.ts
+++ b/packages/core/src/forwarding/engineLoad/test.ts
@@ -82,4 +82,12 @@
     expect(allLoads(state, 1000).get('a')?.readMs).to.equal(650);
     expect(allLoads(state, 9000).get('a')?.readMs).to.equal(1500);
   });
+
+  it('loses less by delaying what is late already', () => {
+    const state = run([
+      started({ ...flight, isWriting: true }),
+      { type: 'load.late', flightId: 'f1' },
+    ]);
+    expect(allLoads(state, 50).get('a')?.writersValue).to.equal(0.5);
+  });
 });
--- a/packages/core/src/forwarding/planPrompt/_lib/costs.ts
+++ b/packages/core/src/forwarding/planPrompt/_lib/costs.ts
@@ -14,6 +14,16 @@
 
 const AIM_LOST = 1.1;
 
+/** Loss of a prompt's value when it is late, and when its caller leaves. */
+const LATE_LOSS = 0.75;
+
+const LEFT_LOSS = 0.25;
+
+/** Part of a caller's patience from which it may leave, and at which it does. */
+const PATIENCE_SAFE = 0.5;
+
+const PATIENCE_LOST = 0.9;
+
 /** The same for pauses, of which a pass is the larger part. */
 const GAP_SAFE = 0.75;
 
@@ -31,6 +41,9 @@
 
 const SECOND_COST = 0.6;
 
+/** The same for time beyond the aim, which only keeps engines busy. */
+const LATE_SECOND_COST = 0.02;
+
 /** Cost of waiting for a slot, for each request in excess. */
 const SLOT_COST = 0.8;
 
@@ -47,12 +60,21 @@
   return (load.readMs + part.readMs) * target.pace + passMs / 2;
 }
 
-/** Expected loss of a prompt whose first event comes after `endMs`. */
+/**
+ * Expected loss of a prompt whose first event comes after `endMs`: most of its
+ * value when it is late, the rest when its caller has left. Time beyond the aim
+ * is nearly free, so a prompt that cannot be on time leaves engines to others.
+ */
 export function latenessCost(part: PromptPart, endMs: number): number {
   const aimShare = endMs / Math.max(part.aimMs, 1);
-  const late = rampOf(aimShare, AIM_SAFE, AIM_LOST);
-  const delay = AIM_COST * aimShare + (SECOND_COST * endMs) / MS_PER_S;
-  return part.value * (late + delay);
+  const late = LATE_LOSS * rampOf(aimShare, AIM_SAFE, AIM_LOST);
+  const left =
+    LEFT_LOSS * rampOf(endMs / part.patienceMs, PATIENCE_SAFE, PATIENCE_LOST);
+  const inAimMs = Math.min(endMs, Math.max(part.aimMs, 0) * AIM_LOST);
+  const delay =
+    AIM_COST * Math.min(aimShare, AIM_LOST) +
+    (SECOND_COST * inAimMs + LATE_SECOND_COST * (endMs - inAimMs)) / MS_PER_S;
+  return part.value * (late + left + delay);
 }
 
 /** Expected loss of streams at a target when a part lengthens a pause there. */
--- a/packages/core/src/forwarding/planPrompt/_lib/types.ts
+++ b/packages/core/src/forwarding/planPrompt/_lib/types.ts
@@ -9,6 +9,8 @@
   readonly outputTokens: number;
   /** Time that is left until its first event is late. */
   readonly aimLeftMs: number;
+  /** Time until its caller leaves. */
+  readonly patienceMs: number;
   readonly gapTargetMs: number;
 }
 
@@ -35,6 +37,8 @@
   readonly isHelped: boolean;
   /** Time until the prompt's first event is late. */
   readonly aimMs: number;
+  /** Time until its caller leaves. */
+  readonly patienceMs: number;
   /** What its being on time is worth. */
   readonly value: number;
 }
--- a/packages/core/src/forwarding/planPrompt/index.ts
+++ b/packages/core/src/forwarding/planPrompt/index.ts
@@ -161,6 +161,7 @@
     isShort: readMs <= SHORT_READ_MS,
     isHelped: parts > 1,
     aimMs: demand.aimLeftMs,
+    patienceMs: Math.max(demand.patienceMs, 1),
     value: valueOfPrompt(demand.promptTokens),
   };
   const chosen = candidates
--- a/packages/core/src/forwarding/planPrompt/test.ts
+++ b/packages/core/src/forwarding/planPrompt/test.ts
@@ -44,6 +44,7 @@
   promptTokens: 5_000,
   outputTokens: 1_700,
   aimLeftMs: 300,
+  patienceMs: 2_000,
   gapTargetMs: 250,
 };
 
@@ -51,6 +52,7 @@
   promptTokens: 154_000,
   outputTokens: 800,
   aimLeftMs: 3_000,
+  patienceMs: 12_000,
   gapTargetMs: 1_000,
 };
 
@@ -97,6 +99,27 @@
     });
   });
 
+  it('leaves most engines to others when a prompt cannot be on time', () => {
+    const writers = { ...NO_LOAD, writers: 4, writersValue: 4 };
+    const loads: LoadByTarget = new Map(
+      targets.map((one) => [one.id, { ...writers, gapTargetMs: 250 }]),
+    );
+    const huge = { ...long, promptTokens: 700_000 };
+    const plan = planPrompt(huge, viewOf(loads), options);
+    expect(plan?.helpers.length).to.be.below(targets.length / 2);
+    expect(plan?.firstEventMs).to.be.below(huge.patienceMs);
+  });
+
+  it('does not trample others for a prompt that is late already', () => {
+    const writers = { ...NO_LOAD, writers: 4, writersValue: 4 };
+    const loads: LoadByTarget = new Map(
+      targets.slice(4).map((one) => [one.id, { ...writers, gapTargetMs: 250 }]),
+    );
+    const late = { ...long, aimLeftMs: -500 };
+    const plan = planPrompt(late, viewOf(loads), options);
+    expect(plan?.helpers.length).to.be.below(4);
+  });
+
   it('takes an avoided engine only when there is no other', () => {
     const avoided = targets.map((one) => ({ ...one, avoidUntilMs: 10 }));
     const [usable] = targets.slice(19);
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -27,6 +27,13 @@
   readonly leftIds: ReadonlyMap<string, number>;
 }
 
+/**
+ * What failed: `broken` is a connection or an answer; `slow` only kept a request
+ * waiting, which load explains too; `replaced` says that another process answers
+ * at the target's address.
+ */
+export type FailureCause = 'broken' | 'slow' | 'replaced';
+
 /** Events of the roster; times are of the monotonic clock. */
 export type RosterEvent =
   /** A whole list was read. */
@@ -66,8 +73,7 @@
       readonly atMs: number;
       readonly id: string;
       readonly reason: string;
-      /** Whether it only kept a request waiting, which load explains too. */
-      readonly isSlow: boolean;
+      readonly cause: FailureCause;
     }
   | { readonly type: 'roster.ticked'; readonly atMs: number };
 
@@ -309,10 +315,8 @@
 ): RosterStep {
   const known = state.targets.get(event.id);
   if (known === undefined) return { state, effects: [] };
-  const failures = event.isSlow ? known.failures : known.failures + 1;
-  const pauseMs = event.isSlow
-    ? SLOW_AVOID_MS
-    : Math.min(FIRST_AVOID_MS * 2 ** (failures - 1), LONGEST_AVOID_MS);
+  const failures = event.cause === 'slow' ? known.failures : known.failures + 1;
+  const pauseMs = avoidMs(event.cause, failures);
   return {
     state: withTarget(state, {
       ...known,
@@ -323,6 +327,17 @@
   };
 }
 
+function avoidMs(cause: FailureCause, failures: number): number {
+  switch (cause) {
+    case 'slow':
+      return SLOW_AVOID_MS;
+    case 'replaced':
+      return LONGEST_AVOID_MS;
+    case 'broken':
+      return Math.min(FIRST_AVOID_MS * 2 ** (failures - 1), LONGEST_AVOID_MS);
+  }
+}
+
 function tick(state: RosterState, atMs: number): RosterStep {
   const expired = [...state.targets.values()].filter(
     (target) =>
--- a/packages/core/src/forwarding/targetRoster/test.ts
+++ b/packages/core/src/forwarding/targetRoster/test.ts
@@ -98,7 +98,7 @@
       atMs,
       id: 't1',
       reason: 'reset',
-      isSlow: false,
+      cause: 'broken' as const,
     });
     const avoid = (events: readonly RosterEvent[]) =>
       run([listed(0, target), ...events]).targets.get('t1')?.avoidUntilMs;
@@ -114,6 +114,20 @@
     expect(avoid([failed(0), success])).to.equal(0);
   });
 
+  it('avoids a target whose address another process has for the longest time', () => {
+    const state = run([
+      listed(0, target),
+      {
+        type: 'roster.failed',
+        atMs: 0,
+        id: 't1',
+        reason: 'misdirected',
+        cause: 'replaced',
+      },
+    ]);
+    expect(state.targets.get('t1')?.avoidUntilMs).to.equal(4000);
+  });
+
   it('learns the pace of a slow target within a few streams, and forgets it', () => {
     const seen = (ratio: number): RosterEvent => ({
       type: 'roster.succeeded',
--- a/packages/gateway/src/createConnectionPool/index.ts
+++ b/packages/gateway/src/createConnectionPool/index.ts
@@ -30,6 +30,8 @@
   ) => () => void;
   /** Keeps a connection whose answer was whole for `idleMs`. */
   readonly release: (address: string, socket: Socket, idleMs: number) => void;
+  /** Closes the idle connections of a target. */
+  readonly discard: (address: string) => void;
   /** Closes idle connections of targets that are gone. */
   readonly keepOnly: (addresses: ReadonlySet<string>) => void;
   readonly close: () => void;
@@ -95,6 +97,12 @@
     socket.destroy();
   }
 
+  function discard(address: string): void {
+    (idleByAddress.get(address) ?? []).forEach(({ socket }) => {
+      drop(address, socket);
+    });
+  }
+
   return {
     acquire(query, done) {
       const idle = query.fresh ? undefined : takeIdle(query.address);
@@ -113,25 +121,22 @@
         socket.destroy();
         return;
       }
-      const discard = (): void => {
+      const end = (): void => {
         drop(address, socket);
       };
       const stopWatching = (): void => {
-        END_OF_IDLE.forEach((event) => socket.off(event, discard));
+        END_OF_IDLE.forEach((event) => socket.off(event, end));
       };
       idleByAddress.set(address, [...idle, { socket, stopWatching }]);
       socket.setTimeout(idleMs);
-      END_OF_IDLE.forEach((event) => socket.once(event, discard));
+      END_OF_IDLE.forEach((event) => socket.once(event, end));
       socket.resume();
     },
+    discard,
     keepOnly(addresses) {
       [...idleByAddress.keys()]
         .filter((address) => !addresses.has(address))
-        .forEach((address) => {
-          (idleByAddress.get(address) ?? []).forEach(({ socket }) => {
-            drop(address, socket);
-          });
-        });
+        .forEach(discard);
     },
     close() {
       [...idleByAddress.values()]
--- a/packages/gateway/src/forwardRequest/_lib/noteOutcome.ts
+++ b/packages/gateway/src/forwardRequest/_lib/noteOutcome.ts
@@ -1,3 +1,4 @@
+import type { FailureCause } from '@endivegate/core/forwarding';
 import type { SendPlan } from '../../planSend/index.ts';
 import type { SendResult } from '../../runSend/index.ts';
 import type { ForwardContext } from '../types.ts';
@@ -9,6 +10,9 @@
   readonly fingerprint: () => string;
 }
 
+/** Another process answers at the target's address. */
+const MISDIRECTED = 421;
+
 /** Tells the gateway's state what a send showed of its target. */
 export function noteOutcome(outcome: Outcome, context: ForwardContext): void {
   const { plan, result, fingerprint } = outcome;
@@ -24,35 +28,18 @@
       }
       return;
     case 'refused':
-      noteBlamed(outcome, context);
+      noteRefusal(end.status);
       return;
     case 'notSent':
-      if (plan.seats.length > 0) return;
-      dispatch({
-        type: 'roster.failed',
-        atMs,
-        id,
-        reason: end.reason,
-        isSlow: false,
-      });
+      if (plan.seats.length === 0) failed(id, end.reason, 'broken');
       return;
     case 'stalled':
-      dispatch({
-        type: 'roster.failed',
-        atMs,
-        id,
-        reason: 'stalled',
-        isSlow: true,
-      });
+      // Whatever lost track of this connection may have lost the others too.
+      context.pool.discard(plan.target.address);
+      failed(id, 'stalled', 'slow');
       return;
     case 'broken':
-      dispatch({
-        type: 'roster.failed',
-        atMs,
-        id,
-        reason: end.reason,
-        isSlow: false,
-      });
+      failed(id, end.reason, 'broken');
       dispatch({
         type: 'suspects.crashed',
         atMs,
@@ -60,21 +47,23 @@
         targetId: id,
       });
   }
-}
 
-/** A refusal of a split prompt names the engine because of which it failed. */
-function noteBlamed(outcome: Outcome, context: ForwardContext): void {
-  const { plan, result } = outcome;
-  if (plan.helpers.length === 0) return;
-  const blamed = [plan.target, ...plan.helpers].find(
-    (one) => one.address === result.target?.blamedAddress,
-  );
-  if (blamed === undefined) return;
-  context.runtime.dispatch({
-    type: 'roster.failed',
-    atMs: context.now(),
-    id: blamed.id,
-    reason: 'named in a refusal',
-    isSlow: false,
-  });
+  /** A refusal names the engine because of which it failed; of one that is not
+   * at its address any more, the target itself where none is named. */
+  function noteRefusal(status: number): void {
+    const asked = [plan.target, ...plan.helpers];
+    const named = asked.find(
+      (one) => one.address === result.target?.blamedAddress,
+    );
+    const isReplaced = status === MISDIRECTED;
+    if (isReplaced)
+      failed((named ?? plan.target).id, 'misdirected', 'replaced');
+    else if (named !== undefined && plan.helpers.length > 0) {
+      failed(named.id, 'named in a refusal', 'broken');
+    }
+  }
+
+  function failed(targetId: string, reason: string, cause: FailureCause): void {
+    dispatch({ type: 'roster.failed', atMs, id: targetId, reason, cause });
+  }
 }
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -5,6 +5,7 @@
   type NextStep,
   type SendProgress,
 } from '@endivegate/core/forwarding';
+import { callerPatienceMs } from '../callerPatienceMs/index.ts';
 import type { Reply } from '../createReply/index.ts';
 import { passedHeaders } from '../httpDialect/index.ts';
 import { planSend, type SendPlan } from '../planSend/index.ts';
@@ -86,7 +87,12 @@
       route,
       prompt: call.caller.prompt,
       excludedIds,
-      aimLeftMs: route.targetLatencyMs - (nowMs - call.arrivedAtMs),
+      aimLeftMs: answerBegun
+        ? 0
+        : route.targetLatencyMs - (nowMs - call.arrivedAtMs),
+      patienceMs:
+        Math.min(call.arrivedAtMs + callerPatienceMs(route), deadlineAtMs) -
+        nowMs,
       nowMs,
       dataCentre: context.dataCentre,
     });
--- a/packages/gateway/src/planSend/index.ts
+++ b/packages/gateway/src/planSend/index.ts
@@ -22,6 +22,8 @@
   /** Targets that this request was sent to before. */
   readonly excludedIds: ReadonlySet<string>;
   readonly aimLeftMs: number;
+  /** Time until the caller leaves a stream without an event. */
+  readonly patienceMs: number;
   readonly nowMs: number;
   readonly dataCentre: string;
 }
@@ -80,6 +82,7 @@
       promptTokens: prompt.promptTokens,
       outputTokens,
       aimLeftMs: query.aimLeftMs,
+      patienceMs: query.patienceMs,
       gapTargetMs: query.route.gapTargetMs,
     },
     { cost: service.engine, targets, loads, nowMs },
--- a/packages/gateway/src/planSend/test.ts
+++ b/packages/gateway/src/planSend/test.ts
@@ -50,6 +50,7 @@
   },
   excludedIds: new Set(),
   aimLeftMs: 3000,
+  patienceMs: 12_000,
   nowMs: 0,
   dataCentre: 'a',
 };
--- a/packages/gateway/src/runSend/_lib/stallLimitMs.ts
+++ b/packages/gateway/src/runSend/_lib/stallLimitMs.ts
@@ -1,4 +1,5 @@
 import type { ForwardingRoute } from '@endivegate/contracts/forwarding';
+import { callerPatienceMs } from '../../callerPatienceMs/index.ts';
 import type { SendPlan } from '../../planSend/index.ts';
 
 /** What decides how long a silence of a target is borne. */
@@ -27,12 +28,6 @@
 
 const GAP_EXTRA_MS = 500;
 
-/** Callers leave a stream after the longest of a gap of two seconds, four times
- * the time for the first event, and eight times the gap target. */
-const CALLER_PATIENCE_MS = 2000;
-const CALLER_AIM_FACTOR = 4;
-const CALLER_GAP_FACTOR = 8;
-
 /** Time that another target needs to go on before the caller leaves. */
 const RESUME_MS = 400;
 
@@ -66,11 +61,7 @@
 
 function gapLimitMs({ route, silentMs, backlogMs }: StallQuery): number {
   const usualMs = route.gapTargetMs * GAP_FACTOR + GAP_EXTRA_MS;
-  const patienceMs = Math.max(
-    CALLER_PATIENCE_MS,
-    route.targetLatencyMs * CALLER_AIM_FACTOR,
-    route.gapTargetMs * CALLER_GAP_FACTOR,
-  );
+  const patienceMs = callerPatienceMs(route);
   const explainedMs =
     backlogMs > 0 ? silentMs + backlogMs + BACKLOG_MARGIN_MS : 0;
   const canWait = explainedMs <= patienceMs - RESUME_MS;
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -1,6 +1,7 @@
 import {
   allLoads,
   estimatePassMs,
+  LATE_VALUE,
   type SendEnd,
 } from '@endivegate/core/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
@@ -99,6 +100,7 @@
   let events = 0;
   let lastEventAtMs = startedAtMs;
   const gapsMs: number[] = [];
+  let isLate = run.resumeAfterId !== undefined;
   let isOver = false;
   let stallTimer: NodeJS.Timeout | undefined;
   let sending: RunningSend | undefined;
@@ -162,7 +164,7 @@
     if (isOver || head === undefined) return true;
     const atMs = now();
     if (events === 0) noteFirstEvent();
-    else gapsMs.push(atMs - lastEventAtMs);
+    else notePause(atMs - lastEventAtMs);
     events += 1;
     lastEventAtMs = atMs;
     armStallTimer();
@@ -173,42 +175,58 @@
 
   function noteFirstEvent(): void {
     runtime.dispatch({ type: 'load.firstToken', flightId });
+    const elapsedMs = now() - call.arrivedAtMs;
+    if (elapsedMs > call.route.targetLatencyMs) noteLate();
     const sendMs = now() - startedAtMs;
     context.metrics.predicted(sendMs - (plan.firstEventMs ?? sendMs));
     log.info('request.firstEvent', {
       request: call.attemptId,
       target: target.id,
-      elapsedMs: Math.round(now() - call.arrivedAtMs),
+      elapsedMs: Math.round(elapsedMs),
       sendMs: Math.round(sendMs),
       predictedMs: Math.round(plan.firstEventMs ?? 0),
     });
   }
 
+  function notePause(pauseMs: number): void {
+    gapsMs.push(pauseMs);
+    if (pauseMs > call.route.gapTargetMs) noteLate();
+  }
+
+  function noteLate(): void {
+    if (isLate) return;
+    isLate = true;
+    runtime.dispatch({ type: 'load.late', flightId });
+  }
+
+  /** Load is looked up only when the time without any has passed, since it can
+   * but lengthen it. */
   function armStallTimer(): void {
     clearTimeout(stallTimer);
-    const limitMs = silenceLeftMs();
-    if (limitMs === undefined) return;
-    stallTimer = setTimeout(() => {
-      if ((silenceLeftMs() ?? 0) > LEAST_WAIT_MS) {
-        armStallTimer();
-        return;
-      }
-      sending?.cancel();
-      finish({ type: 'stalled' });
-    }, limitMs);
+    const limitMs = silenceLeftMs(0);
+    if (limitMs !== undefined) stallTimer = setTimeout(checkSilence, limitMs);
+  }
+
+  function checkSilence(): void {
+    const load = allLoads(runtime.state().load, now()).get(target.id);
+    const leftMs = silenceLeftMs(load?.readMs ?? 0) ?? 0;
+    if (leftMs > LEAST_WAIT_MS) {
+      stallTimer = setTimeout(checkSilence, leftMs);
+      return;
+    }
+    sending?.cancel();
+    finish({ type: 'stalled' });
   }
 
-  function silenceLeftMs(): number | undefined {
-    const nowMs = now();
-    const load = allLoads(runtime.state().load, nowMs).get(target.id);
+  function silenceLeftMs(backlogMs: number): number | undefined {
     return stallLimitMs({
       route: call.route,
       plan,
       isLast: run.isLast,
       hasBegun: events > 0,
       timeLeftMs: run.deadlineAtMs - startedAtMs,
-      backlogMs: load?.readMs ?? 0,
-      silentMs: nowMs - lastEventAtMs,
+      backlogMs,
+      silentMs: now() - lastEventAtMs,
     });
   }
 
@@ -320,7 +338,7 @@
       partReadMs: plan.partReadMs,
       memoryTokens: plan.memoryTokens,
       contextTokens: plan.contextTokens,
-      value: plan.value,
+      value: plan.value * (run.resumeAfterId === undefined ? 1 : LATE_VALUE),
       isShort: plan.isShort,
       seats: plan.seats.map((seat) => ({
         targetId: seat.target.id,
--- a/packages/gateway/src/startGateway/test.ts
+++ b/packages/gateway/src/startGateway/test.ts
@@ -329,6 +329,58 @@
     expect(received).to.have.length(1);
   });
 
+  it('offers nothing more to a target that is not at its address', async () => {
+    const other: RequestListener = (_request, response) => {
+      response.writeHead(421).end();
+    };
+    const own: RequestListener = (request, response) => {
+      sign(request, response);
+      response.end('read');
+    };
+    await start(other, own);
+    gateway.runtime.applyConfig(config, 'test');
+    const first = await ask('/read/1');
+    const second = await ask('/read/2');
+    const third = await ask('/pay/3', { body: 'x' });
+    expect([first, second, third].map((one) => one.status)).to.deep.equal([
+      200, 200, 200,
+    ]);
+    expect(received.map((one) => one.target)).to.deep.equal([
+      't0',
+      't1',
+      't1',
+      't1',
+    ]);
+  });
+
+  it('trusts no kept connection to a target on which one fell silent', async () => {
+    const sockets: unknown[] = [];
+    const silentOnReuse: RequestListener = (request, response) => {
+      const isReused = sockets.includes(request.socket);
+      sockets.push(request.socket);
+      if (isReused) return;
+      sign(request, response);
+      setTimeout(() => response.end('read'), 20);
+    };
+    const sound: RequestListener = (request, response) => {
+      sign(request, response);
+      response.end('read');
+    };
+    await start(silentOnReuse, sound);
+    gateway.runtime.applyConfig(config, 'test');
+    const { runtime } = gateway;
+    const second = runtime.state().roster.targets.get('t1')!;
+    runtime.dispatch({ type: 'roster.removed', atMs: 0, id: 't1' });
+    await Promise.all([ask('/read/1'), ask('/read/2'), ask('/read/3')]);
+    runtime.dispatch({ type: 'roster.put', atMs: 0, target: second });
+    await ask('/read/4');
+    runtime.dispatch({ type: 'roster.removed', atMs: 0, id: 't1' });
+    const kept = new Set(sockets);
+    const answer = await ask('/read/5');
+    expect(answer.status).to.equal(200);
+    expect(kept.has(sockets.at(-1))).to.equal(false);
+  });
+
   it('refuses as not run only what every target refused', async () => {
     await start(refuseIt, refuseIt);
     gateway.runtime.applyConfig(config, 'test');
