Scale entries' heartbeats with the fleet, and count each message as one

Each entry told all others every 350 ms and after each request: 22,000 datagrams a second are received, each decoded and reduced. Ruled out: requests themselves (the first 8 s with traffic add less than the start and idling); the store (1 call in 10 s an entry once started). Change: the pause grows to 1 s with the number of entries, silence and the life of rows with it; a message of new requests puts off the next heartbeat; small fleets keep their times. Rows of peers that are gone were kept for good (their event was never raised); they are forgotten now.

--- a/packages/core/src/forwarding/engineLoad/index.ts
+++ b/packages/core/src/forwarding/engineLoad/index.ts
@@ -1,4 +1,5 @@
 import type { Step } from '../../step/index.ts';
+import { peerTimes } from '../peerTimes/index.ts';
 
 /** A request that this entry has at a target. */
 export interface Flight {
@@ -77,11 +78,15 @@
       /** All that it has; times are of the receiver's clock. */
       readonly flights: readonly Flight[];
     }
-  | { readonly type: 'load.peerGone'; readonly peer: string };
+  /** Time has passed: peers that are gone are forgotten. */
+  | { readonly type: 'load.ticked'; readonly atMs: number };
 
 /** Part of its value that a late request keeps. */
 export const LATE_VALUE = 0.25;
 
+/** A peer unheard for this long is forgotten. */
+const FORGET_PEER_MS = 20_000;
+
 /** Load of a target that has nothing to do. */
 export const NO_LOAD: TargetLoad = {
   requests: 0,
@@ -95,9 +100,6 @@
   gapTargetMs: Infinity,
 };
 
-/** What a peer told counts for this long: four of its heartbeats. */
-export const PEER_LOAD_LIFETIME_MS = 1500;
-
 /** A first event comes this long after its prompt is read: two passes. */
 const USUAL_OVERDUE_MS = 150;
 
@@ -138,8 +140,9 @@
  * allLoads(state, performance.now()).get('engine-1') ?? NO_LOAD;
  */
 export function allLoads(state: LoadState, nowMs: number): LoadByTarget {
+  const { loadLifetimeMs } = peerTimes(state.peers.size + 1);
   const heard = [...state.peers.values()]
-    .filter((peer) => nowMs - peer.atMs < PEER_LOAD_LIFETIME_MS)
+    .filter((peer) => nowMs - peer.atMs < loadLifetimeMs)
     .flatMap((peer) => peer.flights);
   return loadsOf([...state.flights.values(), ...heard], nowMs);
 }
@@ -185,14 +188,20 @@
           flights: event.flights,
         }),
       };
-    case 'load.peerGone': {
-      const peers = new Map(state.peers);
-      peers.delete(event.peer);
-      return { ...state, peers };
-    }
+    case 'load.ticked':
+      return forgetPeers(state, event.atMs);
   }
 }
 
+function forgetPeers(state: LoadState, atMs: number): LoadState {
+  const kept = [...state.peers].filter(
+    ([, peer]) => atMs - peer.atMs < FORGET_PEER_MS,
+  );
+  return kept.length === state.peers.size
+    ? state
+    : { ...state, peers: new Map(kept) };
+}
+
 function loadsOf(flights: readonly Flight[], nowMs: number): LoadByTarget {
   const loads = new Map<string, TargetLoad>();
   const add = (targetId: string, load: Partial<TargetLoad>): void => {
--- a/packages/core/src/forwarding/engineLoad/test.ts
+++ b/packages/core/src/forwarding/engineLoad/test.ts
@@ -1,14 +1,16 @@
 import { expect } from 'chai';
+import { peerTimes } from '../peerTimes/index.ts';
 import {
   allLoads,
   type Flight,
   initialLoad,
   type LoadEvent,
   NO_LOAD,
-  PEER_LOAD_LIFETIME_MS,
   reduceLoad,
 } from './index.ts';
 
+const { loadLifetimeMs } = peerTimes(2);
+
 const flight: Flight = {
   flightId: 'f1',
   targetId: 'a',
@@ -57,9 +59,9 @@
     const state = run([
       { type: 'load.heard', peer: 'p', atMs: 0, flights: [flight] },
     ]);
-    const before = allLoads(state, PEER_LOAD_LIFETIME_MS - 1);
+    const before = allLoads(state, loadLifetimeMs - 1);
     expect(before.get('a')?.requests).to.equal(1);
-    expect(allLoads(state, PEER_LOAD_LIFETIME_MS).size).to.equal(0);
+    expect(allLoads(state, loadLifetimeMs).size).to.equal(0);
   });
 
   it('has no reading left once the first token has come, nothing at the end', () => {
@@ -90,4 +92,12 @@
     ]);
     expect(allLoads(state, 50).get('a')?.writersValue).to.equal(0.5);
   });
+
+  it('forgets peers that are gone', () => {
+    const state = run([
+      { type: 'load.heard', peer: 'p', atMs: 0, flights: [flight] },
+      { type: 'load.ticked', atMs: 20_000 },
+    ]);
+    expect(state.peers.size).to.equal(0);
+  });
 });
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -5,6 +5,7 @@
 export * from './engineTimes/index.ts';
 export * from './gatewayReduce/index.ts';
 export * from './peerList/index.ts';
+export * from './peerTimes/index.ts';
 export * from './pickTarget/index.ts';
 export * from './planPrompt/index.ts';
 export * from './retryBudget/index.ts';
--- a/packages/core/src/forwarding/peerList/index.ts
+++ b/packages/core/src/forwarding/peerList/index.ts
@@ -1,4 +1,5 @@
 import type { Step } from '../../step/index.ts';
+import { peerTimes } from '../peerTimes/index.ts';
 
 /** What a peer tells of itself. */
 export interface PeerSelf {
@@ -41,10 +42,6 @@
     'joined' | 'restarted' | 'ready' | 'notReady' | 'leaving' | 'lost';
 }
 
-/** A peer unheard for this long is told to no caller; it tells every
- * 350 ms, and one of its messages may be lost. */
-export const PEER_SILENCE_MS = 1250;
-
 /** A peer unheard for this long is forgotten. */
 const FORGET_MS = 20_000;
 
@@ -70,7 +67,7 @@
   const isOlder =
     known !== undefined &&
     known.startedAtUnixMs > event.self.startedAtUnixMs &&
-    event.atMs - known.heardAtMs < PEER_SILENCE_MS;
+    event.atMs - known.heardAtMs < silenceMsOf(state);
   if (isOlder) return { state, effects: [] };
   const change = changeOf(known, event.self);
   return {
@@ -99,14 +96,17 @@
   state: PeersState,
   nowMs: number,
 ): readonly Peer[] {
+  const silenceMs = silenceMsOf(state);
   return [...state.values()].filter(
     (peer) =>
-      nowMs - peer.heardAtMs < PEER_SILENCE_MS &&
-      peer.isReady &&
-      !peer.isLeaving,
+      nowMs - peer.heardAtMs < silenceMs && peer.isReady && !peer.isLeaving,
   );
 }
 
+function silenceMsOf(state: PeersState): number {
+  return peerTimes(state.size + 1).silenceMs;
+}
+
 function changeOf(
   known: Peer | undefined,
   self: PeerSelf,
--- a/packages/core/src/forwarding/peerList/test.ts
+++ b/packages/core/src/forwarding/peerList/test.ts
@@ -1,13 +1,15 @@
 import { expect } from 'chai';
+import { peerTimes } from '../peerTimes/index.ts';
 import {
   initialPeers,
-  PEER_SILENCE_MS,
   type PeersEvent,
   type PeerSelf,
   reducePeers,
   servingPeers,
 } from './index.ts';
 
+const { silenceMs } = peerTimes(2);
+
 const self: PeerSelf = {
   name: 'p',
   peerAddress: '10.0.0.1:7340',
@@ -37,7 +39,7 @@
 describe('peerList', () => {
   it('serves while it is heard, ready and not leaving', () => {
     expect(serving([heard(0)], 10)).to.equal(1);
-    expect(serving([heard(0)], PEER_SILENCE_MS)).to.equal(0);
+    expect(serving([heard(0)], silenceMs)).to.equal(0);
     expect(serving([heard(0, { isReady: false })], 10)).to.equal(0);
     expect(serving([heard(0), heard(1, { isLeaving: true })], 10)).to.equal(0);
   });
@@ -49,8 +51,6 @@
 
   it('takes a process whose clock was set back once the other is silent', () => {
     const later = heard(0, { startedAtUnixMs: 9_000_000 });
-    expect(serving([later, heard(PEER_SILENCE_MS)], PEER_SILENCE_MS)).to.equal(
-      1,
-    );
+    expect(serving([later, heard(silenceMs)], silenceMs)).to.equal(1);
   });
 });
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -1,5 +1,9 @@
 import { createSocket } from 'node:dgram';
-import type { Peer, PeerSelf } from '@endivegate/core/forwarding';
+import {
+  type Peer,
+  type PeerSelf,
+  peerTimes,
+} from '@endivegate/core/forwarding';
 import type { EventLog } from '../createEventLog/index.ts';
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
 import { createConfigServer, fetchConfig } from './_lib/configExchange.ts';
@@ -34,14 +38,11 @@
   readonly random?: () => number;
 }
 
-/** At least this often each peer is told. */
-const HEARTBEAT_MS = 350;
-
 /** New requests are gathered for this long, so that a burst is told at once. */
 const GATHER_MS = 4;
 
-/** Addresses of entries that were not heard are tried every so many beats. */
-const SEED_EVERY_BEATS = 3;
+/** Addresses of entries that were not heard are tried this often. */
+const SEED_MS = 1050;
 
 /** A peer is told for this long after it was last heard. */
 const TELL_SILENT_MS = 4000;
@@ -76,7 +77,7 @@
   const addresses = new Set(options.seedAddresses);
   addresses.delete(own.peerAddress);
   const socket = createSocket('udp4');
-  let beats = 0;
+  let beatTimer: NodeJS.Timeout | undefined;
   let gatherTimer: NodeJS.Timeout | undefined;
   let isFetching = false;
   let isClosed = false;
@@ -89,12 +90,13 @@
   socket.bind(Number(port), host, tryAddresses);
   const server = createConfigServer(() => runtime.table()?.config);
   server.listen(Number(port), host);
-  const beat = setInterval(() => {
-    beats += 1;
-    runtime.dispatch({ type: 'peers.ticked', atMs: now() });
-    tell();
-    if (beats % SEED_EVERY_BEATS === 1) tryAddresses();
-  }, HEARTBEAT_MS);
+  const seedTimer = setInterval(() => {
+    const atMs = now();
+    runtime.dispatch({ type: 'peers.ticked', atMs });
+    runtime.dispatch({ type: 'load.ticked', atMs });
+    tryAddresses();
+  }, SEED_MS);
+  armBeat();
   runtime.onNewLoad(() => {
     gatherTimer ??= setTimeout(() => {
       gatherTimer = undefined;
@@ -102,6 +104,13 @@
     }, GATHER_MS);
   });
 
+  /** Each message puts off the next heartbeat. */
+  function armBeat(): void {
+    clearTimeout(beatTimer);
+    const { heartbeatMs } = peerTimes(runtime.state().peers.size + 1);
+    beatTimer = setTimeout(tell, heartbeatMs);
+  }
+
   function knownPeers(): readonly Peer[] {
     return [...runtime.state().peers.values()].filter(
       (peer) => now() - peer.heardAtMs < TELL_SILENT_MS,
@@ -125,6 +134,8 @@
   }
 
   function tell(): void {
+    if (isClosed) return;
+    armBeat();
     const message = encodeNow([]);
     localPeers().forEach((peer) => {
       send(DIRECT, message, peer.peerAddress);
@@ -259,7 +270,8 @@
     close() {
       if (isClosed) return;
       isClosed = true;
-      clearInterval(beat);
+      clearInterval(seedTimer);
+      clearTimeout(beatTimer);
       clearTimeout(gatherTimer);
       socket.close();
       server.close();
