--- /dev/null
+++ b/packages/gateway/src/runSend/_lib/silenceWatch.ts
@@ -0,0 +1,40 @@
+/** Cuts off a target that is silent for too long. */
+export interface SilenceWatch {
+  /** Begins to count anew: the target was heard. */
+  readonly restart: () => void;
+  readonly stop: () => void;
+}
+
+/** What a {@link SilenceWatch} asks and tells. */
+export interface SilenceWatchOptions {
+  /** Time left for a target with so much to read; undefined without a bound. */
+  readonly leftMs: (backlogMs: number) => number | undefined;
+  /** What the target has to read, which is worked out only when it matters. */
+  readonly backlogMs: () => number;
+  readonly onSilent: () => void;
+}
+
+/** A target that is to be borne for less than this is given up at once. */
+const LEAST_WAIT_MS = 5;
+
+/** Watches a target's silence; what it has to read can only lengthen it. */
+export function createSilenceWatch(options: SilenceWatchOptions): SilenceWatch {
+  let timer: NodeJS.Timeout | undefined;
+
+  function check(): void {
+    const leftMs = options.leftMs(options.backlogMs()) ?? 0;
+    if (leftMs > LEAST_WAIT_MS) timer = setTimeout(check, leftMs);
+    else options.onSilent();
+  }
+
+  return {
+    restart() {
+      clearTimeout(timer);
+      const leftMs = options.leftMs(0);
+      if (leftMs !== undefined) timer = setTimeout(check, leftMs);
+    },
+    stop() {
+      clearTimeout(timer);
+    },
+  };
+}
--- a/packages/gateway/src/runSend/_lib/test.ts
+++ b/packages/gateway/src/runSend/_lib/test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai';
 import type { ForwardingRoute } from '@endivegate/contracts/forwarding';
 import type { SendPlan } from '../../planSend/index.ts';
+import { createEventTimes } from './eventTimes.ts';
+import { createSilenceWatch } from './silenceWatch.ts';
 import { stallLimitMs } from './stallLimitMs.ts';
 
 const route = {
@@ -41,3 +43,55 @@
     expect(stallLimitMs({ ...query, isLast: true })).to.equal(undefined);
   });
 });
+
+describe('createEventTimes', () => {
+  it('gives pauses between events, and a usual one once there are enough', () => {
+    const times = createEventTimes(0);
+    const pauses = [100, 150, 200, 700].map(times.note);
+    expect(pauses).to.deep.equal([undefined, 50, 50, 500]);
+    expect(times.usualGapMs()).to.equal(undefined);
+    times.note(740);
+    expect(times.usualGapMs()).to.equal(50);
+    expect(times.longestGapMs()).to.equal(500);
+    expect(times.silentMs(750)).to.equal(10);
+    expect(times.count()).to.equal(5);
+  });
+});
+
+describe('createSilenceWatch', () => {
+  it('asks for the backlog only when time is up, and bears what explains it', async () => {
+    const asked: number[] = [];
+    await new Promise<void>((resolve) => {
+      createSilenceWatch({
+        leftMs: (backlogMs) => {
+          asked.push(backlogMs);
+          if (asked.length === 1) return 1;
+          return asked.length === 2 ? 10 : 0;
+        },
+        backlogMs: () => 7,
+        onSilent: resolve,
+      }).restart();
+    });
+    expect(asked).to.deep.equal([0, 7, 7]);
+  });
+
+  it('never ends a send that has no bound, nor one that was stopped', async () => {
+    let silences = 0;
+    const watch = (leftMs: number | undefined) =>
+      createSilenceWatch({
+        leftMs: () => leftMs,
+        backlogMs: () => 0,
+        onSilent: () => {
+          silences += 1;
+        },
+      });
+    watch(undefined).restart();
+    const stopped = watch(1);
+    stopped.restart();
+    stopped.stop();
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+    expect(silences).to.equal(0);
+  });
+});
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -1,17 +1,12 @@
 import {
   allLoads,
   estimatePassMs,
-  LATE_VALUE,
   type SendEnd,
+  type TargetLoad,
 } from '@endivegate/core/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
-import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
-import {
-  type HelperSeat,
-  passedHeaders,
-  type TargetHead,
-} from '../httpDialect/index.ts';
-import type { SendPlan } from '../planSend/index.ts';
+import type { ForwardContext } from '../forwardRequest/types.ts';
+import type { TargetHead } from '../httpDialect/index.ts';
 import { type HeldSeats, reserveSeats } from '../reserveSeats/index.ts';
 import {
   type AnswerHead,
@@ -19,55 +14,19 @@
   sendRequest,
 } from '../sendRequest/index.ts';
 import { createEventSplitter, type StreamEvent } from '../splitEvents/index.ts';
+import { createEventTimes } from './_lib/eventTimes.ts';
+import { logSend, startFlight } from './_lib/noteStart.ts';
+import { helperSeats, sendHeaders } from './_lib/sendHeaders.ts';
+import { createSilenceWatch } from './_lib/silenceWatch.ts';
 import { stallLimitMs } from './_lib/stallLimitMs.ts';
-import { urgencyOf } from './_lib/urgencyOf.ts';
-
-/** One send of a request. */
-export interface SendRun {
-  readonly call: ForwardCall;
-  readonly plan: SendPlan;
-  /** Number of this send, from 1. */
-  readonly number: number;
-  /** Whether no other send may follow this one. */
-  readonly isLast: boolean;
-  readonly deadlineAtMs: number;
-  /** Id of the last event that the caller has, when a stream is resumed. */
-  readonly resumeAfterId: number | undefined;
-}
-
-/** An answer that is not a stream, whole. */
-export interface CollectedAnswer {
-  readonly head: AnswerHead;
-  readonly body: Buffer;
-}
-
-/** How a send ended, with what the caller may need of it. */
-export interface SendResult {
-  readonly end: SendEnd;
-  readonly target: TargetHead | undefined;
-  /** Undefined for streams. */
-  readonly answer: CollectedAnswer | undefined;
-  /** Observed ÷ published time of a pass, where events showed it. */
-  readonly pace: number | undefined;
-}
-
-/** Receives what becomes of a send; `onEnd` comes once and last. */
-export interface SendRunHandlers {
-  /** The request is about to be written: from now on it may run. */
-  readonly onSent: () => void;
-  /** Returns whether more events may follow at once. */
-  readonly onEvent: (event: StreamEvent, head: AnswerHead) => boolean;
-  readonly onEnd: (result: SendResult) => void;
-}
-
-/** Deadlines that are told to targets are at least this. */
-const LEAST_DEADLINE_MS = 1;
-
-/** Pauses from which an engine's pace is judged. */
-const LEAST_GAPS = 4;
+import type { SendRun, SendRunHandlers } from './types.ts';
 
-/** A target that is to be borne for less than this is given up at once. */
-const LEAST_WAIT_MS = 5;
+export type {
+  CollectedAnswer,
+  SendResult,
+  SendRun,
+  SendRunHandlers,
+} from './types.ts';
 
 const HTTP_OK = 200;
 
@@ -97,14 +56,19 @@
   const chunks: Buffer[] = [];
   let head: AnswerHead | undefined;
   let isStream = false;
-  let events = 0;
-  let lastEventAtMs = startedAtMs;
-  const gapsMs: number[] = [];
+  const times = createEventTimes(startedAtMs);
   let isLate = run.resumeAfterId !== undefined;
   let isOver = false;
-  let stallTimer: NodeJS.Timeout | undefined;
   let sending: RunningSend | undefined;
   let giveUpSeats: (() => void) | undefined;
+  const silence = createSilenceWatch({
+    leftMs: silenceLeftMs,
+    backlogMs: () => targetLoad()?.readMs ?? 0,
+    onSilent() {
+      sending?.cancel();
+      finish({ type: 'stalled' });
+    },
+  });
 
   logSend(run, context);
   startFlight(run, { flightId, startedAtMs }, context);
@@ -128,14 +92,14 @@
   }
 
   function send(held: HeldSeats | undefined): void {
-    armStallTimer();
+    silence.restart();
     const seats = held === undefined ? [] : plan.seats;
     const started = sendRequest(
       {
         address: target.address,
         method: call.method,
         path: call.path,
-        headers: headersFor(run, helperSeats(plan, seats, flightId), context),
+        headers: sendHeaders(run, helperSeats(plan, seats, flightId), context),
         body: call.body,
         attemptId: call.attemptId,
         freshConnection: call.route.repeat === 'atMostOnce',
@@ -162,12 +126,10 @@
 
   function passEvent(event: StreamEvent): boolean {
     if (isOver || head === undefined) return true;
-    const atMs = now();
-    if (events === 0) noteFirstEvent();
-    else notePause(atMs - lastEventAtMs);
-    events += 1;
-    lastEventAtMs = atMs;
-    armStallTimer();
+    const pauseMs = times.note(now());
+    if (pauseMs === undefined) noteFirstEvent();
+    else if (pauseMs > call.route.gapTargetMs) noteLate();
+    silence.restart();
     const isKnown =
       event.id !== undefined && event.id <= (run.resumeAfterId ?? -1);
     return isKnown || handlers.onEvent(event, head);
@@ -188,51 +150,27 @@
     });
   }
 
-  function notePause(pauseMs: number): void {
-    gapsMs.push(pauseMs);
-    if (pauseMs > call.route.gapTargetMs) noteLate();
-  }
-
   function noteLate(): void {
     if (isLate) return;
     isLate = true;
     runtime.dispatch({ type: 'load.late', flightId });
   }
 
-  /** Load is looked up only when the time without any has passed, since it can
-   * but lengthen it. */
-  function armStallTimer(): void {
-    clearTimeout(stallTimer);
-    const limitMs = silenceLeftMs(0);
-    if (limitMs !== undefined) stallTimer = setTimeout(checkSilence, limitMs);
-  }
-
-  function checkSilence(): void {
-    const load = allLoads(runtime.state().load, now()).get(target.id);
-    const leftMs = silenceLeftMs(load?.readMs ?? 0) ?? 0;
-    if (leftMs > LEAST_WAIT_MS) {
-      stallTimer = setTimeout(checkSilence, leftMs);
-      return;
-    }
-    sending?.cancel();
-    finish({ type: 'stalled' });
-  }
-
   function silenceLeftMs(backlogMs: number): number | undefined {
     return stallLimitMs({
       route: call.route,
       plan,
       isLast: run.isLast,
-      hasBegun: events > 0,
+      hasBegun: times.count() > 0,
       timeLeftMs: run.deadlineAtMs - startedAtMs,
       backlogMs,
-      silentMs: now() - lastEventAtMs,
+      silentMs: times.silentMs(now()),
     });
   }
 
   function stop(): void {
     isOver = true;
-    clearTimeout(stallTimer);
+    silence.stop();
     giveUpSeats?.();
     runtime.dispatch({ type: 'load.ended', flightId });
   }
@@ -244,7 +182,7 @@
     const end = isStream
       ? checkStreamEnd(reported, {
           pendingBytes: splitter.pendingBytes(),
-          hasEvents: events > 0 || run.resumeAfterId !== undefined,
+          hasEvents: times.count() > 0 || run.resumeAfterId !== undefined,
         })
       : reported;
     log.info('send.ended', {
@@ -254,8 +192,8 @@
       status: 'status' in end ? end.status : undefined,
       reason: 'reason' in end ? end.reason : undefined,
       elapsedMs: Math.round(now() - startedAtMs),
-      events,
-      longestGapMs: Math.round(Math.max(0, ...gapsMs)),
+      events: times.count(),
+      longestGapMs: Math.round(times.longestGapMs()),
     });
     context.metrics.sent({ end: end.type });
     const answer =
@@ -268,15 +206,17 @@
   /** Usual pause between events ÷ the pass that the cost model predicts. */
   function observedPace(): number | undefined {
     const { engine } = call.service;
-    if (engine === undefined || gapsMs.length < LEAST_GAPS) return undefined;
-    const load = allLoads(runtime.state().load, now()).get(target.id);
-    const passMs = estimatePassMs(
-      engine,
-      Math.max(load?.writers ?? 0, 1),
-      load?.contextTokens ?? 0,
+    const usualGapMs = times.usualGapMs();
+    if (engine === undefined || usualGapMs === undefined) return undefined;
+    const load = targetLoad();
+    const writers = Math.max(load?.writers ?? 0, 1);
+    return (
+      usualGapMs / estimatePassMs(engine, writers, load?.contextTokens ?? 0)
     );
-    const median = gapsMs.toSorted((a, b) => a - b)[gapsMs.length >> 1];
-    return median === undefined ? undefined : median / passMs;
+  }
+
+  function targetLoad(): TargetLoad | undefined {
+    return allLoads(runtime.state().load, now()).get(target.id);
   }
 
   return {
@@ -303,89 +243,3 @@
     ? end
     : { type: 'broken', reason: 'stream ended without an event' };
 }
-
-function logSend(run: SendRun, context: ForwardContext): void {
-  const { call, plan } = run;
-  context.log.info('request.sent', {
-    request: call.attemptId,
-    target: plan.target.id,
-    service: call.service.name,
-    helpers: plan.helpers.map((helper) => helper.id),
-    seats: plan.seats.length,
-    promptTokens: call.caller.prompt?.promptTokens,
-    predictedMs:
-      plan.firstEventMs === undefined
-        ? undefined
-        : Math.round(plan.firstEventMs),
-    resumedAfter: run.resumeAfterId,
-    send: run.number,
-    configVersion: context.runtime.table()?.config.version,
-  });
-}
-
-function startFlight(
-  run: SendRun,
-  started: { readonly flightId: string; readonly startedAtMs: number },
-  context: ForwardContext,
-): void {
-  const { call, plan } = run;
-  context.runtime.dispatch({
-    type: 'load.started',
-    flight: {
-      ...started,
-      targetId: plan.target.id,
-      helperIds: plan.helpers.map((helper) => helper.id),
-      partReadMs: plan.partReadMs,
-      memoryTokens: plan.memoryTokens,
-      contextTokens: plan.contextTokens,
-      value: plan.value * (run.resumeAfterId === undefined ? 1 : LATE_VALUE),
-      isShort: plan.isShort,
-      seats: plan.seats.map((seat) => ({
-        targetId: seat.target.id,
-        tokens: seat.tokens,
-      })),
-      gapTargetMs: call.route.gapTargetMs,
-      isWriting: false,
-    },
-  });
-}
-
-/** Helpers that hold memory come first, since seats are filled in turn. */
-function helperSeats(
-  plan: SendPlan,
-  seats: SendPlan['seats'],
-  reservationId: string,
-): readonly HelperSeat[] {
-  const holderIds = new Set(seats.map((seat) => seat.target.id));
-  return [
-    ...seats.map((seat) => ({
-      address: seat.target.address,
-      ticket: reservationId,
-    })),
-    ...plan.helpers
-      .filter((helper) => !holderIds.has(helper.id))
-      .map((helper) => ({ address: helper.address, ticket: undefined })),
-  ];
-}
-
-function headersFor(
-  run: SendRun,
-  helpers: readonly HelperSeat[],
-  context: ForwardContext,
-): readonly (readonly [string, string])[] {
-  const { call } = run;
-  const hasBody = call.body.length > 0 || call.method === 'POST';
-  const leftMs = Math.floor(run.deadlineAtMs - context.now());
-  return [
-    ...passedHeaders(call.rawHeaders, context.dialect.withheldHeaders),
-    ...(hasBody ? [['Content-Length', String(call.body.length)] as const] : []),
-    ...context.dialect.writeSend({
-      targetId: run.plan.target.id,
-      deadlineMs: Math.max(leftMs, LEAST_DEADLINE_MS),
-      workspace: call.workspace,
-      lastEventId: run.resumeAfterId?.toString() ?? call.caller.lastEventId,
-      urgency: urgencyOf(call),
-      helpers,
-    }),
-  ];
-}
