Gather news that can wait at one entry of each data centre in large fleets

Change: in fleets of more than 16, heartbeats and news of short prompts go to the entry with the lowest address of the data centre, which passes them on together after 60 ms. Long prompts and leaving are told to all at once, as before. Ruled out: decoding (9 us a message when warm) and reducing (18 us).

--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -1,4 +1,4 @@
-import { decode, encode } from '@msgpack/msgpack';
+import { decodeMulti, encode } from '@msgpack/msgpack';
 import type { Flight, PeerSelf } from '@endivegate/core/forwarding';
 import { z } from 'zod';
 
@@ -60,6 +60,8 @@
   z.array(z.string()),
 ]);
 
+const messagesSchema = z.array(messageSchema).min(1);
+
 /** Values are estimates; two decimals tell enough of them. */
 const VALUE_SCALE = 100;
 
@@ -97,21 +99,30 @@
 }
 
 /**
- * Decodes a message of a peer.
+ * Decodes messages of peers, which stand one after the other.
  *
- * @param bytes - The message.
+ * @param bytes - The messages.
  * @param codec - Targets' hashes; requests at unknown targets are left out.
  * @param nowMs - Monotonic time of the receiver.
- * @returns The message, or undefined when it is none.
+ * @returns The messages, or undefined when these are none.
  */
-export function decodePeerMessage(
+export function decodePeerMessages(
   bytes: Uint8Array,
   codec: TargetCodec,
   nowMs: number,
-): PeerMessage | undefined {
-  const parsed = messageSchema.safeParse(unpack(bytes));
-  if (!parsed.success) return undefined;
-  const [self, flights, leavingIds, crashes, addresses] = parsed.data;
+): readonly PeerMessage[] | undefined {
+  const parsed = messagesSchema.safeParse(unpack(bytes));
+  return parsed.success
+    ? parsed.data.map((row) => decodeMessage(row, codec, nowMs))
+    : undefined;
+}
+
+function decodeMessage(
+  row: z.infer<typeof messageSchema>,
+  codec: TargetCodec,
+  nowMs: number,
+): PeerMessage {
+  const [self, flights, leavingIds, crashes, addresses] = row;
   return {
     self: {
       name: self[0],
@@ -193,7 +204,7 @@
 
 function unpack(bytes: Uint8Array): unknown {
   try {
-    return decode(bytes);
+    return [...decodeMulti(bytes)];
   } catch {
     return undefined;
   }
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -1,4 +1,4 @@
-import { createSocket } from 'node:dgram';
+import { createSocket, type RemoteInfo } from 'node:dgram';
 import {
   type Peer,
   type PeerSelf,
@@ -6,9 +6,11 @@
 } from '@endivegate/core/forwarding';
 import type { EventLog } from '../createEventLog/index.ts';
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
+import { createBatch } from './_lib/batch.ts';
 import { createConfigServer, fetchConfig } from './_lib/configExchange.ts';
+import { createHubChoice } from './_lib/hubChoice.ts';
 import {
-  decodePeerMessage,
+  decodePeerMessages,
   encodePeerMessage,
   type PeerMessage,
   type TargetCodec,
@@ -54,10 +56,23 @@
 /** Addresses of others told in one datagram. */
 const MOST_ADDRESSES = 24;
 
-/** First byte of a datagram: whether its receiver passes it on in its own data
- * centre, so that one copy crosses between data centres. */
+/** Larger fleets gather messages at one entry of each data centre: the
+ * datagrams of all to all would grow with the square of the entries. */
+const MOST_DIRECT_ENTRIES = 16;
+
+/** Messages are gathered for this long there; a small part of the time for
+ * which a short prompt writes. */
+const HUB_GATHER_MS = 60;
+
+/** Messages that travel together fit into one packet. */
+const MOST_BATCH_BYTES = 1300;
+
+/** First byte of a datagram: what its receiver does beside learning from it.
+ * A relay passes it on in its own data centre, so that one copy crosses between
+ * data centres; a hub gathers it and passes it on to all. */
 const DIRECT = 0;
 const TO_RELAY = 1;
+const TO_HUB = 2;
 
 /**
  * Opens the link to the other entries: datagrams that tell of this entry, its
@@ -79,7 +94,14 @@
   const socket = createSocket('udp4');
   let beatTimer: NodeJS.Timeout | undefined;
   let gatherTimer: NodeJS.Timeout | undefined;
+  let isUrgent = false;
   let isFetching = false;
+  const hubs = createHubChoice();
+  const batch = createBatch({
+    gatherMs: HUB_GATHER_MS,
+    mostBytes: MOST_BATCH_BYTES,
+    send: sendToAll,
+  });
   let isClosed = false;
 
   socket.on('error', (error) => {
@@ -97,10 +119,13 @@
     tryAddresses();
   }, SEED_MS);
   armBeat();
-  runtime.onNewLoad(() => {
+  runtime.onNewLoad((flight) => {
+    isUrgent ||= !flight.isShort;
     gatherTimer ??= setTimeout(() => {
       gatherTimer = undefined;
-      tell();
+      if (isUrgent) tell();
+      else tellGathered();
+      isUrgent = false;
     }, GATHER_MS);
   });
 
@@ -108,7 +133,7 @@
   function armBeat(): void {
     clearTimeout(beatTimer);
     const { heartbeatMs } = peerTimes(runtime.state().peers.size + 1);
-    beatTimer = setTimeout(tell, heartbeatMs);
+    beatTimer = setTimeout(tellGathered, heartbeatMs);
   }
 
   function knownPeers(): readonly Peer[] {
@@ -136,12 +161,37 @@
   function tell(): void {
     if (isClosed) return;
     armBeat();
-    const message = encodeNow([]);
+    sendToAll(encodeNow([]));
+  }
+
+  /** In a large fleet news that can wait a little share their datagrams. */
+  function tellGathered(): void {
+    const atMs = now();
+    const isLarge = runtime.state().peers.size >= MOST_DIRECT_ENTRIES;
+    const hub = isLarge ? hubs.pick(localAddresses(), atMs) : undefined;
+    if (isClosed || hub === undefined) {
+      tell();
+      return;
+    }
+    armBeat();
+    if (hub === own.peerAddress) batch.add(encodeNow([]));
+    else {
+      hubs.gave(hub, atMs);
+      send(TO_HUB, encodeNow([]), hub);
+    }
+  }
+
+  function localAddresses(): readonly string[] {
+    const others = localPeers().map((peer) => peer.peerAddress);
+    return [own.peerAddress, ...others];
+  }
+
+  function sendToAll(messages: Uint8Array): void {
     localPeers().forEach((peer) => {
-      send(DIRECT, message, peer.peerAddress);
+      send(DIRECT, messages, peer.peerAddress);
     });
     relays().forEach((peer) => {
-      send(TO_RELAY, message, peer.peerAddress);
+      send(TO_RELAY, messages, peer.peerAddress);
     });
   }
 
@@ -188,21 +238,23 @@
     });
   }
 
-  function receive(datagram: Buffer): void {
+  function receive(datagram: Buffer, from: RemoteInfo): void {
+    hubs.heard(`${from.address}:${from.port}`);
     const bytes = datagram.subarray(1);
-    const message = decodePeerMessage(bytes, codec, now());
-    if (message === undefined) {
+    const messages = decodePeerMessages(bytes, codec, now());
+    if (messages === undefined) {
       log.warn('peers.unreadable', { bytes: datagram.length });
       return;
     }
-    if (message.self.name === own.name) return;
-    if (datagram[0] === TO_RELAY) passOn(bytes, message.self);
-    learn(message);
+    if (datagram[0] === TO_RELAY) passOn(bytes, messages);
+    if (datagram[0] === TO_HUB) batch.add(Uint8Array.from(bytes));
+    messages.filter((one) => one.self.name !== own.name).forEach(learn);
   }
 
-  function passOn(bytes: Uint8Array, from: PeerSelf): void {
+  function passOn(bytes: Uint8Array, messages: readonly PeerMessage[]): void {
+    const names = new Set(messages.map((message) => message.self.name));
     localPeers()
-      .filter((peer) => peer.name !== from.name)
+      .filter((peer) => names.size > 1 || !names.has(peer.name))
       .forEach((peer) => {
         send(DIRECT, bytes, peer.peerAddress);
       });
@@ -272,6 +324,7 @@
       isClosed = true;
       clearInterval(seedTimer);
       clearTimeout(beatTimer);
+      batch.close();
       clearTimeout(gatherTimer);
       socket.close();
       server.close();
--- a/packages/gateway/src/createPeerLink/test.ts
+++ b/packages/gateway/src/createPeerLink/test.ts
@@ -3,7 +3,11 @@
   ForwardingConfig,
   ListedTarget,
 } from '@endivegate/contracts/forwarding';
-import { allLoads, servingPeers } from '@endivegate/core/forwarding';
+import {
+  allLoads,
+  type Flight,
+  servingPeers,
+} from '@endivegate/core/forwarding';
 import { createEventLog } from '../createEventLog/index.ts';
 import {
   createGatewayRuntime,
@@ -35,6 +39,21 @@
   bornMs: 1,
 };
 
+const flight: Flight = {
+  flightId: 'f1',
+  targetId: 't1',
+  helperIds: [],
+  partReadMs: 100,
+  memoryTokens: 10,
+  contextTokens: 10,
+  value: 1,
+  isShort: true,
+  seats: [],
+  gapTargetMs: 250,
+  startedAtMs: 0,
+  isWriting: false,
+};
+
 interface Entry {
   readonly runtime: GatewayRuntime;
   readonly link: PeerLink;
@@ -145,20 +164,7 @@
     await until(() => peersOf(first).length === 1);
     first.runtime.dispatch({
       type: 'load.started',
-      flight: {
-        flightId: 'f1',
-        targetId: 't1',
-        helperIds: [],
-        partReadMs: 100,
-        memoryTokens: 10,
-        contextTokens: 10,
-        value: 1,
-        isShort: true,
-        seats: [],
-        gapTargetMs: 250,
-        startedAtMs: performance.now(),
-        isWriting: false,
-      },
+      flight: { ...flight, startedAtMs: performance.now() },
     });
     const requestsAt = (nowMs: number): number =>
       allLoads(second.runtime.state().load, nowMs).get('t1')?.requests ?? 0;
@@ -177,4 +183,36 @@
     skippedMs = 5000;
     expect(serving()).to.equal(0);
   });
+
+  it('reaches everyone in a large fleet, also when its hub is gone', async () => {
+    const first = await startEntry('e00', 'a', []);
+    const names = Array.from({ length: 19 }, (_, n) => `e${n + 10}`);
+    const others = await Promise.all(
+      names.map((name, n) =>
+        startEntry(name, n % 2 === 0 ? 'a' : 'b', [first.address]),
+      ),
+    );
+    const everyone = [first, ...others];
+    const addresses = everyone.map((one) => one.address);
+    everyone.forEach((one) => {
+      one.link.addAddresses(addresses);
+    });
+    await until(() => everyone.every((one) => peersOf(one).length === 19));
+    const [hub] = everyone
+      .filter((_, index) => index === 0 || index % 2 === 1)
+      .toSorted((a, b) => (a.address < b.address ? -1 : 1));
+    hub?.link.close();
+    const teller = everyone.find((one) => one !== hub);
+    const listeners = everyone.filter((one) => one !== hub && one !== teller);
+    teller?.runtime.dispatch({
+      type: 'load.started',
+      flight: { ...flight, startedAtMs: performance.now() },
+    });
+    await until(() =>
+      listeners.every((one) => {
+        const loads = allLoads(one.runtime.state().load, performance.now());
+        return (loads.get('t1')?.requests ?? 0) > 0;
+      }),
+    );
+  });
 });
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -1,5 +1,6 @@
 import {
   buildRouteTable,
+  type Flight,
   type GatewayEffect,
   type GatewayEvent,
   gatewayReduce,
@@ -21,7 +22,7 @@
   readonly applyConfig: (config: ForwardingConfig, source: string) => void;
   readonly onConfig: (listener: (table: RouteTable) => void) => void;
   /** Called when this entry has sent a request. */
-  readonly onNewLoad: (listener: () => void) => void;
+  readonly onNewLoad: (listener: (flight: Flight) => void) => void;
 }
 
 /** Bounds of a deployment that the gateway keeps. */
@@ -44,7 +45,7 @@
   let state = initialGatewayState;
   let table: RouteTable | undefined;
   const configListeners: ((table: RouteTable) => void)[] = [];
-  const loadListeners: (() => void)[] = [];
+  const loadListeners: ((flight: Flight) => void)[] = [];
 
   return {
     state: () => state,
@@ -56,7 +57,7 @@
       });
       if (event.type === 'load.started') {
         loadListeners.forEach((listener) => {
-          listener();
+          listener(event.flight);
         });
       }
     },
