Take out the five import cycles

Types that two modules shared stand in modules of their own (bench rows, figures of roles, options of an entry, the table's peer port); the queue of limits is given what follows it as an argument. No behaviour is changed.

--- a/bench/routing/main.ts
+++ b/bench/routing/main.ts
@@ -10,21 +10,12 @@
   type TraceMix,
   type TraceRequest,
 } from './makeTrace/index.ts';
-import { measure, type Measures } from './measure/index.ts';
+import type { BenchRow } from './benchRow.ts';
+import { measure } from './measure/index.ts';
 import { plotResults } from './plotResults/index.ts';
 import { POLICIES } from './policies.ts';
 import { replay, type Policy } from './replay/index.ts';
 
-/** One cell of the printed table. */
-export interface BenchRow {
-  readonly mix: string;
-  readonly loadPercent: number;
-  readonly policy: string;
-  readonly measures: Measures;
-  /** p95 first token of short prompts beside long ones ÷ without them. */
-  readonly blocking: number | undefined;
-}
-
 const HELP = `Usage: npm run bench:routing -- [options]
 
 Replays seeded traces against the routing policy and the baselines.
--- a/bench/routing/plotResults/index.ts
+++ b/bench/routing/plotResults/index.ts
@@ -1,6 +1,6 @@
 import { lengthClassSchema } from '@endivegate/contracts';
 import * as echarts from 'echarts';
-import type { BenchRow } from '../main.ts';
+import type { BenchRow } from '../benchRow.ts';
 
 const WIDTH_PX = 1_200;
 const PANEL_HEIGHT_PX = 320;
--- a/bench/slopes/main.ts
+++ b/bench/slopes/main.ts
@@ -7,7 +7,8 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 import { fitLine, type LineFit } from './fitLine.ts';
-import { ROLES, type Figures } from './roles.ts';
+import type { Figures } from './figures.ts';
+import { ROLES } from './roles.ts';
 
 /** A role's figures at all sizes, and the fit of each over the size. */
 export interface RoleResult {
--- a/bench/slopes/roles.ts
+++ b/bench/slopes/roles.ts
@@ -4,15 +4,13 @@
   measureNotifications,
   measureReservationLists,
 } from './roles/calls.ts';
+import type { Figures } from './figures.ts';
 import { measureMembership } from './roles/membership.ts';
 import { measureRequests } from './roles/requests.ts';
 import { measureTable } from './roles/table.ts';
 import { measureTimeline } from './roles/timeline.ts';
 import { measureIdle, measureLoaded } from './roles/node.ts';
 
-/** Figures of one role at one size, by name with its unit. */
-export type Figures = Readonly<Record<string, number>>;
-
 /** A role, and the sizes at which it is measured. */
 export interface Role {
   /** What the size counts. */
--- a/bench/slopes/roles/calls.ts
+++ b/bench/slopes/roles/calls.ts
@@ -12,7 +12,7 @@
 import { subscribe } from 'node:diagnostics_channel';
 import type { Socket } from 'node:net';
 import { z } from 'zod';
-import type { Figures } from '../roles.ts';
+import type { Figures } from '../figures.ts';
 
 /** Entries for each target in the fleet to design for. */
 const ENTRIES_PER_TARGET = 370 / 830;
--- a/bench/slopes/roles/membership.ts
+++ b/bench/slopes/roles/membership.ts
@@ -7,7 +7,7 @@
   type SharedEvent,
 } from '@endivegate/core';
 import { decodePacket, encodePacket } from '@endivegate/daemon';
-import type { Figures } from '../roles.ts';
+import type { Figures } from '../figures.ts';
 import { usedHeapBytes } from './heap.ts';
 
 const HEADER_BYTES = 28;
--- a/bench/slopes/roles/node.ts
+++ b/bench/slopes/roles/node.ts
@@ -1,4 +1,4 @@
-import type { Figures } from '../roles.ts';
+import type { Figures } from '../figures.ts';
 
 /** Memory of a Node process that has loaded nothing of the daemon. */
 export function measureIdle(): Figures {
--- a/bench/slopes/roles/requests.ts
+++ b/bench/slopes/roles/requests.ts
@@ -7,7 +7,7 @@
   type RootEvent,
   type RootState,
 } from '@endivegate/core';
-import type { Figures } from '../roles.ts';
+import type { Figures } from '../figures.ts';
 import { usedHeapBytes } from './heap.ts';
 
 const MODELS = 18;
--- a/bench/slopes/roles/table.ts
+++ b/bench/slopes/roles/table.ts
@@ -1,6 +1,6 @@
 import type { TableDocument, TableRow } from '@endivegate/contracts';
 import { reduce, initialRootState, splitTable } from '@endivegate/core';
-import type { Figures } from '../roles.ts';
+import type { Figures } from '../figures.ts';
 import { cpuUsPerCall, usedHeapBytes } from './heap.ts';
 
 const KINDS = ['chat', 'summary', 'review'];
--- a/bench/slopes/roles/timeline.ts
+++ b/bench/slopes/roles/timeline.ts
@@ -1,5 +1,5 @@
 import { createTimeline } from '@endivegate/daemon';
-import type { Figures } from '../roles.ts';
+import type { Figures } from '../figures.ts';
 import { cpuUsPerCall, usedHeapBytes } from './heap.ts';
 
 const UNBOUNDED_BYTES = 1_000_000_000;
--- a/packages/core/src/routing/_lib/admit.ts
+++ b/packages/core/src/routing/_lib/admit.ts
@@ -42,7 +42,7 @@
       retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
     });
   }
-  return passLimit(state, stamp, newRouted(state, stamp, request));
+  return passLimit(state, stamp, newRouted(state, stamp, request), proceed);
 }
 
 /** Sends or queues a request that has passed its limit. */
--- a/packages/core/src/routing/_lib/limitQueue.ts
+++ b/packages/core/src/routing/_lib/limitQueue.ts
@@ -1,5 +1,4 @@
 import type { EventBase } from '../../events/index.ts';
-import { proceed } from './admit.ts';
 import {
   limitKeyOf,
   noteLimitDemand,
@@ -20,11 +19,19 @@
 /** Time after which a refused caller may find a share. */
 const LIMITED_RETRY_AFTER_MS = 1_000;
 
+/** Sends or queues a request that has passed its limit. */
+export type Proceed = (
+  state: RoutingState,
+  stamp: EventBase,
+  routed: RoutedRequest,
+) => RoutingStep;
+
 /** Lets a new request pass its limit, queues it for a share, or refuses it. */
 export function passLimit(
   state: RoutingState,
   stamp: EventBase,
   routed: RoutedRequest,
+  proceed: Proceed,
 ): RoutingStep {
   const limitKey = limitKeyOf(state, routed.request);
   if (limitKey === undefined) return proceed(state, stamp, routed);
@@ -47,6 +54,7 @@
 export function retryLimited(
   state: RoutingState,
   stamp: EventBase,
+  proceed: Proceed,
 ): RoutingStep {
   const limited = [...state.requests.values()].filter(
     ({ phase }) => phase === 'limited',
--- a/packages/core/src/routing/_lib/messages.ts
+++ b/packages/core/src/routing/_lib/messages.ts
@@ -2,6 +2,7 @@
 import type { EventBase } from '../../events/index.ts';
 import { addDemand, takeDemand } from './demand.ts';
 import { answerLimitReport, takeLimitGrant } from './limited.ts';
+import { proceed } from './admit.ts';
 import { retryLimited } from './limitQueue.ts';
 import { placerOf } from './peers.ts';
 import { takeGrant, takeRefusal } from './placing.ts';
@@ -30,7 +31,11 @@
     case 'limitWanted':
       return answerLimitReport(state, stamp, fromEntryId, message);
     case 'limitGranted':
-      return retryLimited(takeLimitGrant(state, stamp, message), stamp);
+      return retryLimited(
+        takeLimitGrant(state, stamp, message),
+        stamp,
+        proceed,
+      );
     case 'demand':
       return takeReport(state, fromEntryId, message);
     case 'lanes': {
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -1,8 +1,8 @@
 import { emptyBucketMap } from '../bucketMap/index.ts';
 import { indexRows } from '../indexRows/index.ts';
-import type { SharedEvent } from '../events/index.ts';
+import type { EventBase, SharedEvent } from '../events/index.ts';
 import type { Slice } from '../slice/index.ts';
-import { admit, readmit } from './_lib/admit.ts';
+import { admit, proceed, readmit } from './_lib/admit.ts';
 import {
   keepView,
   orderTargets,
@@ -128,13 +128,18 @@
   }
 }
 
+/** Lets requests pass that waited for a share of their limit. */
+function passWaiting(state: RoutingState, stamp: EventBase): RoutingStep {
+  return retryLimited(state, stamp, proceed);
+}
+
 function tick(
   state: RoutingState,
   event: SharedEvent & { readonly type: 'clock.ticked' },
 ): RoutingStep {
   const expired = expirePlacements(dropIdleFlows(state), event, new Set());
   const steps = [
-    retryLimited,
+    passWaiting,
     drain,
     askAgain,
     place,
@@ -235,7 +240,7 @@
   const forgotten = forget(released.state, event.requestId);
   return andThen(
     andThen({ ...released, state: forgotten }, (next) =>
-      retryLimited(next, event),
+      passWaiting(next, event),
     ),
     (next) => drain(next, event),
   );
--- a/packages/daemon/src/createEntry/_lib/createHandlers.ts
+++ b/packages/daemon/src/createEntry/_lib/createHandlers.ts
@@ -13,7 +13,7 @@
 import type { Peering } from '../../startPeering/index.ts';
 import type { SuspectsHandler } from '../../suspects/index.ts';
 import type { TableHandler } from '../../table/index.ts';
-import type { CreateEntryOptions } from '../index.ts';
+import type { CreateEntryOptions } from '../types.ts';
 import type { NotifyPeer } from './createPeerMessages.ts';
 import { logPauses } from './logEvents.ts';
 import { waitForNone } from './waitForNone.ts';
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -1,11 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import type { AddressInfo } from 'node:net';
-import type {
-  EnginePort,
-  EntryAddress,
-  PlatformPort,
-  ServicePort,
-} from '@endivegate/contracts';
+import type { EntryAddress } from '@endivegate/contracts';
 import {
   countOpenClaims,
   decideNewRequest,
@@ -20,11 +15,9 @@
   refuseLeaving,
 } from '../createCallersServer/index.ts';
 import { createEntryView, type EntryView } from '../createEntryView/index.ts';
-import type { Logger } from '../createLogger/index.ts';
 import { createMetrics, type Metrics } from '../createMetrics/index.ts';
 import { createTablePeers } from '../createTablePeers/index.ts';
 import { learnFromSeeds } from '../learnFromSeeds/index.ts';
-import type { LoadedSettings } from '../loadSettings/index.ts';
 import { fromPeerUpdate } from '../membership/index.ts';
 import { createOpenRequests } from '../openRequests/index.ts';
 import { recordEnd, recordMetrics } from '../recordMetrics/index.ts';
@@ -40,21 +33,9 @@
 import { describeSelf } from './_lib/describeSelf.ts';
 import { listUnreadyReasons } from './_lib/listUnreadyReasons.ts';
 import { logEvent } from './_lib/logEvents.ts';
+import type { CreateEntryOptions, EntryPorts } from './types.ts';
 
-/** What an entry talks to. */
-export interface EntryPorts {
-  readonly engines: EnginePort;
-  readonly services: ServicePort;
-  readonly platform: PlatformPort;
-}
-
-/** Options of {@link createEntry}. */
-export interface CreateEntryOptions extends LoadedSettings {
-  readonly ports: EntryPorts;
-  readonly logger: Logger;
-  /** Told once the entry has left; it still has to be stopped. */
-  readonly onExit?: (exitCode: number) => void;
-}
+export type { CreateEntryOptions, EntryPorts } from './types.ts';
 
 /** One running entry. */
 export interface Entry {
--- a/packages/daemon/src/table/_lib/sources.ts
+++ b/packages/daemon/src/table/_lib/sources.ts
@@ -9,8 +9,8 @@
   type PlatformError,
   type PlatformPort,
 } from '@endivegate/contracts';
-import type { TablePeerPort } from '../index.ts';
 import type { TableHead, TableSource } from './loadTable.ts';
+import type { TablePeerPort } from './peerPort.ts';
 
 /** Time allowed for one read of the store. */
 const READ_TIMEOUT_MS = 3_000;
--- a/packages/daemon/src/table/index.ts
+++ b/packages/daemon/src/table/index.ts
@@ -1,4 +1,3 @@
-import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
 import { TABLE_MANIFEST_KEY, type PlatformPort } from '@endivegate/contracts';
 import type { TableEffect, TableValue } from '@endivegate/core';
 import * as E from 'fp-ts/lib/Either.js';
@@ -8,7 +7,10 @@
 import { loadTable, type TableHead } from './_lib/loadTable.ts';
 import { peerSource, storeSource } from './_lib/sources.ts';
 
+import type { TablePeerPort } from './_lib/peerPort.ts';
+
 export type { TableHead } from './_lib/loadTable.ts';
+export type { TablePeerError, TablePeerPort } from './_lib/peerPort.ts';
 
 /** Time a watch waits at the store for a change. */
 export const TABLE_WATCH_WAIT_MS = 25_000;
@@ -16,25 +18,6 @@
 /** Time after which a watch whose answer does not come is given up. */
 export const TABLE_WATCH_TIMEOUT_MS = 30_000;
 
-/** Why a peer gave no answer. */
-export interface TablePeerError {
-  readonly type: 'peerFailed';
-  readonly reason: string;
-}
-
-/** Calls to the table of another entry. */
-export interface TablePeerPort {
-  /** Number in force at a peer, and its root; undefined when it has none. */
-  readonly fetchHead: (
-    entryId: string,
-  ) => TaskEither<TablePeerError, TableHead | undefined>;
-  /** Immutable values by key; those that the peer lacks are left out. */
-  readonly fetchValues: (
-    entryId: string,
-    keys: readonly string[],
-  ) => TaskEither<TablePeerError, readonly TableValue[]>;
-}
-
 /** Options of {@link createTableHandler}. */
 export interface CreateTableHandlerOptions {
   readonly platform: PlatformPort;
