Refuse at once what its caller will not wait for; let waits cost by patience

Ruled out: capacity (in-flight of 160 would do); stale load alone. Change: waits cost by the caller's patience; a short prompt that is late for want of a slot, or whose caller will have left, is refused at once with a spread time to come back; long prompts never are.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -1,5 +1,6 @@
 /** Decisions of the forwarding gateway: pure functions and one reducer. */
 export * from './crashSuspects/index.ts';
+export * from './decideAdmission/index.ts';
 export * from './decideNext/index.ts';
 export * from './engineLoad/index.ts';
 export * from './engineTimes/index.ts';
--- a/packages/core/src/forwarding/planPrompt/_lib/costs.ts
+++ b/packages/core/src/forwarding/planPrompt/_lib/costs.ts
@@ -41,8 +41,8 @@
 
 const SECOND_COST = 0.6;
 
-/** The same for time beyond the aim, which only keeps engines busy. */
-const LATE_SECOND_COST = 0.02;
+/** Cost of a wait as long as the caller's patience: who leaves comes again. */
+const PATIENCE_COST = 0.5;
 
 /** Cost of waiting for a slot, for each request in excess. */
 const SLOT_COST = 0.8;
@@ -63,7 +63,8 @@
 /**
  * Expected loss of a prompt whose first event comes after `endMs`: most of its
  * value when it is late, the rest when its caller has left. Time beyond the aim
- * is nearly free, so a prompt that cannot be on time leaves engines to others.
+ * costs by the caller's patience only, so a prompt that cannot be on time leaves
+ * engines to others, but is not kept waiting until its caller leaves.
  */
 export function latenessCost(part: PromptPart, endMs: number): number {
   const aimShare = endMs / Math.max(part.aimMs, 1);
@@ -73,7 +74,8 @@
   const inAimMs = Math.min(endMs, Math.max(part.aimMs, 0) * AIM_LOST);
   const delay =
     AIM_COST * Math.min(aimShare, AIM_LOST) +
-    (SECOND_COST * inAimMs + LATE_SECOND_COST * (endMs - inAimMs)) / MS_PER_S;
+    (SECOND_COST * inAimMs) / MS_PER_S +
+    (PATIENCE_COST * endMs) / part.patienceMs;
   return part.value * (late + left + delay);
 }
 
--- a/packages/core/src/forwarding/planPrompt/_lib/seats.ts
+++ b/packages/core/src/forwarding/planPrompt/_lib/seats.ts
@@ -76,6 +76,18 @@
   return view.cost.memoryTokens * MEMORY_USE - candidate.load.memoryTokens;
 }
 
+/** Expected wait for a slot of the engine that writes; 0 with a free one. */
+export function slotWaitMs(
+  seating: Seating,
+  demand: PromptDemand,
+  view: EngineView,
+): number {
+  const { load, target, passMs } = seating.first;
+  const excess = Math.max(load.requests + 1 - target.slots, 0);
+  const passes = Math.max(demand.outputTokens / view.cost.stepsPerPass, 1);
+  return (excess * passes * passMs) / Math.max(target.slots, 1);
+}
+
 /** Time from the end of reading to the first event: a pass with this writer. */
 export function writeMs(seating: Seating, view: EngineView): number {
   const { load, target } = seating.first;
--- a/packages/core/src/forwarding/planPrompt/index.ts
+++ b/packages/core/src/forwarding/planPrompt/index.ts
@@ -10,7 +10,7 @@
   writersHarm,
 } from './_lib/costs.ts';
 import { shortLane } from './_lib/lanes.ts';
-import { seatPrompt, writeMs } from './_lib/seats.ts';
+import { seatPrompt, slotWaitMs, writeMs } from './_lib/seats.ts';
 import type {
   EngineCandidate,
   EngineView,
@@ -39,8 +39,10 @@
   /** Expected reading time of each part. */
   readonly partReadMs: number;
   readonly isShort: boolean;
-  /** Expected time to the first event. */
+  /** Expected time to the first event, once there is a slot. */
   readonly firstEventMs: number;
+  /** Expected wait for a slot of `target`; 0 with a free one. */
+  readonly slotWaitMs: number;
 }
 
 /** Options of {@link planPrompt}. */
@@ -204,6 +206,7 @@
       partReadMs: part.readMs,
       isShort: part.isShort,
       firstEventMs,
+      slotWaitMs: slotWaitMs(seating, demand, view),
     },
     cost: latenessCost(part, firstEventMs) + harm + seating.cost,
   };
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -1,4 +1,5 @@
 import {
+  decideAdmission,
   decideNext,
   isCrasher,
   mayRepeat,
@@ -82,22 +83,50 @@
       return;
     }
     const nowMs = now();
+    const aimLeftMs = answerBegun
+      ? 0
+      : route.targetLatencyMs - (nowMs - call.arrivedAtMs);
+    const patienceEndsMs = call.arrivedAtMs + callerPatienceMs(route);
+    const patienceMs = Math.min(patienceEndsMs, deadlineAtMs) - nowMs;
     const plan = planSend(state, {
       service,
       route,
       prompt: call.caller.prompt,
       excludedIds,
-      aimLeftMs: answerBegun
-        ? 0
-        : route.targetLatencyMs - (nowMs - call.arrivedAtMs),
-      patienceMs:
-        Math.min(call.arrivedAtMs + callerPatienceMs(route), deadlineAtMs) -
-        nowMs,
+      aimLeftMs,
+      patienceMs,
       nowMs,
       dataCentre: context.dataCentre,
     });
     if (plan === undefined) giveUp('no target is left');
-    else sendTo(plan);
+    else if (!isRefused(plan, { aimLeftMs, patienceMs })) sendTo(plan);
+  }
+
+  /** Refuses what is predictably late, before it is sent for the first time. */
+  function isRefused(
+    plan: SendPlan,
+    left: { readonly aimLeftMs: number; readonly patienceMs: number },
+  ): boolean {
+    if (sends > 0 || plan.firstEventMs === undefined) return false;
+    const { isShort, firstEventMs, slotWaitMs } = plan;
+    const query = { isShort, firstEventMs, slotWaitMs, ...left };
+    const admission = decideAdmission(query);
+    if (admission.type === 'send') return false;
+    log.info('request.notAdmitted', {
+      request: call.attemptId,
+      target: plan.target.id,
+      firstEventMs: Math.round(firstEventMs),
+      slotWaitMs: Math.round(slotWaitMs),
+      aimLeftMs: Math.round(left.aimLeftMs),
+      retryAfterMs: Math.round(admission.retryAfterMs),
+    });
+    finish('refused');
+    reply.fail({
+      status: UNAVAILABLE,
+      message: 'all places are taken',
+      retryAfterMs: admission.retryAfterMs,
+    });
+    return true;
   }
 
   function sendTo(plan: SendPlan): void {
--- a/packages/gateway/src/planSend/index.ts
+++ b/packages/gateway/src/planSend/index.ts
@@ -35,6 +35,8 @@
   readonly partReadMs: number;
   /** Expected time to the first event; undefined for plain calls. */
   readonly firstEventMs: number | undefined;
+  /** Expected wait for a slot before that time begins. */
+  readonly slotWaitMs: number;
   /** Memory to reserve at helpers before the request is sent. */
   readonly seats: readonly MemorySeat[];
   readonly memoryTokens: number;
@@ -103,6 +105,7 @@
     helpers: [],
     partReadMs: 0,
     firstEventMs: undefined,
+    slotWaitMs: 0,
     seats: [],
     memoryTokens: 0,
     contextTokens: 0,
