--- a/packages/gateway/src/followPrefix/index.ts
+++ b/packages/gateway/src/followPrefix/index.ts
@@ -13,7 +13,8 @@
   readonly store: StorePort;
   readonly log: EventLog;
   readonly prefix: string;
-  /** How long one watch waits. */
+  /** How long one watch waits at most; entries draw the half up to it, so that
+   * their watches, which a change ends together, do not fall silent together. */
   readonly waitMs: number;
   /** Pause after a watch that brought changes, which gathers the next ones. */
   readonly gatherMs: number;
@@ -74,7 +75,7 @@
   async function watchFrom(firstRevision: number): Promise<void> {
     let afterRevision = firstRevision;
     while (!isStopped()) {
-      const { waitMs } = options;
+      const waitMs = Math.round(options.waitMs * (1 + random()) * 0.5);
       const watched = await store.watch({ prefix, afterRevision, waitMs })();
       if (isStopped()) return;
       if (E.isLeft(watched)) {
--- a/packages/gateway/src/followPrefix/test.ts
+++ b/packages/gateway/src/followPrefix/test.ts
@@ -34,6 +34,9 @@
   | { readonly changes: readonly StoreChange[]; readonly revision: number }
   | { readonly error: StoreError };
 
+/** How long the watches of all scripts were to wait. */
+const waitsMs = new Set<number>();
+
 /** Plays a script against a follower; ends when the script does. */
 async function follow(script: readonly Scripted[]): Promise<readonly string[]> {
   const seen: string[] = [];
@@ -65,20 +68,26 @@
         const items = 'list' in scripted ? scripted.list : [];
         return Promise.resolve(E.right({ items, revision: scripted.revision }));
       },
-      watch: (query: { readonly afterRevision: number }) => () => {
-        const scripted = next(`watch ${query.afterRevision}`);
-        if (scripted === undefined || 'error' in scripted) {
+      watch:
+        (query: { readonly afterRevision: number; readonly waitMs: number }) =>
+        () => {
+          waitsMs.add(query.waitMs);
+          const scripted = next(`watch ${query.afterRevision}`);
+          if (scripted === undefined || 'error' in scripted) {
+            return Promise.resolve(
+              E.left(
+                scripted?.error ?? {
+                  type: 'unanswered',
+                  reason: 'script ended',
+                },
+              ),
+            );
+          }
+          const changes = 'changes' in scripted ? scripted.changes : [];
           return Promise.resolve(
-            E.left(
-              scripted?.error ?? { type: 'unanswered', reason: 'script ended' },
-            ),
+            E.right({ changes, revision: scripted.revision }),
           );
-        }
-        const changes = 'changes' in scripted ? scripted.changes : [];
-        return Promise.resolve(
-          E.right({ changes, revision: scripted.revision }),
-        );
-      },
+        },
     } as unknown as StorePort;
     stop = followPrefix({
       store,
@@ -153,4 +162,12 @@
     ]);
     expect(long.filter((one) => one === 'lost')).to.have.length(1);
   });
+
+  it('waits for a part of the longest wait, which its randomness draws', async () => {
+    await follow([
+      { list: [], revision: 1 },
+      { changes: [], revision: 1 },
+    ]);
+    expect([...waitsMs]).to.deep.equal([750]);
+  });
 });
