Keep a silent stream whose like no other target has room for

Change: when the silence of a stream that has begun is due, it is ended only if another target has a free place and the budget a send; else it is borne, and looked at again after 250 ms, until the caller leaves. A test of the gateway and one of the watch fail without it.

--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -21,6 +21,13 @@
 import { noteOutcome } from './_lib/noteOutcome.ts';
 import type { ForwardCall, ForwardContext } from './types.ts';
 
+/** Time of a request that is left, in ms; the first is negative once it is late. */
+interface TimeLeft {
+  readonly aimLeftMs: number;
+  /** Until its caller leaves. */
+  readonly patienceMs: number;
+}
+
 /** A refused caller may come again after this: a few passes of an engine. */
 const RETRY_AFTER_MS = 150;
 
@@ -82,31 +89,45 @@
       giveUp('the request broke several targets');
       return;
     }
-    const nowMs = now();
-    const aimLeftMs = answerBegun
-      ? 0
-      : route.targetLatencyMs - (nowMs - call.arrivedAtMs);
-    const patienceEndsMs = call.arrivedAtMs + callerPatienceMs(route);
-    const patienceMs = Math.min(patienceEndsMs, deadlineAtMs) - nowMs;
-    const plan = planSend(state, {
+    const left = timeLeft();
+    const plan = planNow(excludedIds, left);
+    if (plan === undefined) giveUp('no target is left');
+    else if (!isRefused(plan, left)) sendTo(plan);
+  }
+
+  function timeLeft(): TimeLeft {
+    const elapsedMs = now() - call.arrivedAtMs;
+    const bearsMs = Math.min(callerPatienceMs(route), waitMs);
+    return {
+      aimLeftMs: answerBegun ? 0 : route.targetLatencyMs - elapsedMs,
+      patienceMs: bearsMs - elapsedMs,
+    };
+  }
+
+  function planNow(
+    withoutIds: ReadonlySet<string>,
+    left: TimeLeft,
+  ): SendPlan | undefined {
+    return planSend(runtime.state(), {
       service,
       route,
       prompt: call.caller.prompt,
-      excludedIds,
-      aimLeftMs,
-      patienceMs,
-      nowMs,
+      excludedIds: withoutIds,
+      ...left,
+      nowMs: now(),
       dataCentre: context.dataCentre,
     });
-    if (plan === undefined) giveUp('no target is left');
-    else if (!isRefused(plan, { aimLeftMs, patienceMs })) sendTo(plan);
+  }
+
+  /** Whether another target has a place, and the budget a send, for a request
+   * that would be cut off at its target. */
+  function mayMove(target: SendPlan['target']): boolean {
+    const plan = planNow(new Set([...excludedIds, target.id]), timeLeft());
+    return plan?.slotWaitMs === 0 && progress().budgetLeft;
   }
 
   /** Refuses what is predictably late, before it is sent for the first time. */
-  function isRefused(
-    plan: SendPlan,
-    left: { readonly aimLeftMs: number; readonly patienceMs: number },
-  ): boolean {
+  function isRefused(plan: SendPlan, left: TimeLeft): boolean {
     if (sends > 0 || plan.firstEventMs === undefined) return false;
     const { isShort, firstEventMs, slotWaitMs } = plan;
     const query = { isShort, firstEventMs, slotWaitMs, ...left };
@@ -143,6 +164,7 @@
       {
         onSent,
         onEvent,
+        mayMove: () => mayMove(plan.target),
         onEnd(result) {
           ended.abort();
           running = undefined;
--- a/packages/gateway/src/runSend/_lib/silenceWatch.ts
+++ b/packages/gateway/src/runSend/_lib/silenceWatch.ts
@@ -11,9 +11,14 @@
   readonly leftMs: (backlogMs: number) => number | undefined;
   /** What the target has to read, which is worked out only when it matters. */
   readonly backlogMs: () => number;
+  /** Whether a silence may be ended now; else it is borne a little longer. */
+  readonly mayEnd: () => boolean;
   readonly onSilent: () => void;
 }
 
+/** Places elsewhere are looked for again after this: a few passes. */
+const RECHECK_MS = 250;
+
 /** A target that is to be borne for less than this is given up at once. */
 const LEAST_WAIT_MS = 5;
 
@@ -24,7 +29,8 @@
   function check(): void {
     const leftMs = options.leftMs(options.backlogMs()) ?? 0;
     if (leftMs > LEAST_WAIT_MS) timer = setTimeout(check, leftMs);
-    else options.onSilent();
+    else if (options.mayEnd()) options.onSilent();
+    else timer = setTimeout(check, RECHECK_MS);
   }
 
   return {
--- a/packages/gateway/src/runSend/_lib/test.ts
+++ b/packages/gateway/src/runSend/_lib/test.ts
@@ -69,6 +69,7 @@
           return asked.length === 2 ? 10 : 0;
         },
         backlogMs: () => 7,
+        mayEnd: () => true,
         onSilent: resolve,
       }).restart();
     });
@@ -81,6 +82,7 @@
       createSilenceWatch({
         leftMs: () => leftMs,
         backlogMs: () => 0,
+        mayEnd: () => true,
         onSilent: () => {
           silences += 1;
         },
@@ -94,4 +96,20 @@
     });
     expect(silences).to.equal(0);
   });
+
+  it('bears a silence that is due as long as nothing else would take the send', async () => {
+    let asked = 0;
+    await new Promise<void>((resolve) => {
+      createSilenceWatch({
+        leftMs: () => 1,
+        backlogMs: () => 0,
+        mayEnd: () => {
+          asked += 1;
+          return asked === 2;
+        },
+        onSilent: resolve,
+      }).restart();
+    });
+    expect(asked).to.equal(2);
+  });
 });
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -64,6 +64,8 @@
   const silence = createSilenceWatch({
     leftMs: silenceLeftMs,
     backlogMs: () => targetLoad()?.readMs ?? 0,
+    // An answer that has begun is not given up for places that are all taken.
+    mayEnd: () => times.count() === 0 || handlers.mayMove(),
     onSilent() {
       sending?.cancel();
       finish({ type: 'stalled' });
--- a/packages/gateway/src/runSend/types.ts
+++ b/packages/gateway/src/runSend/types.ts
@@ -40,5 +40,7 @@
   readonly onSent: () => void;
   /** Returns whether more events may follow at once. */
   readonly onEvent: (event: StreamEvent, head: AnswerHead) => boolean;
+  /** Whether another target would take the request now, if it were cut off. */
+  readonly mayMove: () => boolean;
   readonly onEnd: (result: SendResult) => void;
 }
--- a/packages/gateway/src/startGateway/test.ts
+++ b/packages/gateway/src/startGateway/test.ts
@@ -70,6 +70,18 @@
   },
 };
 
+const engine = {
+  slots: 8,
+  memoryTokens: 300_000,
+  stepsPerPass: 10,
+  stepMs: 0.5,
+  stepMsPerWriter: 0.01,
+  stepMsPerContextK: 0.003,
+  readTokensPerMs: 177,
+  readMsPerMillionPairs: 0.18,
+  helperStepMs: 0.05,
+};
+
 interface Received {
   readonly target: string;
   readonly url: string;
@@ -431,6 +443,40 @@
     ]);
   });
 
+  it('keeps a silent stream whose like no other target has room for', async () => {
+    const slow: RequestListener = (request, response) => {
+      sign(request, response);
+      response.write('id: 1\ndata: e1\n\n');
+      setTimeout(() => response.end('id: 2\ndata: e2\n\n'), 1900);
+    };
+    const full: RequestListener = (_request, response) => {
+      response.setHeader('x-not-run', '1');
+      response.writeHead(503).end();
+    };
+    await start(slow, full);
+    gateway.runtime.applyConfig(
+      { ...config, services: [{ ...config.services[0]!, engine }] },
+      'test',
+    );
+    const { runtime } = gateway;
+    const second = runtime.state().roster.targets.get('t1')!;
+    runtime.dispatch({ type: 'roster.removed', atMs: 0, id: 't1' });
+    const answer = ask('/stream/1', {
+      body: 'x',
+      headers: { 'x-prompt-tokens': '5000' },
+    });
+    await settle(100);
+    runtime.dispatch({
+      type: 'roster.put',
+      atMs: 0,
+      target: { ...second, slots: 0 },
+    });
+    expect(await answer).to.include({
+      body: 'id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n',
+      isWhole: true,
+    });
+  });
+
   it('reads elsewhere when a target takes a request and falls silent', async () => {
     let asked = 0;
     const silentFirst: RequestListener = (request, response) => {
