Obey targets that leave or ask for a pause, and a store that goes back

Cause: three new facts of the platform had no counterpart. A response could announce the target's leaving or ask for a pause, and the store could be restored from a copy; none was decoded.

Change: the dialect decodes leaving and pause; the roster takes a leaving process out of choice (by id and start time, so a restarted one is usable, and peers' news no longer hit the next process under the same id), observes pauses up to ten minutes, and holds back gone targets that an older copy lists again. Store calls carry the era; a list or watch of another era is never mixed with the last one, and leases are granted anew.

Ruled out: keeping a pause in avoidUntilMs, which a success resets and which is only a cost; skipping a remnant for good, as a live target's entry need not be written again.

--- a/packages/core/src/forwarding/planPrompt/test.ts
+++ b/packages/core/src/forwarding/planPrompt/test.ts
@@ -27,6 +27,8 @@
   bornMs: 0,
   removalDueAtMs: undefined,
   avoidUntilMs: 0,
+  pausedUntilMs: 0,
+  unconfirmedUntilMs: 0,
   failures: 0,
   slowdown: 1,
   idHash: index,
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -1,132 +1,40 @@
 import type { ListedTarget } from '@endivegate/contracts/forwarding';
 import { xxHash32 } from 'js-xxhash';
-import type { Step } from '../../step/index.ts';
-
-/** A listed target with the observations of this entry. */
-export interface RosterTarget extends ListedTarget {
-  /** Time at which a held removal takes effect; undefined when none is held. */
-  readonly removalDueAtMs: number | undefined;
-  /** Until this time new requests go there only when no other target is left. */
-  readonly avoidUntilMs: number;
-  /** Consecutive failures. */
-  readonly failures: number;
-  /** Smoothed ratio of observed to expected time; 1 matches the cost model. */
-  readonly slowdown: number;
-  /** Replaces the id in messages between entries. */
-  readonly idHash: number;
-  /** Rank in [0, 1), the same at every entry; short prompts prefer low ranks. */
-  readonly laneRank: number;
-}
-
-/** Known targets, and the processes that were seen draining. */
-export interface RosterState {
-  readonly targets: ReadonlyMap<string, RosterTarget>;
-  /** Until this time, a target that is missing from the list is kept. */
-  readonly holdRemovalsUntilMs: number;
-  /** Time at which each process was last seen draining, by {@link processKey}.
-   * While it is remembered, such a process is not usable even if it is listed as
-   * ready. */
-  readonly drainedProcesses: ReadonlyMap<string, number>;
-}
-
-/**
- * Cause of a failure: `broken` is a failed connection or answer; `slow` is a
- * silence, which may also be due to load; `replaced` means that another process
- * answers at the target's address.
- */
-export type FailureCause = 'broken' | 'slow' | 'replaced';
-
-/** Events of the roster; times are from the monotonic clock. */
-export type RosterEvent =
-  /** The complete list was read. */
-  | {
-      readonly type: 'roster.listed';
-      readonly atMs: number;
-      readonly targets: readonly ListedTarget[];
-    }
-  | {
-      readonly type: 'roster.put';
-      readonly atMs: number;
-      readonly target: ListedTarget;
-    }
-  /** A list entry was deleted or can no longer be read. */
-  | {
-      readonly type: 'roster.removed';
-      readonly atMs: number;
-      readonly id: string;
-    }
-  /** The list could not be read; list entries may lapse in the meantime. */
-  | { readonly type: 'roster.storeLost'; readonly atMs: number }
-  /** A peer reported targets that are draining or gone. */
-  | {
-      readonly type: 'roster.leavingHeard';
-      readonly atMs: number;
-      readonly ids: readonly string[];
-    }
-  | {
-      readonly type: 'roster.succeeded';
-      readonly atMs: number;
-      readonly id: string;
-      /** Ratio of observed to expected time; undefined if not comparable. */
-      readonly ratio: number | undefined;
-    }
-  | {
-      readonly type: 'roster.failed';
-      readonly atMs: number;
-      readonly id: string;
-      readonly reason: string;
-      readonly cause: FailureCause;
-    }
-  | { readonly type: 'roster.ticked'; readonly atMs: number };
-
-/** A roster change to log. */
-export interface RosterEffect {
-  readonly type: 'roster.changed';
-  readonly id: string;
-  readonly change:
-    'added' | 'draining' | 'held' | 'removed' | 'restarted' | 'avoided';
-  readonly reason: string;
-}
+import { applyFailure, applyPause, applySuccess } from './_lib/observations.ts';
+import { chain, processKey, rosterChanged, withTarget } from './_lib/steps.ts';
+import type {
+  RosterEffect,
+  RosterEvent,
+  RosterState,
+  RosterStep,
+  RosterTarget,
+  TargetProcess,
+} from './types.ts';
+
+export type * from './types.ts';
 
 /** Time within which live targets renew their lapsed list entries after a store
  * outage. */
 export const LAPSED_ENTRY_GRACE_MS = 2300;
 
-/** Time to avoid a target after its first failure; it doubles with each
- * consecutive failure. */
-const INITIAL_AVOID_MS = 400;
-
-/** Time to avoid a target after a silence that may be due to load: a few passes. */
-const SLOW_AVOID_MS = 300;
-
-/** Longest time to avoid a target, so that a recovered target is used again
- * within it. */
-const MAX_AVOID_MS = 4000;
+/** Time after a restore within which the platform removes the list entries of
+ * servers that are gone: three silent heartbeats of 1.2 s, and a margin. */
+export const REMNANT_LIFETIME_MS = 5000;
 
-/** Time for which drained processes are remembered. */
-const DRAINED_RETENTION_MS = 60_000;
+/** Time for which processes that are no longer listed are remembered. */
+const PROCESS_RETENTION_MS = 60_000;
 
 const HASH_RANGE = 2 ** 32;
 
-/** Smoothing weights of an observation slower or faster than the current value.
- * The weight of a slower one is higher, to detect a slow target within a few
- * streams. */
-const SLOWER_GAIN = 0.4;
-const FASTER_GAIN = 0.2;
-const MAX_SLOWDOWN = 20;
-
-/** Ratios below this are attributed to load and count as 1. */
-const SLOWDOWN_NOISE = 1.6;
-
 /** Roster before the first list is read. */
 export const initialRoster: RosterState = {
   targets: new Map(),
   holdRemovalsUntilMs: 0,
   drainedProcesses: new Map(),
+  goneProcesses: new Map(),
+  remnantsUntilMs: 0,
 };
 
-type RosterStep = Step<RosterState, RosterEffect>;
-
 /**
  * Maintains the list of targets and the observations of each.
  *
@@ -157,11 +65,27 @@
         state: { ...state, holdRemovalsUntilMs: Infinity },
         effects: [],
       };
+    case 'roster.storeRestored':
+      return {
+        state: {
+          ...state,
+          holdRemovalsUntilMs: Infinity,
+          remnantsUntilMs: event.atMs + REMNANT_LIFETIME_MS,
+        },
+        effects: [],
+      };
+    case 'roster.leavingAnnounced':
+      return markDraining(state, event, 'announced in a response', event.atMs);
     case 'roster.leavingHeard':
-      return event.ids.reduce<RosterStep>(
-        (step, id) => chain(step, (now) => markDraining(now, id, event.atMs)),
+      return event.processes.reduce<RosterStep>(
+        (step, process) =>
+          chain(step, (now) =>
+            markDraining(now, process, 'reported by a peer', event.atMs),
+          ),
         { state, effects: [] },
       );
+    case 'roster.pauseRequested':
+      return applyPause(state, event);
     case 'roster.succeeded':
       return applySuccess(state, event);
     case 'roster.failed':
@@ -176,20 +100,51 @@
  *
  * @param state - Current roster.
  * @param service - Service name.
- * @returns The targets of the service that are not draining.
+ * @param nowMs - Current monotonic time.
+ * @returns The targets of the service that are not draining, did not ask for a
+ * pause and are not remnants of an older copy of the store.
  *
  * @example
- * usableTargets(state, 'ledger');
+ * usableTargets(state, 'ledger', performance.now());
  */
 export function usableTargets(
   state: RosterState,
   service: string,
+  nowMs: number,
 ): readonly RosterTarget[] {
   return [...state.targets.values()].filter(
-    (target) => target.service === service && !target.draining,
+    (target) =>
+      target.service === service &&
+      !target.draining &&
+      usableFromMs(target) <= nowMs,
   );
 }
 
+/**
+ * Returns when the first target of a service may receive requests.
+ *
+ * @param state - Current roster.
+ * @param service - Service name.
+ * @returns Monotonic time, in the past if a target is usable now; undefined if
+ * the service has no target, or only draining ones.
+ *
+ * @example
+ * soonestUsableAtMs(state, 'ledger');
+ */
+export function soonestUsableAtMs(
+  state: RosterState,
+  service: string,
+): number | undefined {
+  const timesMs = [...state.targets.values()]
+    .filter((target) => target.service === service && !target.draining)
+    .map(usableFromMs);
+  return timesMs.length === 0 ? undefined : Math.min(...timesMs);
+}
+
+function usableFromMs(target: RosterTarget): number {
+  return Math.max(target.pausedUntilMs, target.unconfirmedUntilMs);
+}
+
 function applyList(
   state: RosterState,
   targets: readonly ListedTarget[],
@@ -204,7 +159,7 @@
     (id) => !listedIds.has(id),
   );
   const withListed = targets.reduce<RosterStep>(
-    (step, target) => chain(step, (now) => upsertTarget(now, target, atMs)),
+    (step, target) => chain(step, (now) => upsertListed(now, target, atMs)),
     { state: withHold, effects: [] },
   );
   return absentIds.reduce<RosterStep>(
@@ -213,17 +168,55 @@
   );
 }
 
+/**
+ * Takes a target from a list. Right after the store was restored from an older
+ * copy, the list may name processes that are gone. Such a process is used again
+ * only when its entry is written, or outlives the remnants.
+ */
+function upsertListed(
+  state: RosterState,
+  listed: ListedTarget,
+  atMs: number,
+): RosterStep {
+  const known = state.targets.get(listed.id);
+  const isUnconfirmed =
+    known?.bornMs === listed.bornMs && known.unconfirmedUntilMs > atMs;
+  const wasGone = state.goneProcesses.has(processKey(listed));
+  const mayBeRemnant =
+    atMs < state.remnantsUntilMs && (wasGone || isUnconfirmed);
+  if (!mayBeRemnant) return upsertTarget(state, listed, atMs);
+  const { state: next } = upsertTarget(state, listed, atMs);
+  const target = next.targets.get(listed.id);
+  if (target === undefined) return { state, effects: [] };
+  return {
+    state: withTarget(next, {
+      ...target,
+      unconfirmedUntilMs: state.remnantsUntilMs,
+    }),
+    effects: [
+      rosterChanged(
+        listed.id,
+        'unconfirmed',
+        'was gone before the store was restored',
+      ),
+    ],
+  };
+}
+
 function upsertTarget(
   state: RosterState,
   listed: ListedTarget,
   atMs: number,
+  reason = 'listed',
 ): RosterStep {
   const known = state.targets.get(listed.id);
   const restarted = known !== undefined && known.bornMs !== listed.bornMs;
   const wasDraining = state.drainedProcesses.has(processKey(listed));
   const target: RosterTarget = {
     removalDueAtMs: undefined,
+    unconfirmedUntilMs: 0,
     avoidUntilMs: 0,
+    pausedUntilMs: 0,
     failures: 0,
     slowdown: 1,
     idHash: xxHash32(listed.id),
@@ -240,25 +233,35 @@
       drainedProcesses: target.draining
         ? new Map(state.drainedProcesses).set(processKey(target), atMs)
         : state.drainedProcesses,
+      goneProcesses: withoutKey(state.goneProcesses, processKey(target)),
     },
     effects:
-      change === undefined ? [] : [rosterChanged(target.id, change, 'listed')],
+      change === undefined ? [] : [rosterChanged(target.id, change, reason)],
   };
 }
 
+function withoutKey<T>(
+  map: ReadonlyMap<string, T>,
+  key: string,
+): ReadonlyMap<string, T> {
+  return map.has(key)
+    ? new Map([...map].filter(([other]) => other !== key))
+    : map;
+}
+
 function observationsOf(
   known: RosterTarget | undefined,
 ): Partial<RosterTarget> {
   if (known === undefined) return {};
-  const { avoidUntilMs, failures, slowdown } = known;
-  return { avoidUntilMs, failures, slowdown };
+  const { avoidUntilMs, pausedUntilMs, failures, slowdown } = known;
+  return { avoidUntilMs, pausedUntilMs, failures, slowdown };
 }
 
 function changeOf(
   known: RosterTarget | undefined,
   next: RosterTarget,
   restarted: boolean,
-): RosterEffect['change'] | undefined {
+): Extract<RosterEffect, { type: 'roster.changed' }>['change'] | undefined {
   if (known === undefined) return 'added';
   if (restarted) return 'restarted';
   return next.draining && !known.draining ? 'draining' : undefined;
@@ -272,7 +275,7 @@
   const known = state.targets.get(id);
   if (known === undefined) return { state, effects: [] };
   const isHeld = atMs < state.holdRemovalsUntilMs && !known.draining;
-  if (!isHeld) return dropTarget(state, known, 'no longer listed');
+  if (!isHeld) return dropTarget(state, known, 'no longer listed', atMs);
   if (known.removalDueAtMs !== undefined) return { state, effects: [] };
   const removalDueAtMs = Number.isFinite(state.holdRemovalsUntilMs)
     ? state.holdRemovalsUntilMs
@@ -289,80 +292,40 @@
   state: RosterState,
   target: RosterTarget,
   reason: string,
+  atMs: number,
 ): RosterStep {
   const targets = new Map(state.targets);
   targets.delete(target.id);
   return {
-    state: { ...state, targets },
+    state: {
+      ...state,
+      targets,
+      goneProcesses: new Map(state.goneProcesses).set(processKey(target), atMs),
+    },
     effects: [rosterChanged(target.id, 'removed', reason)],
   };
 }
 
+/**
+ * Marks a process as draining. A process that is not listed is remembered, as
+ * its entry may arrive later.
+ */
 function markDraining(
   state: RosterState,
-  id: string,
+  process: TargetProcess,
+  reason: string,
   atMs: number,
 ): RosterStep {
-  const known = state.targets.get(id);
-  if (known === undefined || known.draining) return { state, effects: [] };
-  return upsertTarget(state, { ...known, draining: true }, atMs);
-}
-
-function applySuccess(
-  state: RosterState,
-  event: Extract<RosterEvent, { type: 'roster.succeeded' }>,
-): RosterStep {
-  const known = state.targets.get(event.id);
-  if (known === undefined) return { state, effects: [] };
-  const ratio = discountLoadNoise(event.ratio ?? known.slowdown);
-  const gain = ratio > known.slowdown ? SLOWER_GAIN : FASTER_GAIN;
-  const slowdown = Math.max(
-    known.slowdown + gain * (ratio - known.slowdown),
-    1,
-  );
-  return {
-    state: withTarget(state, {
-      ...known,
-      failures: 0,
-      avoidUntilMs: 0,
-      slowdown,
-    }),
-    effects: [],
-  };
-}
-
-/** Ignores a small slowdown, which load explains, and caps a large one. */
-function discountLoadNoise(ratio: number): number {
-  return ratio < SLOWDOWN_NOISE ? 1 : Math.min(ratio, MAX_SLOWDOWN);
-}
-
-function applyFailure(
-  state: RosterState,
-  event: Extract<RosterEvent, { type: 'roster.failed' }>,
-): RosterStep {
-  const known = state.targets.get(event.id);
-  if (known === undefined) return { state, effects: [] };
-  const failures = event.cause === 'slow' ? known.failures : known.failures + 1;
-  const durationMs = avoidDurationMs(event.cause, failures);
-  return {
-    state: withTarget(state, {
-      ...known,
-      failures,
-      avoidUntilMs: event.atMs + durationMs,
-    }),
-    effects: [rosterChanged(event.id, 'avoided', event.reason)],
-  };
-}
-
-function avoidDurationMs(cause: FailureCause, failures: number): number {
-  switch (cause) {
-    case 'slow':
-      return SLOW_AVOID_MS;
-    case 'replaced':
-      return MAX_AVOID_MS;
-    case 'broken':
-      return Math.min(INITIAL_AVOID_MS * 2 ** (failures - 1), MAX_AVOID_MS);
+  const known = state.targets.get(process.id);
+  if (known?.bornMs !== process.bornMs) {
+    const drainedProcesses = new Map(state.drainedProcesses).set(
+      processKey(process),
+      atMs,
+    );
+    return { state: { ...state, drainedProcesses }, effects: [] };
   }
+  if (known.draining) return { state, effects: [] };
+  return upsertTarget(state, { ...known, draining: true }, atMs, reason);
 }
 
 function applyTick(state: RosterState, atMs: number): RosterStep {
@@ -371,45 +334,28 @@
       target.removalDueAtMs !== undefined &&
       atMs >= Math.min(target.removalDueAtMs, state.holdRemovalsUntilMs),
   );
-  const unexpired = new Map(
-    [...state.drainedProcesses].filter(
-      ([, sinceMs]) => atMs - sinceMs < DRAINED_RETENTION_MS,
-    ),
-  );
-  const remaining =
-    unexpired.size === state.drainedProcesses.size
-      ? state.drainedProcesses
-      : unexpired;
+  const listedKeys = new Set([...state.targets.values()].map(processKey));
+  const forget = (
+    processes: ReadonlyMap<string, number>,
+  ): ReadonlyMap<string, number> => {
+    const kept = [...processes].filter(
+      ([key, sinceMs]) =>
+        atMs - sinceMs < PROCESS_RETENTION_MS || listedKeys.has(key),
+    );
+    return kept.length === processes.size ? processes : new Map(kept);
+  };
   return expired.reduce<RosterStep>(
     (step, target) =>
       chain(step, (now) =>
-        dropTarget(now, target, 'still missing after the store outage'),
+        dropTarget(now, target, 'still missing after the store outage', atMs),
       ),
-    { state: { ...state, drainedProcesses: remaining }, effects: [] },
+    {
+      state: {
+        ...state,
+        drainedProcesses: forget(state.drainedProcesses),
+        goneProcesses: forget(state.goneProcesses),
+      },
+      effects: [],
+    },
   );
 }
-
-function withTarget(state: RosterState, target: RosterTarget): RosterState {
-  return { ...state, targets: new Map(state.targets).set(target.id, target) };
-}
-
-/** Identifies a process: after a restart, the same id is another process. */
-function processKey(target: ListedTarget): string {
-  return `${target.id}@${target.bornMs}`;
-}
-
-function rosterChanged(
-  id: string,
-  change: RosterEffect['change'],
-  reason: string,
-): RosterEffect {
-  return { type: 'roster.changed', id, change, reason };
-}
-
-function chain(
-  step: RosterStep,
-  next: (state: RosterState) => RosterStep,
-): RosterStep {
-  const { state, effects } = next(step.state);
-  return { state, effects: [...step.effects, ...effects] };
-}
--- a/packages/core/src/forwarding/targetRoster/test.ts
+++ b/packages/core/src/forwarding/targetRoster/test.ts
@@ -4,6 +4,8 @@
 import {
   initialRoster,
   LAPSED_ENTRY_GRACE_MS,
+  REMNANT_LIFETIME_MS,
+  soonestUsableAtMs,
   reduceRoster,
   type RosterEvent,
   type RosterState,
@@ -26,8 +28,8 @@
     initialRoster,
   );
 
-const usableIds = (state: RosterState) =>
-  usableTargets(state, 's').map((one) => one.id);
+const usableIds = (state: RosterState, atMs = 0) =>
+  usableTargets(state, 's', atMs).map((one) => one.id);
 
 const listed = (atMs: number, ...targets: ListedTarget[]): RosterEvent => ({
   type: 'roster.listed',
@@ -47,7 +49,11 @@
   it('never offers a draining target again, even when it is listed as ready', () => {
     const state = run([
       listed(0, target),
-      { type: 'roster.leavingHeard', atMs: 1, ids: ['t1'] },
+      {
+        type: 'roster.leavingHeard',
+        atMs: 1,
+        processes: [{ id: 't1', bornMs: 100 }],
+      },
       { type: 'roster.put', atMs: 2, target },
       listed(3, target),
     ]);
@@ -57,12 +63,122 @@
   it('treats another process under the same id as a new target', () => {
     const state = run([
       listed(0, target),
-      { type: 'roster.leavingHeard', atMs: 1, ids: ['t1'] },
+      {
+        type: 'roster.leavingHeard',
+        atMs: 1,
+        processes: [{ id: 't1', bornMs: 100 }],
+      },
       { type: 'roster.put', atMs: 2, target: { ...target, bornMs: 900 } },
     ]);
     expect(usableIds(state)).to.deep.equal(['t1']);
   });
 
+  it('applies the leaving of a process to that process only', () => {
+    const reborn = { ...target, bornMs: 900 };
+    const state = run([
+      listed(0, reborn),
+      { type: 'roster.leavingAnnounced', atMs: 1, id: 't1', bornMs: 100 },
+    ]);
+    expect(usableIds(state)).to.deep.equal(['t1']);
+    const older = run([
+      listed(0),
+      {
+        type: 'roster.leavingHeard',
+        atMs: 1,
+        processes: [{ id: 't1', bornMs: 100 }],
+      },
+      listed(2, target),
+    ]);
+    expect(usableIds(older)).to.deep.equal([]);
+  });
+
+  it('offers a target that announced its leaving no more while it is listed', () => {
+    const state = run([
+      listed(0, target),
+      { type: 'roster.leavingAnnounced', atMs: 1, id: 't1', bornMs: 100 },
+      { type: 'roster.ticked', atMs: 90_000 },
+      listed(90_001, target),
+    ]);
+    expect(usableIds(state, 90_002)).to.deep.equal([]);
+  });
+
+  it('observes a pause that a target asked for, until its end', () => {
+    const paused: RosterEvent = {
+      type: 'roster.pauseRequested',
+      atMs: 100,
+      id: 't1',
+      bornMs: 100,
+      pauseMs: 2500,
+    };
+    const state = run([
+      listed(0, target),
+      paused,
+      { type: 'roster.succeeded', atMs: 200, id: 't1', ratio: undefined },
+      { ...paused, atMs: 300, pauseMs: 10 },
+      { type: 'roster.put', atMs: 400, target },
+    ]);
+    expect(usableIds(state, 2599)).to.deep.equal([]);
+    expect(soonestUsableAtMs(state, 's')).to.equal(2600);
+    expect(usableIds(state, 2600)).to.deep.equal(['t1']);
+  });
+
+  it('ends a pause with the process that asked for it', () => {
+    const paused: RosterEvent = {
+      type: 'roster.pauseRequested',
+      atMs: 1,
+      id: 't1',
+      bornMs: 100,
+      pauseMs: 9000,
+    };
+    const reborn = { ...target, bornMs: 900 };
+    const state = run([listed(0, target), paused, listed(2, reborn), paused]);
+    expect(usableIds(state, 3)).to.deep.equal(['t1']);
+  });
+
+  it('limits a pause beyond the longest one', () => {
+    const { state, effects } = reduceRoster(run([listed(0, target)]), {
+      type: 'roster.pauseRequested',
+      atMs: 0,
+      id: 't1',
+      bornMs: 100,
+      pauseMs: 1e12,
+    });
+    expect(soonestUsableAtMs(state, 's')).to.equal(600_000);
+    expect(effects).to.deep.equal([
+      { type: 'roster.paused', id: 't1', pauseMs: 600_000, requestedMs: 1e12 },
+    ]);
+  });
+
+  it('keeps targets that an older copy of the store lacks until live ones are back', () => {
+    const restored: RosterEvent[] = [
+      listed(0, target),
+      { type: 'roster.storeRestored', atMs: 1000 },
+      listed(1000),
+    ];
+    expect(usableIds(run(restored), 1001)).to.deep.equal(['t1']);
+    const late = 1000 + LAPSED_ENTRY_GRACE_MS;
+    const gone = run([...restored, { type: 'roster.ticked', atMs: late }]);
+    expect(usableIds(gone, late)).to.deep.equal([]);
+  });
+
+  it('holds back a gone target that an older copy of the store lists again', () => {
+    const restored: RosterEvent[] = [
+      listed(0, target),
+      listed(500),
+      { type: 'roster.storeRestored', atMs: 1000 },
+      listed(1000, target),
+      listed(1500, target),
+    ];
+    expect(usableIds(run(restored), 1600)).to.deep.equal([]);
+    const written = run([
+      ...restored,
+      { type: 'roster.put', atMs: 1700, target },
+    ]);
+    expect(usableIds(written, 1701)).to.deep.equal(['t1']);
+    const outlived = 1000 + REMNANT_LIFETIME_MS;
+    expect(usableIds(run(restored), outlived)).to.deep.equal(['t1']);
+  });
+
   it('drops a target that is no longer listed', () => {
     expect(usableIds(run([listed(0, target), listed(1)]))).to.deep.equal([]);
   });
@@ -153,6 +269,7 @@
       fc.constant<RosterEvent>({ type: 'roster.put', atMs: 0, target }),
       fc.constant<RosterEvent>({ type: 'roster.removed', atMs: 0, id: 't1' }),
       fc.constant<RosterEvent>({ type: 'roster.storeLost', atMs: 0 }),
+      fc.constant<RosterEvent>({ type: 'roster.storeRestored', atMs: 0 }),
       fc.constant<RosterEvent>({ type: 'roster.ticked', atMs: 10 }),
     );
     fc.assert(
--- a/packages/gateway/src/announceEntry/index.ts
+++ b/packages/gateway/src/announceEntry/index.ts
@@ -1,7 +1,7 @@
 import * as E from 'fp-ts/lib/Either.js';
 import type { EventLog } from '../createEventLog/index.ts';
 import { describeStoreError } from '../followPrefix/index.ts';
-import type { StorePort } from '../storePort/index.ts';
+import type { Lease, StoreError, StorePort } from '../storePort/index.ts';
 import { sleepFor } from '../sleepFor/index.ts';
 
 /** Options of {@link announceEntry}. */
@@ -12,6 +12,15 @@
   /** Address at which peers reach this entry. */
   readonly peerAddress: string;
   readonly sleep?: (ms: number) => Promise<void>;
+  /** Returns a number uniform in [0, 1), to spread writes over time. */
+  readonly random?: () => number;
+}
+
+/** A registration that is kept up to date. */
+export interface EntryAnnouncement {
+  /** Registers the entry again soon, because the store lost its newest writes. */
+  readonly storeRestored: () => void;
+  readonly stop: () => void;
 }
 
 /** Key prefix of announced entries; the values are their peer addresses. */
@@ -25,65 +34,84 @@
 
 const RETRY_INTERVAL_MS = 1000;
 
+/** All entries register again after a restore; they spread it over this time. */
+const RESTORE_SPREAD_MS = 1000;
+
 /**
  * Registers this entry in the store, where other entries can find it.
  *
  * Entries usually discover each other through peers. The store is the fallback
- * for when the seed addresses in their settings are stale.
+ * for when the seed addresses in their settings are stale. A lease is used only
+ * in the era of its grant: after a restore its id may belong to someone else.
  *
  * @param options - The store and this entry.
- * @returns A function that stops renewing the registration.
+ * @returns The registration.
  *
  * @example
- * announceEntry({ store, log, name, peerAddress });
+ * announceEntry({ store, log, name, peerAddress }).stop();
  */
-export function announceEntry(options: AnnounceEntryOptions): () => void {
-  const { store, log } = options;
+export function announceEntry(
+  options: AnnounceEntryOptions,
+): EntryAnnouncement {
+  const { store, log, random = Math.random } = options;
   const sleep = options.sleep ?? sleepFor;
   let isStopped = false;
-  let leaseId: number | undefined;
+  let lease: Lease | undefined;
+  let wake: () => void = () => undefined;
 
   async function run(): Promise<void> {
     while (!isStopped) {
       const isDone = await announce();
-      await sleep(isDone ? RENEW_INTERVAL_MS : RETRY_INTERVAL_MS);
+      const restored = new Promise<void>((resolve) => {
+        wake = resolve;
+      });
+      await Promise.race([
+        sleep(isDone ? RENEW_INTERVAL_MS : RETRY_INTERVAL_MS),
+        restored,
+      ]);
     }
   }
 
   async function announce(): Promise<boolean> {
-    if (leaseId !== undefined) {
-      const renewed = await store.renewLease(leaseId)();
-      if (E.isRight(renewed)) return true;
-      if (renewed.left.type === 'leaseGone') leaseId = undefined;
-      else return logFailure('renew', renewed);
+    if (lease !== undefined) {
+      const renewed = await store.renewLease(lease.leaseId)();
+      if (E.isLeft(renewed) && renewed.left.type !== 'leaseGone') {
+        return logFailure('renew', renewed.left);
+      }
+      if (E.isRight(renewed) && renewed.right === lease.era) return true;
+      lease = undefined;
     }
     const granted = await store.grantLease(LEASE_TTL_MS)();
-    if (E.isLeft(granted)) return logFailure('grant', granted);
+    if (E.isLeft(granted)) return logFailure('grant', granted.left);
+    const { leaseId, era } = granted.right;
     const put = await store.put({
       key: `${ENTRIES_PREFIX}${options.name}`,
       value: Buffer.from(options.peerAddress),
-      leaseId: granted.right,
+      leaseId,
     })();
-    if (E.isLeft(put)) return logFailure('put', put);
-    leaseId = granted.right;
+    if (E.isLeft(put)) return logFailure('put', put.left);
+    if (put.right !== era) return logFailure('put', { type: 'restored' });
+    lease = granted.right;
     return true;
   }
 
-  function logFailure(
-    call: string,
-    result: E.Left<Parameters<typeof describeStoreError>[0]>,
-  ): boolean {
-    log.warn('entries.storeCallFailed', {
-      call,
-      ...describeStoreError(result.left),
-    });
+  function logFailure(call: string, error: StoreError): boolean {
+    log.warn('entries.storeCallFailed', { call, ...describeStoreError(error) });
     return false;
   }
 
   run().catch((error: unknown) => {
     log.warn('entries.announceFailed', { reason: String(error) });
   });
-  return () => {
-    isStopped = true;
+  return {
+    storeRestored() {
+      lease = undefined;
+      void sleep(RESTORE_SPREAD_MS * random()).then(() => {
+        wake();
+      });
+    },
+    stop() {
+      isStopped = true;
+    },
   };
 }
--- a/packages/gateway/src/createGatewayMetrics/index.ts
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -18,6 +18,11 @@
   }) => void;
   /** Records the observed minus the predicted time to first event. */
   readonly observePredictionError: (errorMs: number) => void;
+  /** Counts a response in which a target said that it is leaving or asked for a
+   * pause. */
+  readonly targetAnnounced: (labels: { announcement: string }) => void;
+  /** Sets the era of the store, which rises when it is restored. */
+  readonly storeEra: (era: number) => void;
   /** Counts a new connection to a target. */
   readonly connected: () => void;
   /** Counts a call to the store by its end. */
@@ -77,6 +82,17 @@
     help: 'Connections made to targets.',
     registers,
   });
+  const announcements = new Counter({
+    name: 'endivegate_target_announcements_total',
+    help: 'Responses in which a target announced its leaving or asked for a pause.',
+    labelNames: ['announcement'],
+    registers,
+  });
+  const era = new Gauge({
+    name: 'endivegate_store_era',
+    help: 'Era of the store; it rises when the store is restored from a copy.',
+    registers,
+  });
   const storeCalls = new Counter({
     name: 'endivegate_store_calls_total',
     help: 'Calls to the store by their end.',
@@ -102,6 +118,12 @@
     observePredictionError: (errorMs) => {
       predictionError.observe(errorMs);
     },
+    targetAnnounced: (labels) => {
+      announcements.inc(labels);
+    },
+    storeEra: (value) => {
+      era.set(value);
+    },
     connected: () => {
       connections.inc();
     },
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -1,5 +1,9 @@
 import { decodeMulti, encode } from '@msgpack/msgpack';
-import type { InFlightRequest, PeerStatus } from '@endivegate/core/forwarding';
+import type {
+  InFlightRequest,
+  PeerStatus,
+  TargetProcess,
+} from '@endivegate/core/forwarding';
 import { z } from 'zod';
 
 /** Message with the complete state that an entry shares with its peers. */
@@ -7,8 +11,8 @@
   readonly self: PeerStatus;
   /** Requests in flight of the sender. */
   readonly flights: readonly InFlightRequest[];
-  /** Targets known to be draining. */
-  readonly drainingIds: readonly string[];
+  /** Target processes known to be draining. */
+  readonly drainingProcesses: readonly TargetProcess[];
   /** Requests, by fingerprint, that crashed a target. */
   readonly crashes: readonly {
     readonly fingerprint: string;
@@ -56,7 +60,7 @@
 const messageSchema = z.tuple([
   selfSchema,
   z.array(flightSchema),
-  z.array(z.string()),
+  z.array(z.tuple([z.string(), z.number()])),
   z.array(z.tuple([z.string(), z.string()])),
   z.array(z.string()),
 ]);
@@ -92,7 +96,7 @@
       self.configVersion,
     ],
     message.flights.flatMap((flight) => encodeFlight(flight, codec, nowMs)),
-    [...message.drainingIds],
+    message.drainingProcesses.map((one) => [one.id, one.bornMs]),
     message.crashes.map((one) => [one.fingerprint, one.targetId]),
     [...message.addresses],
   ];
@@ -124,7 +128,7 @@
   codec: TargetCodec,
   nowMs: number,
 ): PeerMessage {
-  const [self, flights, drainingIds, crashes, addresses] = row;
+  const [self, flights, draining, crashes, addresses] = row;
   return {
     self: {
       name: self[0],
@@ -137,7 +141,7 @@
       configVersion: self[7],
     },
     flights: flights.flatMap((row) => decodeFlight(row, codec, nowMs)),
-    drainingIds,
+    drainingProcesses: draining.map(([id, bornMs]) => ({ id, bornMs })),
     crashes: crashes.map(([fingerprint, targetId]) => ({
       fingerprint,
       targetId,
--- a/packages/gateway/src/createPeerLink/_lib/test.ts
+++ b/packages/gateway/src/createPeerLink/_lib/test.ts
@@ -45,7 +45,7 @@
       isDecoding: false,
     },
   ],
-  drainingIds: ['b'],
+  drainingProcesses: [{ id: 'b', bornMs: 7 }],
   crashes: [{ fingerprint: 'f', targetId: 'a' }],
   addresses: ['10.0.0.2:7340'],
 };
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -237,9 +237,9 @@
     const message: PeerMessage = {
       self: self(),
       flights: [...state.load.flights.values()],
-      drainingIds: [...state.roster.targets.values()]
+      drainingProcesses: [...state.roster.targets.values()]
         .filter((target) => target.draining)
-        .map((target) => target.id),
+        .map(({ id, bornMs }) => ({ id, bornMs })),
       crashes: [...state.suspects].flatMap(([fingerprint, suspect]) =>
         suspect.crashedTargetIds.map((targetId) => ({ fingerprint, targetId })),
       ),
@@ -295,11 +295,11 @@
       atMs,
       flights: message.flights,
     });
-    if (message.drainingIds.length > 0) {
+    if (message.drainingProcesses.length > 0) {
       runtime.dispatch({
         type: 'roster.leavingHeard',
         atMs,
-        ids: message.drainingIds,
+        processes: message.drainingProcesses,
       });
     }
     message.crashes.forEach((crash) => {
--- a/packages/gateway/src/followPrefix/index.ts
+++ b/packages/gateway/src/followPrefix/index.ts
@@ -28,6 +28,11 @@
   readonly onChange: (change: StoreChange) => void;
   /** Called when calls to the store have failed for {@link LOST_AFTER_MS}. */
   readonly onLost: () => void;
+  /**
+   * Called before `onList` when the store was restored from an older copy since
+   * the last list, with its new era.
+   */
+  readonly onRestored: (era: number) => void;
   /** Monotonic time in ms. */
   readonly now: () => number;
   readonly sleep?: (ms: number) => Promise<void>;
@@ -49,8 +54,9 @@
 
 /**
  * Follows the items with a key prefix: lists them, watches for changes, and
- * lists them again whenever a watch fails or its revision is no longer
- * available.
+ * lists them again whenever a watch fails, its revision is not available, or the
+ * store was restored from an older copy. Answers of an earlier era than the
+ * newest known one are dropped, since they may arrive late.
  *
  * @param options - The store, the prefix and the callbacks.
  * @returns A function that stops following.
@@ -67,6 +73,7 @@
   let failingSinceMs: number | undefined;
   let isLost = false;
   let lostSinceMs = now();
+  let knownEra: number | undefined;
 
   async function follow(): Promise<void> {
     while (!isStopped()) {
@@ -76,12 +83,28 @@
         await handleFailure('list', listed.left);
         continue;
       }
+      if (!(await acceptEra(listed.right.era))) continue;
       recordSuccess();
       options.onList(listed.right.items);
       await watchFrom(listed.right.revision);
     }
   }
 
+  /** Whether a list is of the newest known era, or of a newer one. */
+  async function acceptEra(era: number): Promise<boolean> {
+    if (knownEra !== undefined && era < knownEra) {
+      const reason = `list of era ${era} after era ${knownEra}`;
+      await handleFailure('list', { type: 'unanswered', reason });
+      return false;
+    }
+    if (knownEra !== undefined && era > knownEra) {
+      log.warn('store.restored', { prefix, era, eraBefore: knownEra });
+      options.onRestored(era);
+    }
+    knownEra = era;
+    return true;
+  }
+
   /** Watches until the items have to be listed again. */
   async function watchFrom(firstRevision: number): Promise<void> {
     let afterRevision = firstRevision;
@@ -93,6 +116,8 @@
         await handleFailure('watch', watched.left);
         return;
       }
+      // The changes are listed instead: revisions of this era may be others.
+      if (watched.right.era !== knownEra) return;
       recordSuccess();
       afterRevision = watched.right.revision;
       watched.right.changes.forEach(options.onChange);
@@ -127,7 +152,7 @@
       log.warn('store.lost', { prefix });
       options.onLost();
     }
-    if (error.type === 'historyGone') return;
+    if (error.type === 'historyGone' || error.type === 'restored') return;
     const maxDelayMs = Math.min(
       MIN_BACKOFF_MS * 2 ** (failures - 1),
       MAX_BACKOFF_MS,
--- a/packages/gateway/src/followPrefix/test.ts
+++ b/packages/gateway/src/followPrefix/test.ts
@@ -30,8 +30,16 @@
 });
 
 type Scripted =
-  | { readonly list: readonly StoredItem[]; readonly revision: number }
-  | { readonly changes: readonly StoreChange[]; readonly revision: number }
+  | {
+      readonly list: readonly StoredItem[];
+      readonly revision: number;
+      readonly era?: number;
+    }
+  | {
+      readonly changes: readonly StoreChange[];
+      readonly revision: number;
+      readonly era?: number;
+    }
   | { readonly error: StoreError };
 
 /** Wait times that the watches of all scripts asked for. */
@@ -69,7 +77,8 @@
           );
         }
         const items = 'list' in scripted ? scripted.list : [];
-        return Promise.resolve(E.right({ items, revision: scripted.revision }));
+        const { revision, era = 1 } = scripted;
+        return Promise.resolve(E.right({ items, revision, era }));
       },
       watch:
         (query: { readonly afterRevision: number; readonly waitMs: number }) =>
@@ -88,7 +97,11 @@
           }
           const changes = 'changes' in scripted ? scripted.changes : [];
           return Promise.resolve(
-            E.right({ changes, revision: scripted.revision }),
+            E.right({
+              changes,
+              revision: scripted.revision,
+              era: scripted.era ?? 1,
+            }),
           );
         },
     } as unknown as StorePort;
@@ -107,6 +120,9 @@
       onLost: () => {
         seen.push('lost');
       },
+      onRestored: (era) => {
+        seen.push(`restored ${era}`);
+      },
       now: () => clockMs,
       sleep: (ms) => {
         clockMs += ms;
@@ -154,6 +170,46 @@
     ]);
   });
 
+  it('lists again, and does not mix revisions, when the store was restored', async () => {
+    const seen = await follow([
+      { list: [item('x/a', 3)], revision: 5 },
+      { changes: [put('x/b', 6)], revision: 6 },
+      { changes: [put('x/c', 8)], revision: 8, era: 2 },
+      { list: [item('x/a', 3)], revision: 8, era: 2 },
+      { changes: [], revision: 9, era: 2 },
+    ]);
+    expect(seen).to.deep.equal([
+      'list',
+      'listed x/a',
+      'watch 5',
+      'put x/b',
+      'watch 6',
+      'list',
+      'restored 2',
+      'listed x/a',
+      'watch 8',
+    ]);
+  });
+
+  it('drops a late list of an earlier era', async () => {
+    const seen = await follow([
+      { list: [], revision: 5, era: 2 },
+      { error: { type: 'historyGone' } },
+      { list: [item('x/old', 3)], revision: 9, era: 1 },
+      { list: [item('x/new', 3)], revision: 4, era: 2 },
+      { changes: [], revision: 4, era: 2 },
+    ]);
+    expect(seen).to.deep.equal([
+      'list',
+      'listed ',
+      'watch 5',
+      'list',
+      'list',
+      'listed x/new',
+      'watch 4',
+    ]);
+  });
+
   it('reports the store as lost only after repeated failures', async () => {
     const refused: Scripted = { error: { type: 'refused', status: 503 } };
     const once = await follow([refused, { list: [], revision: 1 }]);
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -5,6 +5,7 @@
   isRetryAllowed,
   type NextStep,
   type SendProgress,
+  soonestUsableAtMs,
 } from '@endivegate/core/forwarding';
 import { callerStallTimeoutMs } from '../callerStallTimeoutMs/index.ts';
 import type { Reply } from '../createReply/index.ts';
@@ -272,7 +273,7 @@
         reply.fail({
           status: UNAVAILABLE,
           message: 'no target took the request',
-          retryAfterMs: RETRY_AFTER_MS,
+          retryAfterMs: retryAfterMs(),
         });
         return;
       case 'fail':
@@ -320,6 +321,14 @@
     else applyStep({ type: mayHaveRun ? 'fail' : 'refuse' }, undefined);
   }
 
+  /** Delay after which a target may take the request: when all asked for a
+   * pause, the end of the shortest one. */
+  function retryAfterMs(): number {
+    const { roster } = runtime.state();
+    const usableAtMs = soonestUsableAtMs(roster, service.name) ?? 0;
+    return Math.max(usableAtMs - now(), RETRY_AFTER_MS);
+  }
+
   function onDeadline(): void {
     if (isOver) return;
     const mayRun = mayHaveRun || (running !== undefined && sends > 0);
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -96,6 +96,13 @@
         reason: effect.reason,
       });
       return;
+    case 'roster.paused':
+      log.info('target.paused', {
+        target: effect.id,
+        pauseMs: Math.round(effect.pauseMs),
+        requestedMs: Math.round(effect.requestedMs),
+      });
+      return;
     case 'peers.changed':
       log.info('peer.changed', { peer: effect.name, change: effect.change });
   }
--- a/packages/gateway/src/httpDialect/index.ts
+++ b/packages/gateway/src/httpDialect/index.ts
@@ -49,6 +49,35 @@
   readonly notExecuted: boolean;
   /** Address of the target that caused a refusal. */
   readonly blamedAddress: string | undefined;
+  /** Whether the target announces that it is leaving. */
+  readonly isLeaving: boolean;
+  /** Pause that the target asks this entry for when it refuses a request. */
+  readonly pause: RequestedPause;
+}
+
+/** A pause that a target asks for, as written in its response. */
+export type RequestedPause =
+  | { readonly type: 'none' }
+  | { readonly type: 'requested'; readonly pauseMs: number }
+  | { readonly type: 'unreadable'; readonly text: string };
+
+const MS_PER_S = 1000;
+
+/**
+ * Reads a `Retry-After` header in seconds, which may have a fraction. A date is
+ * not accepted, because clocks differ.
+ *
+ * @param text - Value of the header; undefined if the response has none.
+ * @returns The pause.
+ *
+ * @example
+ * readRetryAfter('1.5'); // { type: 'requested', pauseMs: 1500 }
+ */
+export function readRetryAfter(text: string | undefined): RequestedPause {
+  if (text === undefined) return { type: 'none' };
+  return /^\d+(\.\d+)?$/.test(text.trim())
+    ? { type: 'requested', pauseMs: Number(text) * MS_PER_S }
+    : { type: 'unreadable', text };
 }
 
 /**
--- a/packages/gateway/src/planSend/index.ts
+++ b/packages/gateway/src/planSend/index.ts
@@ -76,7 +76,7 @@
   query: SendQuery,
 ): SendPlan | undefined {
   const { service, prompt, nowMs } = query;
-  const targets = usableTargets(state.roster, service.name).filter(
+  const targets = usableTargets(state.roster, service.name, nowMs).filter(
     (target) => !query.excludedIds.has(target.id),
   );
   const loads = allLoads(state.load, nowMs);
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -17,6 +17,7 @@
   sendRequest,
 } from '../sendRequest/index.ts';
 import { createEventSplitter, type StreamEvent } from '../splitEvents/index.ts';
+import { recordAnnouncements } from './_lib/recordAnnouncements.ts';
 import { createEventTimes } from './_lib/eventTimes.ts';
 import { logSend, trackInFlight } from './_lib/sendStart.ts';
 import { listHelpers, sendHeaders } from './_lib/sendHeaders.ts';
@@ -118,7 +119,15 @@
         attemptId: call.attemptId,
         freshConnection: call.route.repeat === 'atMostOnce',
       },
-      { onSent: handlers.onSent, onHead, onBody, onEnd: finish },
+      {
+        onSent: handlers.onSent,
+        onTargetHead: (targetHead) => {
+          recordAnnouncements({ target, head: targetHead }, context);
+        },
+        onHead,
+        onBody,
+        onEnd: finish,
+      },
       context,
     );
     if (!isOver) sending = started;
--- a/packages/gateway/src/sendRequest/index.ts
+++ b/packages/gateway/src/sendRequest/index.ts
@@ -35,6 +35,9 @@
 export interface SendHandlers {
   /** Called before the request is written; it may run from then on. */
   readonly onSent: () => void;
+  /** Called with the head of every response, also of one that is broken or a
+   * refusal, unless another process answered at the target's address. */
+  readonly onTargetHead: (head: TargetHead) => void;
   readonly onHead: (head: ResponseHead) => void;
   readonly onBody: (chunk: Buffer) => void;
   readonly onEnd: (end: SendEnd, head: TargetHead | undefined) => void;
@@ -158,6 +161,7 @@
   ): void {
     const status = response.statusCode ?? 0;
     head = context.dialect.readTarget(status, response.headers);
+    if (status !== MISDIRECTED) handlers.onTargetHead(head);
     const problem = responseProblem(status, head, response, outgoing.attemptId);
     if (problem !== undefined) {
       finish({ type: 'broken', reason: problem });
--- a/packages/gateway/src/sendRequest/test.ts
+++ b/packages/gateway/src/sendRequest/test.ts
@@ -47,6 +47,7 @@
       outgoing,
       {
         onSent: () => undefined,
+        onTargetHead: () => undefined,
         onHead: () => undefined,
         onBody: (chunk) => chunks.push(chunk),
         onEnd: resolve,
@@ -146,6 +147,7 @@
         },
         {
           onSent: () => undefined,
+          onTargetHead: () => undefined,
           onHead: () => undefined,
           onBody: () => undefined,
           onEnd: resolve,
@@ -185,6 +187,7 @@
           },
           {
             onSent: () => undefined,
+            onTargetHead: () => undefined,
             onHead: () => undefined,
             onBody: () => undefined,
             onEnd: () => undefined,
--- a/packages/gateway/src/startGateway/test.ts
+++ b/packages/gateway/src/startGateway/test.ts
@@ -405,6 +405,58 @@
     expect(received).to.have.length(2);
   });
 
+  it('sends nothing more to a target that announced its leaving', async () => {
+    const leavingBusy: RequestListener = (_request, response) => {
+      response.writeHead(503, { 'x-not-run': '1', 'x-leaving': '1' });
+      response.end();
+    };
+    await start(leavingBusy, ok);
+    gateway.runtime.applyConfig(config, 'test');
+    await ask('/pay/1', { body: 'x' });
+    await ask('/pay/2', { body: 'x' });
+    await ask('/read/3');
+    expect(received.map((one) => one.target)).to.deep.equal([
+      't0',
+      't1',
+      't1',
+      't1',
+    ]);
+    expect(gateway.runtime.state().roster.targets.get('t0')?.draining).to.equal(
+      true,
+    );
+  });
+
+  it('leaves a target alone for the pause that it asked for', async () => {
+    const pause: RequestListener = (_request, response) => {
+      response.writeHead(503, { 'x-not-run': '1', 'retry-after': '2.5' });
+      response.end();
+    };
+    await start(pause, ok);
+    gateway.runtime.applyConfig(config, 'test');
+    await ask('/pay/1', { body: 'x' });
+    await ask('/pay/2', { body: 'x' });
+    expect(received.map((one) => one.target)).to.deep.equal(['t0', 't1', 't1']);
+    skippedMs = 2500;
+    await ask('/pay/3', { body: 'x' });
+    expect(received.at(3)?.target).to.equal('t0');
+  });
+
+  it('refuses at once until the shortest pause ends when all targets asked for one', async () => {
+    const pauseFor =
+      (seconds: string): RequestListener =>
+      (_request, response) => {
+        response.writeHead(503, { 'x-not-run': '1', 'retry-after': seconds });
+        response.end();
+      };
+    await start(pauseFor('9'), pauseFor('4'));
+    gateway.runtime.applyConfig(config, 'test');
+    await ask('/pay/1', { body: 'x' });
+    const answer = await ask('/pay/2', { body: 'x' });
+    expect(received).to.have.length(2);
+    expect(answer.status).to.equal(503);
+    expect(Number(answer.headers['retry-after'])).to.be.within(1, 4);
+  });
+
   it('resumes a broken stream at another target after the last complete event', async () => {
     const events = [1, 2, 3, 4].map((id) => `id: ${id}\ndata: e${id}\n\n`);
     const stream: RequestListener = (request, response) => {
--- a/packages/gateway/src/storePort/index.ts
+++ b/packages/gateway/src/storePort/index.ts
@@ -9,8 +9,10 @@
   | { readonly type: 'refused'; readonly status: number }
   /** No valid answer was received; the call may have taken effect. */
   | { readonly type: 'unanswered'; readonly reason: string }
-  /** The revision to watch from is no longer available. */
+  /** The revision to watch from is not available, or not any more. */
   | { readonly type: 'historyGone' }
+  /** The store was restored from a copy between the parts of the call. */
+  | { readonly type: 'restored' }
   /** The lease has expired or was revoked. */
   | { readonly type: 'leaseGone' }
   /** A precondition of the call was not met. */
@@ -32,9 +34,31 @@
 export interface StoredItems {
   readonly items: readonly StoredItem[];
   readonly revision: number;
+  /** Era of the store; see {@link StorePort}. */
+  readonly era: number;
 }
 
-/** Operations of the key-value store that the gateway uses. */
+/** Changes after a revision, and the revision from which to continue. */
+export interface StoredChanges {
+  readonly changes: readonly StoreChange[];
+  readonly revision: number;
+  /** Era of the store; see {@link StorePort}. */
+  readonly era: number;
+}
+
+/** A granted lease. Its id is valid only in the era of its grant. */
+export interface Lease {
+  readonly leaseId: number;
+  readonly era: number;
+}
+
+/**
+ * Operations of the key-value store that the gateway uses.
+ *
+ * The store may be restored from an older copy, which loses its newest writes and
+ * leases and gives out their revisions and lease ids again. Its era rises each
+ * time, so revisions and lease ids of different eras must not be mixed.
+ */
 export interface StorePort {
   readonly list: (
     prefix: string,
@@ -45,17 +69,16 @@
     readonly prefix: string;
     readonly afterRevision: number;
     readonly waitMs: number;
-  }) => TE.TaskEither<
-    StoreError,
-    { readonly changes: readonly StoreChange[]; readonly revision: number }
-  >;
+  }) => TE.TaskEither<StoreError, StoredChanges>;
   /** Grants a lease; keys attached to it are deleted when it expires. */
-  readonly grantLease: (ttlMs: number) => TE.TaskEither<StoreError, number>;
-  readonly renewLease: (leaseId: number) => TE.TaskEither<StoreError, void>;
-  /** Writes a key attached to a lease, replacing any existing value. */
+  readonly grantLease: (ttlMs: number) => TE.TaskEither<StoreError, Lease>;
+  /** Returns the era of the store. */
+  readonly renewLease: (leaseId: number) => TE.TaskEither<StoreError, number>;
+  /** Writes a key attached to a lease, replacing any existing value. Returns the
+   * era of the store. */
   readonly put: (entry: {
     readonly key: string;
     readonly value: Buffer;
     readonly leaseId: number;
-  }) => TE.TaskEither<StoreError, void>;
+  }) => TE.TaskEither<StoreError, number>;
 }
--- a/packages/gateway/src/testDialect/index.ts
+++ b/packages/gateway/src/testDialect/index.ts
@@ -2,6 +2,7 @@
   headerNumber,
   headerText,
   type HttpDialect,
+  readRetryAfter,
 } from '../httpDialect/index.ts';
 
 /** HTTP dialect for tests, with header names that no deployment uses. */
@@ -29,10 +30,15 @@
       ? []
       : [['Last-Event-Id', head.lastEventId] as const]),
   ],
-  readTarget: (_status, headers) => ({
+  readTarget: (status, headers) => ({
     attemptId: headerText(headers, 'x-request'),
     isSigned: headers['x-signed'] !== undefined,
     notExecuted: headers['x-not-run'] !== undefined,
     blamedAddress: undefined,
+    isLeaving: headers['x-leaving'] !== undefined,
+    pause:
+      status === 503
+        ? readRetryAfter(headers['retry-after'])
+        : { type: 'none' },
   }),
 };
