Divide large fleets into cells of a data centre

Cause: every entry decoded a row of each request in flight in the fleet, copied maps of all peers for each message, and planned over all engines, so its cost grew with the fleet times the request rate.

Two entries of each data centre tell the others who is there once a second. A datagram is applied in one step. The hub is the entry with the most cores; callers are told a sample of entries in proportion to their cores. Contacts are bounded and answered.

Ruled out: random subsets of engines, which overlap so that an entry still hears of almost all others; widening by a fixed list.

--- a/packages/core/src/forwarding/engineLoad/index.ts
+++ b/packages/core/src/forwarding/engineLoad/index.ts
@@ -52,6 +52,13 @@
 /** Load by target id. */
 export type LoadByTarget = ReadonlyMap<string, TargetLoad>;
 
+/** The requests that a peer reports. */
+export interface LoadReport {
+  readonly peer: string;
+  /** All requests of the peer; times are from the receiver's clock. */
+  readonly flights: readonly InFlightRequest[];
+}
+
 /** The last report of a peer. */
 export interface PeerLoad {
   readonly atMs: number;
@@ -76,10 +83,8 @@
   | { readonly type: 'load.ended'; readonly flightId: string }
   | {
       readonly type: 'load.received';
-      readonly peer: string;
       readonly atMs: number;
-      /** All requests of the peer; times are from the receiver's clock. */
-      readonly flights: readonly InFlightRequest[];
+      readonly reports: readonly LoadReport[];
     }
   /** Time has passed; silent peers are removed. */
   | { readonly type: 'load.ticked'; readonly atMs: number };
@@ -184,14 +189,13 @@
       flights.delete(event.flightId);
       return { ...state, flights };
     }
-    case 'load.received':
-      return {
-        ...state,
-        peers: new Map(state.peers).set(event.peer, {
-          atMs: event.atMs,
-          flights: event.flights,
-        }),
-      };
+    case 'load.received': {
+      const peers = new Map(state.peers);
+      event.reports.forEach(({ peer, flights }) => {
+        peers.set(peer, { atMs: event.atMs, flights });
+      });
+      return { ...state, peers };
+    }
     case 'load.ticked':
       return expirePeers(state, event.atMs);
   }
--- a/packages/core/src/forwarding/engineLoad/test.ts
+++ b/packages/core/src/forwarding/engineLoad/test.ts
@@ -47,9 +47,13 @@
       started(flight),
       {
         type: 'load.received',
-        peer: 'p',
         atMs: 20,
-        flights: [{ ...flight, helperIds: [], startedAtMs: 10 }],
+        reports: [
+          {
+            peer: 'p',
+            flights: [{ ...flight, helperIds: [], startedAtMs: 10 }],
+          },
+        ],
       },
     ]);
     expect(allLoads(state, 100).get('a')?.prefillMs).to.equal(300);
@@ -57,7 +61,11 @@
 
   it('ignores the report of a peer after its lifetime', () => {
     const state = run([
-      { type: 'load.received', peer: 'p', atMs: 0, flights: [flight] },
+      {
+        type: 'load.received',
+        atMs: 0,
+        reports: [{ peer: 'p', flights: [flight] }],
+      },
     ]);
     const before = allLoads(state, loadLifetimeMs - 1);
     expect(before.get('a')?.requests).to.equal(1);
@@ -99,7 +107,11 @@
 
   it('removes silent peers', () => {
     const state = run([
-      { type: 'load.received', peer: 'p', atMs: 0, flights: [flight] },
+      {
+        type: 'load.received',
+        atMs: 0,
+        reports: [{ peer: 'p', flights: [flight] }],
+      },
       { type: 'load.ticked', atMs: 20_000 },
     ]);
     expect(state.peers.size).to.equal(0);
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -2,6 +2,7 @@
 export * from './crashSuspects/index.ts';
 export * from './decideAdmission/index.ts';
 export * from './decideNext/index.ts';
+export * from './engineCell/index.ts';
 export * from './engineLoad/index.ts';
 export * from './engineTimes/index.ts';
 export * from './gatewayReduce/index.ts';
@@ -11,4 +12,5 @@
 export * from './planPrompt/index.ts';
 export * from './retryBudget/index.ts';
 export * from './routeTable/index.ts';
+export * from './sampleEntries/index.ts';
 export * from './targetRoster/index.ts';
--- a/packages/core/src/forwarding/peerList/index.ts
+++ b/packages/core/src/forwarding/peerList/index.ts
@@ -15,6 +15,8 @@
   readonly isLeaving: boolean;
   /** Version of its configuration; 0 when it has none. */
   readonly configVersion: number;
+  /** Capacity relative to other entries. */
+  readonly weight: number;
 }
 
 /** A peer and the time of its last message. */
@@ -30,7 +32,8 @@
   | {
       readonly type: 'peers.received';
       readonly atMs: number;
-      readonly self: PeerStatus;
+      /** Peers that a datagram tells of. */
+      readonly peers: readonly PeerStatus[];
     }
   | { readonly type: 'peers.ticked'; readonly atMs: number };
 
@@ -52,37 +55,40 @@
  * Maintains the list of peers from their messages.
  *
  * A message from an older process of a known peer is ignored until the newer one
- * has been silent for the timeout.
+ * has been silent for the timeout. A process that is leaving stays so: others may
+ * pass on an earlier status of it.
  *
  * @param state - Current peers.
  * @param event - The event to apply.
  * @returns The new peers and the changes to log.
  *
  * @example
- * reducePeers(initialPeers, { type: 'peers.received', atMs: 0, self });
+ * reducePeers(initialPeers, { type: 'peers.received', atMs: 0, peers });
  */
 export function reducePeers(
   state: PeersState,
   event: PeersEvent,
 ): Step<PeersState, PeersEffect> {
   if (event.type === 'peers.ticked') return expirePeers(state, event.atMs);
-  const known = state.get(event.self.name);
-  const isOlder =
-    known !== undefined &&
-    known.startedAtUnixMs > event.self.startedAtUnixMs &&
-    event.atMs - known.heardAtMs < silenceMsOf(state);
-  if (isOlder) return { state, effects: [] };
-  const change = changeOf(known, event.self);
-  return {
-    state: new Map(state).set(event.self.name, {
-      ...event.self,
-      heardAtMs: event.atMs,
-    }),
-    effects:
-      change === undefined
-        ? []
-        : [{ type: 'peers.changed', name: event.self.name, change }],
-  };
+  const silenceMs = silenceMsOf(state);
+  const next = new Map(state);
+  const effects = event.peers.flatMap((status): readonly PeersEffect[] => {
+    const known = next.get(status.name);
+    const isOlder =
+      known !== undefined &&
+      known.startedAtUnixMs > status.startedAtUnixMs &&
+      event.atMs - known.heardAtMs < silenceMs;
+    if (isOlder) return [];
+    const wasLeaving =
+      known?.startedAtUnixMs === status.startedAtUnixMs && known.isLeaving;
+    const isLeaving = status.isLeaving || wasLeaving;
+    const change = changeOf(known, { ...status, isLeaving });
+    next.set(status.name, { ...status, isLeaving, heardAtMs: event.atMs });
+    return change === undefined
+      ? []
+      : [{ type: 'peers.changed', name: status.name, change }];
+  });
+  return { state: next, effects };
 }
 
 /**
--- a/packages/core/src/forwarding/peerList/test.ts
+++ b/packages/core/src/forwarding/peerList/test.ts
@@ -19,12 +19,13 @@
   isReady: true,
   isLeaving: false,
   configVersion: 1,
+  weight: 1,
 };
 
 const heard = (atMs: number, more: Partial<PeerStatus> = {}): PeersEvent => ({
   type: 'peers.received',
   atMs,
-  self: { ...self, ...more },
+  peers: [{ ...self, ...more }],
 });
 
 const serving = (events: readonly PeersEvent[], nowMs: number) =>
@@ -44,6 +45,13 @@
     expect(serving([heard(0), heard(1, { isLeaving: true })], 10)).to.equal(0);
   });
 
+  it('keeps a leaving process out although an earlier status is passed on', () => {
+    const left = [heard(0), heard(1, { isLeaving: true }), heard(2)];
+    expect(serving(left, 10)).to.equal(0);
+    const restarted = [...left, heard(3, { startedAtUnixMs: 2000 })];
+    expect(serving(restarted, 10)).to.equal(1);
+  });
+
   it('ignores a delayed datagram of an older process', () => {
     const newer = heard(0, { startedAtUnixMs: 2000 });
     expect(serving([newer, heard(1, { isReady: false })], 10)).to.equal(1);
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -11,6 +11,7 @@
   TargetProcess,
 } from './types.ts';
 
+export { processKey } from './_lib/steps.ts';
 export type * from './types.ts';
 
 /** Time within which live targets renew their lapsed list entries after a store
--- a/packages/gateway/src/createPeerLink/_lib/hubSelector.ts
+++ b/packages/gateway/src/createPeerLink/_lib/hubSelector.ts
@@ -3,7 +3,7 @@
  */
 export interface HubSelector {
   /**
-   * Returns the hub among these addresses. Undefined if the last hub has just
+   * Returns the hub among these addresses, the most preferred first. Undefined if the last hub has just
    * missed its deadline, or if all addresses are being avoided.
    */
   readonly pick: (
@@ -27,7 +27,7 @@
 const AVOID_MS = 5000;
 
 /**
- * Creates a hub selector. All entries prefer the lowest address, so they agree
+ * Creates a hub selector. All entries prefer the same addresses, so they agree
  * without coordination. If they disagree, the only cost is extra datagrams,
  * since any entry batches the messages sent to it.
  */
@@ -46,9 +46,7 @@
         pendingEcho = undefined;
         return undefined;
       }
-      return addresses
-        .filter((one) => (avoidedUntilMs.get(one) ?? 0) <= nowMs)
-        .toSorted()[0];
+      return addresses.find((one) => (avoidedUntilMs.get(one) ?? 0) <= nowMs);
     },
     messageSent(address, nowMs) {
       pendingEcho ??= { address, sinceMs: nowMs };
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -9,8 +9,8 @@
 /** Message with the complete state that an entry shares with its peers. */
 export interface PeerMessage {
   readonly self: PeerStatus;
-  /** Requests in flight of the sender. */
-  readonly flights: readonly InFlightRequest[];
+  /** Requests in flight of the sender; undefined if the message does not tell. */
+  readonly flights: readonly InFlightRequest[] | undefined;
   /** Target processes known to be draining. */
   readonly drainingProcesses: readonly TargetProcess[];
   /** Requests, by fingerprint, that crashed a target. */
@@ -39,6 +39,7 @@
   z.boolean(),
   z.boolean(),
   z.number(),
+  z.number(),
 ]);
 
 /** Encoded as an array to save space: these rows make up most of a datagram. */
@@ -59,7 +60,7 @@
 
 const messageSchema = z.tuple([
   selfSchema,
-  z.array(flightSchema),
+  z.array(flightSchema).nullable(),
   z.array(z.tuple([z.string(), z.number()])),
   z.array(z.tuple([z.string(), z.string()])),
   z.array(z.string()),
@@ -94,8 +95,10 @@
       self.isReady,
       self.isLeaving,
       self.configVersion,
+      self.weight,
     ],
-    message.flights.flatMap((flight) => encodeFlight(flight, codec, nowMs)),
+    message.flights?.flatMap((flight) => encodeFlight(flight, codec, nowMs)) ??
+      null,
     message.drainingProcesses.map((one) => [one.id, one.bornMs]),
     message.crashes.map((one) => [one.fingerprint, one.targetId]),
     [...message.addresses],
@@ -139,8 +142,9 @@
       isReady: self[5],
       isLeaving: self[6],
       configVersion: self[7],
+      weight: self[8],
     },
-    flights: flights.flatMap((row) => decodeFlight(row, codec, nowMs)),
+    flights: flights?.flatMap((row) => decodeFlight(row, codec, nowMs)),
     drainingProcesses: draining.map(([id, bornMs]) => ({ id, bornMs })),
     crashes: crashes.map(([fingerprint, targetId]) => ({
       fingerprint,
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -1,8 +1,13 @@
 import { createSocket, type RemoteInfo } from 'node:dgram';
 import {
+  formsCells,
+  type InFlightRequest,
+  MAX_SHARED_ENTRIES,
   type Peer,
   type PeerStatus,
   peerTimes,
+  processKey,
+  type TargetProcess,
 } from '@endivegate/core/forwarding';
 import type { EventLog } from '../createEventLog/index.ts';
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
@@ -60,15 +65,25 @@
  */
 const CONFIG_FETCH_DELAY_MS = 250;
 
+/** Addresses without a known entry that are contacted at a time: the others are
+ * usually heard of through those, and each entry of a large fleet would otherwise
+ * contact all of them. */
+const MAX_CONTACTS = 12;
+
+/** How often the status of a data centre's entries is told to the others. Callers
+ * are told addresses for a second. */
+const DIGEST_INTERVAL_MS = 1000;
+
+/** Entries of a data centre that tell its status to the others, so that the loss
+ * of one leaves no gap. */
+const DIGEST_SENDERS = 2;
+
+/** A draining process is told for this long, which allows for lost datagrams. */
+const DRAINING_NEWS_MS = 10_000;
+
 /** Maximum number of entry addresses in a datagram. */
 const MAX_SENT_ADDRESSES = 24;
 
-/**
- * Larger fleets send messages through one hub entry per data centre, since the
- * number of direct datagrams grows with the square of the entries.
- */
-const MAX_DIRECT_ENTRIES = 16;
-
 /**
  * How long the hub collects messages; short compared with the decoding time of
  * a short prompt.
@@ -82,11 +97,20 @@
  * First byte of a datagram: what the receiver does besides applying its
  * messages. A relay forwards it within its own data centre, so that only one
  * copy is sent between data centres. A hub adds it to the batch that it sends
- * to all entries.
+ * to all entries. A contact is answered with addresses that its sender lacks.
  */
 const DIRECT = 0;
 const TO_RELAY = 1;
 const TO_HUB = 2;
+const CONTACT = 3;
+
+/** Parts of a message that an entry does not tell when it is only passed on. */
+const NO_NEWS = {
+  flights: undefined,
+  drainingProcesses: [],
+  crashes: [],
+  addresses: [],
+} as const;
 
 /**
  * Opens the link to the other entries. Datagrams carry the state of this entry,
@@ -126,6 +150,7 @@
   socket.bind(Number(port), host, contactAddresses);
   const server = createConfigServer(() => runtime.table()?.config);
   server.listen(Number(port), host);
+  const digestTimer = setInterval(sendDigest, DIGEST_INTERVAL_MS);
   const contactTimer = setInterval(() => {
     const atMs = now();
     runtime.dispatch({ type: 'peers.ticked', atMs });
@@ -146,7 +171,10 @@
   /** Restarts the heartbeat timer; called for each message sent. */
   function scheduleHeartbeat(): void {
     clearTimeout(heartbeatTimer);
-    const { heartbeatMs } = peerTimes(runtime.state().peers.size + 1);
+    const receivers = isCell()
+      ? localPeers().length
+      : runtime.state().peers.size;
+    const { heartbeatMs } = peerTimes(receivers + 1);
     heartbeatTimer = setTimeout(broadcastBatched, heartbeatMs);
   }
 
@@ -175,77 +203,163 @@
   function broadcast(): void {
     if (isClosed) return;
     scheduleHeartbeat();
-    sendToAll(encodeState([]));
+    sendToAll(encodeState());
   }
 
   /** Sends the state through the hub in a large fleet, otherwise directly. */
   function broadcastBatched(): void {
     const atMs = now();
-    const isLarge = runtime.state().peers.size >= MAX_DIRECT_ENTRIES;
-    const hub = isLarge ? hubSelector.pick(localAddresses(), atMs) : undefined;
+    const isLarge = runtime.state().peers.size >= MAX_SHARED_ENTRIES;
+    const hub = isLarge ? hubSelector.pick(hubCandidates(), atMs) : undefined;
     if (isClosed || hub === undefined) {
       broadcast();
       return;
     }
     scheduleHeartbeat();
-    if (hub === own.peerAddress) batch.add(encodeState([]));
+    if (hub === own.peerAddress) batch.add(encodeState());
     else {
       hubSelector.messageSent(hub, atMs);
-      send(TO_HUB, encodeState([]), hub);
+      send(TO_HUB, encodeState(), hub);
     }
   }
 
-  function localAddresses(): readonly string[] {
-    const others = localPeers().map((peer) => peer.peerAddress);
-    return [own.peerAddress, ...others];
+  /** Whether requests are told to this data centre only; see `formsCells`. */
+  function isCell(): boolean {
+    return formsCells({ ...runtime.state(), dataCentre: own.dataCentre });
+  }
+
+  /** Entries of this data centre, those with the most capacity first. */
+  function hubCandidates(): readonly string[] {
+    return [...localPeers(), self()]
+      .toSorted(
+        (a, b) =>
+          b.weight - a.weight || (a.peerAddress < b.peerAddress ? -1 : 1),
+      )
+      .map((entry) => entry.peerAddress);
   }
 
   function sendToAll(messages: Uint8Array): void {
+    sendToLocal(messages);
+    if (!isCell() || self().isLeaving) sendToRelays(messages);
+  }
+
+  function sendToLocal(messages: Uint8Array): void {
     localPeers().forEach((peer) => {
       send(DIRECT, messages, peer.peerAddress);
     });
+  }
+
+  function sendToRelays(messages: Uint8Array): void {
     relays().forEach((peer) => {
       send(TO_RELAY, messages, peer.peerAddress);
     });
   }
 
   /**
-   * Sends the state and the known addresses to all addresses without a known
-   * entry, and to the seeds.
+   * Tells the other data centres which entries this one has, without their
+   * requests.
+   */
+  function sendDigest(): void {
+    if (isClosed || !isCell()) return;
+    const senders = hubCandidates().slice(0, DIGEST_SENDERS);
+    if (!senders.includes(own.peerAddress)) return;
+    const { silenceMs } = peerTimes(localPeers().length + 1);
+    const atMs = now();
+    const passedOn = localPeers()
+      .filter((peer) => atMs - peer.heardAtMs < silenceMs)
+      .map((peer) => ({ ...NO_NEWS, self: peer }));
+    const digest = createBatch({
+      delayMs: 0,
+      maxBytes: MAX_BATCH_BYTES,
+      send: sendToRelays,
+    });
+    [{ ...ownMessage(), flights: undefined }, ...passedOn].forEach(
+      (message) => {
+        digest.add(encodePeerMessage(message, codec, atMs));
+      },
+    );
+  }
+
+  /**
+   * Sends the state and the known addresses to addresses without a known entry,
+   * and to the seeds.
    */
   function contactAddresses(): void {
     const peers = knownPeers();
     const knownAddresses = new Set(peers.map((peer) => peer.peerAddress));
-    const message = encodeState(
-      [...knownAddresses].slice(0, MAX_SENT_ADDRESSES),
+    const message = encodeContact();
+    const unknown = [...addresses].filter(
+      (address) => !knownAddresses.has(address),
     );
-    [...addresses]
-      .filter((address) => !knownAddresses.has(address))
-      .forEach((address) => {
-        send(DIRECT, message, address);
-      });
-    const seedPeers = peers.filter((peer) =>
-      options.seedAddresses.includes(peer.peerAddress),
-    );
-    seedPeers.forEach((peer) => {
-      send(DIRECT, message, peer.peerAddress);
+    pickSome(unknown, MAX_CONTACTS).forEach((address) => {
+      send(CONTACT, message, address);
     });
+    // The seeds pass on addresses; in a large fleet some entries at a time do.
+    if (random() * (peers.length + 1) >= MAX_SHARED_ENTRIES) return;
+    peers
+      .filter((peer) => options.seedAddresses.includes(peer.peerAddress))
+      .forEach((peer) => {
+        send(CONTACT, message, peer.peerAddress);
+      });
+  }
+
+  function encodeContact(): Uint8Array {
+    const known = knownPeers().map((peer) => peer.peerAddress);
+    const message = {
+      ...ownMessage(),
+      addresses: pickSome(known, MAX_SENT_ADDRESSES),
+    };
+    return encodePeerMessage(message, codec, now());
+  }
+
+  /** Answers a contact whose sender knows fewer entries than this one. */
+  function answerContact(messages: readonly PeerMessage[]): void {
+    const known = Math.min(knownPeers().length, MAX_SENT_ADDRESSES);
+    messages
+      .filter((message) => message.addresses.length < known)
+      .forEach((message) => {
+        send(DIRECT, encodeContact(), message.self.peerAddress);
+      });
+  }
+
+  /** Picks a run of items that begins at a random one. */
+  function pickSome<T>(items: readonly T[], count: number): readonly T[] {
+    const first = Math.floor(random() * items.length);
+    return [...items.slice(first), ...items.slice(0, first)].slice(0, count);
   }
 
-  function encodeState(sentAddresses: readonly string[]): Uint8Array {
+  function ownMessage(): PeerMessage {
     const state = runtime.state();
-    const message: PeerMessage = {
+    return {
       self: self(),
-      flights: [...state.load.flights.values()],
-      drainingProcesses: [...state.roster.targets.values()]
-        .filter((target) => target.draining)
-        .map(({ id, bornMs }) => ({ id, bornMs })),
+      flights: ownFlights(),
+      drainingProcesses: recentlyDraining(),
       crashes: [...state.suspects].flatMap(([fingerprint, suspect]) =>
         suspect.crashedTargetIds.map((targetId) => ({ fingerprint, targetId })),
       ),
-      addresses: sentAddresses,
+      addresses: [],
     };
-    return encodePeerMessage(message, codec, now());
+  }
+
+  function ownFlights(): readonly InFlightRequest[] {
+    return [...runtime.state().load.flights.values()];
+  }
+
+  /** Draining processes that peers may not know of yet. */
+  function recentlyDraining(): readonly TargetProcess[] {
+    const { targets, drainedProcesses } = runtime.state().roster;
+    const sinceMs = now() - DRAINING_NEWS_MS;
+    if (drainedProcesses.size === 0) return [];
+    return [...targets.values()]
+      .filter((target) => target.draining)
+      .filter(
+        (target) => (drainedProcesses.get(processKey(target)) ?? 0) > sinceMs,
+      )
+      .map(({ id, bornMs }) => ({ id, bornMs }));
+  }
+
+  function encodeState(): Uint8Array {
+    return encodePeerMessage(ownMessage(), codec, now());
   }
 
   function send(mark: number, message: Uint8Array, address: string): void {
@@ -265,9 +379,10 @@
       log.warn('peers.unreadable', { bytes: datagram.length });
       return;
     }
+    if (datagram[0] === CONTACT) answerContact(messages);
     if (datagram[0] === TO_RELAY) relayLocally(bytes, messages);
     if (datagram[0] === TO_HUB) batch.add(Uint8Array.from(bytes));
-    messages.filter((one) => one.self.name !== own.name).forEach(applyMessage);
+    applyMessages(messages.filter((one) => one.self.name !== own.name));
   }
 
   function relayLocally(
@@ -282,32 +397,34 @@
       });
   }
 
-  function applyMessage(message: PeerMessage): void {
-    const peer = message.self;
+  function applyMessages(messages: readonly PeerMessage[]): void {
+    if (messages.length === 0) return;
     const atMs = now();
-    [peer.peerAddress, ...message.addresses]
+    const peers = messages.map((message) => message.self);
+    messages
+      .flatMap((message) => [message.self.peerAddress, ...message.addresses])
       .filter((address) => address !== own.peerAddress)
       .forEach((address) => addresses.add(address));
-    runtime.dispatch({ type: 'peers.received', atMs, self: peer });
-    runtime.dispatch({
-      type: 'load.received',
-      peer: peer.name,
-      atMs,
-      flights: message.flights,
-    });
-    if (message.drainingProcesses.length > 0) {
-      runtime.dispatch({
-        type: 'roster.leavingHeard',
-        atMs,
-        processes: message.drainingProcesses,
-      });
+    runtime.dispatch({ type: 'peers.received', atMs, peers });
+    const reports = messages.flatMap(({ self: peer, flights }) =>
+      flights === undefined ? [] : [{ peer: peer.name, flights }],
+    );
+    if (reports.length > 0) {
+      runtime.dispatch({ type: 'load.received', atMs, reports });
     }
-    message.crashes.forEach((crash) => {
-      const known = runtime.state().suspects.get(crash.fingerprint);
-      if (known?.crashedTargetIds.includes(crash.targetId) === true) return;
-      runtime.dispatch({ type: 'suspects.crashed', atMs, ...crash });
-    });
-    if (isNewer(peer)) scheduleConfigFetch(peer);
+    const processes = messages.flatMap((message) => message.drainingProcesses);
+    if (processes.length > 0) {
+      runtime.dispatch({ type: 'roster.leavingHeard', atMs, processes });
+    }
+    messages
+      .flatMap((message) => message.crashes)
+      .forEach((crash) => {
+        const known = runtime.state().suspects.get(crash.fingerprint);
+        if (known?.crashedTargetIds.includes(crash.targetId) === true) return;
+        runtime.dispatch({ type: 'suspects.crashed', atMs, ...crash });
+      });
+    const newest = peers.find(isNewer);
+    if (newest !== undefined) scheduleConfigFetch(newest);
   }
 
   function isNewer(peer: PeerStatus): boolean {
@@ -345,6 +462,7 @@
       if (isClosed) return;
       isClosed = true;
       clearInterval(contactTimer);
+      clearInterval(digestTimer);
       clearTimeout(heartbeatTimer);
       batch.close();
       clearTimeout(sendTimer);
--- a/packages/gateway/src/createPeerLink/test.ts
+++ b/packages/gateway/src/createPeerLink/test.ts
@@ -96,6 +96,7 @@
         isReady: true,
         isLeaving: false,
         configVersion: runtime.table()?.config.version ?? 0,
+        weight: 1,
       }),
     });
     const entry = { runtime, link, address };
@@ -184,6 +185,39 @@
     expect(serving()).to.equal(0);
   });
 
+  it('tells requests to its data centre only where data centres form cells', async () => {
+    const first = await startEntry('e00', 'a', []);
+    const names = Array.from({ length: 19 }, (_, n) => `e${n + 10}`);
+    const others = await Promise.all(
+      names.map((name, n) =>
+        startEntry(name, n % 2 === 0 ? 'a' : 'b', [first.address]),
+      ),
+    );
+    const everyone = [first, ...others];
+    const targets = Array.from({ length: 40 }, (_, n) => ({
+      ...target,
+      id: `t${n}`,
+      dataCentre: n % 2 === 0 ? 'a' : 'b',
+    }));
+    everyone.forEach((one) => {
+      one.runtime.dispatch({ type: 'roster.listed', atMs: 0, targets });
+    });
+    await until(() => everyone.every((one) => peersOf(one).length === 19));
+    first.runtime.dispatch({
+      type: 'load.started',
+      flight: { ...flight, targetId: 't2', startedAtMs: performance.now() },
+    });
+    const requestsAt = (entry: Entry): number =>
+      allLoads(entry.runtime.state().load, performance.now()).get('t2')
+        ?.requests ?? 0;
+    const [inA, inB] = [
+      others.filter((_, n) => n % 2 === 0),
+      others.filter((_, n) => n % 2 === 1),
+    ];
+    await until(() => inA.every((one) => requestsAt(one) === 1));
+    expect(inB.map(requestsAt)).to.deep.equal(inB.map(() => 0));
+  }).timeout(20_000);
+
   it('reaches all entries of a large fleet even when its hub is gone', async () => {
     const first = await startEntry('e00', 'a', []);
     const names = Array.from({ length: 19 }, (_, n) => `e${n + 10}`);
--- a/packages/gateway/src/planSend/index.ts
+++ b/packages/gateway/src/planSend/index.ts
@@ -4,6 +4,8 @@
 } from '@endivegate/contracts/forwarding';
 import {
   allLoads,
+  cellTargets,
+  formsCells,
   type GatewayState,
   type PlannedReservation,
   pickTarget,
@@ -76,15 +78,17 @@
   query: SendQuery,
 ): SendPlan | undefined {
   const { service, prompt, nowMs } = query;
-  const targets = usableTargets(state.roster, service.name, nowMs).filter(
+  const usable = usableTargets(state.roster, service.name, nowMs).filter(
     (target) => !query.excludedIds.has(target.id),
   );
   const loads = allLoads(state.load, nowMs);
   if (service.engine === undefined || prompt === undefined) {
     const { dataCentre } = query;
-    const target = pickTarget({ targets, loads, nowMs, dataCentre });
+    const target = pickTarget({ targets: usable, loads, nowMs, dataCentre });
     return target === undefined ? undefined : plainPlan(target);
   }
+  const isCell = formsCells({ ...state, dataCentre: query.dataCentre });
+  const targets = isCell ? cellTargets(usable, query) : usable;
   const outputTokens =
     prompt.hintedOutputTokens ?? prompt.maxOutputTokens * EXPECTED_OUTPUT_SHARE;
   const plan = planPrompt(
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -1,5 +1,9 @@
 import type { Server } from 'node:http';
-import { servingPeers, type PeerStatus } from '@endivegate/core/forwarding';
+import {
+  sampleEntries,
+  servingPeers,
+  type PeerStatus,
+} from '@endivegate/core/forwarding';
 import { createConnectionPool } from '../createConnectionPool/index.ts';
 import type { EventLog } from '../createEventLog/index.ts';
 import { createCallerServer } from '../createCallerServer/index.ts';
@@ -17,6 +21,8 @@
 export interface StartGatewayOptions {
   readonly name: string;
   readonly dataCentre: string;
+  /** Capacity relative to other entries; 1 by default. */
+  readonly weight?: number | undefined;
   /** IP and port at which callers connect. */
   readonly callerAddress: string;
   /** IP and port for traffic between entries, TCP and UDP. */
@@ -42,8 +48,8 @@
    */
   readonly isReady: () => boolean;
   /**
-   * Addresses of ready entries for callers; not empty while this entry is
-   * ready.
+   * Addresses of ready entries to name to one caller, sampled by capacity; not
+   * empty while this entry is ready.
    */
   readonly callerAddresses: () => readonly string[];
   /**
@@ -126,6 +132,7 @@
       isReady: isReady(),
       isLeaving,
       configVersion: runtime.table()?.config.version ?? 0,
+      weight: options.weight ?? 1,
     };
   }
 
@@ -153,10 +160,11 @@
   }
 
   function callerAddresses(): readonly string[] {
-    const others = servingPeers(runtime.state().peers, now()).map(
-      (peer) => peer.callerAddress,
-    );
-    return isReady() ? [options.callerAddress, ...others] : others;
+    const others = servingPeers(runtime.state().peers, now());
+    const serving: readonly PeerStatus[] = isReady()
+      ? [self(), ...others]
+      : others;
+    return sampleEntries(serving).map((entry) => entry.callerAddress);
   }
 
   function leave(done: () => void): void {
