Share watches on the store among the entries of a large fleet

Change: above 16 entries three of a group watch (the fleet up to 64, a data centre beyond), the first by cores and name that are heard to be sound, without an election. They tell the others their position and each change of a target; whoever missed news fetches all targets from a watcher, and whoever hears too few sound watchers watches itself, from its position on. While the store does not answer, entries that come later try one after the other. Configurations are fetched from peers at once. Small fleets watch as before.

Ruled out: asking seldom as a follower, since DrainMs bounds the news; an elected watcher.

--- a/packages/core/src/forwarding/engineCell/index.ts
+++ b/packages/core/src/forwarding/engineCell/index.ts
@@ -12,9 +12,9 @@
 /** Fleets up to this size share everything: the cost of it is small there. */
 export const MAX_SHARED_ENTRIES = 16;
 
-/** Targets that a data centre needs to form a cell: about as many as the largest
- * prompt is split over, so that long prompts lose no helpers. */
-const MIN_CELL_TARGETS = 16;
+/** Targets that a data centre needs to form a cell: room for two of the largest
+ * prompts, which are split over 17 engines each. */
+const MIN_CELL_TARGETS = 34;
 
 /** A cell with fewer usable targets than this part of an average data centre is
  * widened to the whole fleet. */
--- a/packages/core/src/forwarding/engineCell/test.ts
+++ b/packages/core/src/forwarding/engineCell/test.ts
@@ -54,9 +54,9 @@
         peers: peersOf(entries - 1),
         dataCentre: 'a',
       });
-    expect(forms(40, { a: 20, b: 20 })).to.equal(true);
-    expect(forms(16, { a: 20, b: 20 })).to.equal(false);
-    expect(forms(40, { a: 20, b: 4 })).to.equal(false);
+    expect(forms(40, { a: 34, b: 34 })).to.equal(true);
+    expect(forms(16, { a: 34, b: 34 })).to.equal(false);
+    expect(forms(40, { a: 34, b: 33 })).to.equal(false);
     expect(forms(40, { a: 40 })).to.equal(false);
   });
 
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -13,4 +13,5 @@
 export * from './retryBudget/index.ts';
 export * from './routeTable/index.ts';
 export * from './sampleEntries/index.ts';
+export * from './storeWatchers/index.ts';
 export * from './targetRoster/index.ts';
--- /dev/null
+++ b/packages/core/src/forwarding/storeWatchers/test.ts
@@ -0,0 +1,94 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { type WatcherBeat, watchesStore } from './index.ts';
+
+const beat = (name: string, more: Partial<WatcherBeat> = {}): WatcherBeat => ({
+  name,
+  weight: 1,
+  heardAtMs: 1000,
+  storeAgeMs: 0,
+  ...more,
+});
+
+const watches = (
+  beats: readonly WatcherBeat[],
+  more: { readonly nowMs?: number; readonly groupSize?: number } = {},
+) =>
+  watchesStore({
+    name: 'm',
+    weight: 1,
+    groupSize: 39,
+    nowMs: 1000,
+    beats,
+    ...more,
+  });
+
+describe('storeWatchers', () => {
+  it('leaves the store to three sound watchers that come first', () => {
+    const three = [beat('a'), beat('b'), beat('c')];
+    expect(watches(three)).to.equal(false);
+    expect(watches(three.slice(1))).to.equal(true);
+    expect(watches([beat('a'), beat('b'), beat('z')])).to.equal(true);
+    expect(watches([...three.slice(1), beat('z', { weight: 2 })])).to.equal(
+      false,
+    );
+  });
+
+  it('takes over from watchers that are silent or that the store does not answer', () => {
+    const three = [beat('a'), beat('b'), beat('c')];
+    expect(watches(three, { nowMs: 2300 })).to.equal(true);
+    const cut = [...three.slice(1), beat('a', { storeAgeMs: 2200 })];
+    expect(watches(cut)).to.equal(true);
+  });
+
+  it('has every entry of a small group watch', () => {
+    const three = [beat('a'), beat('b'), beat('c')];
+    expect(watches(three, { groupSize: 16 })).to.equal(true);
+  });
+
+  it('always leaves some watcher, whichever entries fail and whoever hears whom', () => {
+    const names = Array.from({ length: 20 }, (_, index) => `e${index + 10}`);
+    const weights = fc.array(fc.integer({ min: 1, max: 2 }), {
+      minLength: 20,
+      maxLength: 20,
+    });
+    const failed = fc.uniqueArray(fc.integer({ min: 0, max: 19 }), {
+      maxLength: 19,
+    });
+    fc.assert(
+      fc.property(
+        weights,
+        failed,
+        fc.array(fc.boolean(), { minLength: 400, maxLength: 400 }),
+        (weight, down, heard) => {
+          const alive = names.map((_, index) => !down.includes(index));
+          let watching = alive;
+          // Each round, all entries decide from the beats of the last one.
+          Array.from({ length: 30 }).forEach(() => {
+            watching = names.map((name, self) => {
+              const beats = names.flatMap((other, index) =>
+                index !== self &&
+                watching[index] === true &&
+                heard[self * 20 + index] === true
+                  ? [beat(other, { weight: weight[index] ?? 1 })]
+                  : [],
+              );
+              return (
+                alive[self] === true &&
+                watchesStore({
+                  name,
+                  weight: weight[self] ?? 1,
+                  groupSize: 20,
+                  beats,
+                  nowMs: 1000,
+                })
+              );
+            });
+          });
+          return watching.some(Boolean);
+        },
+      ),
+      { seed: 1, numRuns: 200 },
+    );
+  });
+});
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -75,6 +75,19 @@
         },
         effects: [],
       };
+    case 'roster.removalsHeld':
+      return {
+        state: {
+          ...state,
+          holdRemovalsUntilMs: Math.max(
+            state.holdRemovalsUntilMs === Infinity
+              ? 0
+              : state.holdRemovalsUntilMs,
+            event.untilMs,
+          ),
+        },
+        effects: [],
+      };
     case 'roster.leavingAnnounced':
       return markDraining(state, event, 'announced in a response', event.atMs);
     case 'roster.leavingHeard':
@@ -335,13 +348,14 @@
       target.removalDueAtMs !== undefined &&
       atMs >= Math.min(target.removalDueAtMs, state.holdRemovalsUntilMs),
   );
-  const listedKeys = new Set([...state.targets.values()].map(processKey));
+  const isListed = (key: string): boolean =>
+    [...state.targets.values()].some((target) => processKey(target) === key);
   const forget = (
     processes: ReadonlyMap<string, number>,
   ): ReadonlyMap<string, number> => {
     const kept = [...processes].filter(
       ([key, sinceMs]) =>
-        atMs - sinceMs < PROCESS_RETENTION_MS || listedKeys.has(key),
+        atMs - sinceMs < PROCESS_RETENTION_MS || isListed(key),
     );
     return kept.length === processes.size ? processes : new Map(kept);
   };
--- a/packages/core/src/forwarding/targetRoster/types.ts
+++ b/packages/core/src/forwarding/targetRoster/types.ts
@@ -76,6 +76,11 @@
   | { readonly type: 'roster.storeLost'; readonly atMs: number }
   /** The store lost its newest writes: it was restored from an older copy. */
   | { readonly type: 'roster.storeRestored'; readonly atMs: number }
+  /** A peer lists targets after a store outage: removals are held until then. */
+  | {
+      readonly type: 'roster.removalsHeld';
+      readonly untilMs: number;
+    }
   /** A target said in a response that it is leaving. */
   | ({
       readonly type: 'roster.leavingAnnounced';
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -28,6 +28,9 @@
    * Sends the state of this entry and its requests in flight to all peers now.
    */
   readonly broadcast: () => void;
+  /** Fetches the configuration of a peer that has a newer one, unless one is being
+   * fetched already. */
+  readonly fetchConfigFrom: (peer: PeerStatus) => void;
   /** Adds addresses at which to look for other entries. */
   readonly addAddresses: (addresses: readonly string[]) => void;
   readonly close: () => void;
@@ -81,6 +84,10 @@
 /** A draining process is told for this long, which allows for lost datagrams. */
 const DRAINING_NEWS_MS = 10_000;
 
+/** Entries that do not watch the store fetch a newer configuration within this time
+ * of each other. */
+const SHARED_FETCH_SPREAD_MS = 100;
+
 /** Maximum number of entry addresses in a datagram. */
 const MAX_SENT_ADDRESSES = 24;
 
@@ -431,7 +438,10 @@
     return peer.configVersion > (runtime.table()?.config.version ?? 0);
   }
 
-  function scheduleConfigFetch(peer: PeerStatus): void {
+  function scheduleConfigFetch(
+    peer: PeerStatus,
+    delayMs = CONFIG_FETCH_DELAY_MS,
+  ): void {
     if (isFetching) return;
     isFetching = true;
     setTimeout(() => {
@@ -448,11 +458,14 @@
           });
         } else runtime.applyConfig(result, `peer ${peer.name}`);
       });
-    }, CONFIG_FETCH_DELAY_MS);
+    }, delayMs);
   }
 
   return {
     broadcast,
+    fetchConfigFrom(peer) {
+      scheduleConfigFetch(peer, SHARED_FETCH_SPREAD_MS * random());
+    },
     addAddresses(added) {
       added
         .filter((address) => address !== own.peerAddress)
--- a/packages/gateway/src/createPeerLink/test.ts
+++ b/packages/gateway/src/createPeerLink/test.ts
@@ -194,7 +194,7 @@
       ),
     );
     const everyone = [first, ...others];
-    const targets = Array.from({ length: 40 }, (_, n) => ({
+    const targets = Array.from({ length: 68 }, (_, n) => ({
       ...target,
       id: `t${n}`,
       dataCentre: n % 2 === 0 ? 'a' : 'b',
--- a/packages/gateway/src/followPrefix/index.ts
+++ b/packages/gateway/src/followPrefix/index.ts
@@ -3,6 +3,7 @@
 import type {
   StoreChange,
   StoredItem,
+  StorePosition,
   StoreError,
   StorePort,
 } from '../storePort/index.ts';
@@ -18,14 +19,24 @@
    * and all of it: a change ends the watches of all entries together, and they
    * should not time out together as well.
    */
-  readonly waitMs: number;
+  readonly waitMs: () => number;
   /**
    * Pause after a watch that returned changes, so that the next one returns
    * several at once.
    */
   readonly batchDelayMs: number;
-  readonly onList: (items: readonly StoredItem[]) => void;
+  /** Position to watch from without listing first; undefined to list. */
+  readonly from?: StorePosition | undefined;
+  readonly onList: (items: readonly StoredItem[], at: StorePosition) => void;
   readonly onChange: (change: StoreChange) => void;
+  /** Called after the changes of a watch were applied, also when there are none. */
+  readonly onWatched?: (
+    from: StorePosition,
+    to: StorePosition,
+    changes: readonly StoreChange[],
+  ) => void;
+  /** Called when a call failed. */
+  readonly onFailed?: () => void;
   /** Called when calls to the store have failed for {@link LOST_AFTER_MS}. */
   readonly onLost: () => void;
   /**
@@ -73,9 +84,10 @@
   let failingSinceMs: number | undefined;
   let isLost = false;
   let lostSinceMs = now();
-  let knownEra: number | undefined;
+  let knownEra: number | undefined = options.from?.era;
 
   async function follow(): Promise<void> {
+    if (options.from !== undefined) await watchFrom(options.from.revision);
     while (!isStopped()) {
       const listed = await store.list(prefix)();
       if (isStopped()) return;
@@ -85,8 +97,9 @@
       }
       if (!(await acceptEra(listed.right.era))) continue;
       recordSuccess();
-      options.onList(listed.right.items);
-      await watchFrom(listed.right.revision);
+      const { items, revision, era } = listed.right;
+      options.onList(items, { era, revision });
+      await watchFrom(revision);
     }
   }
 
@@ -109,7 +122,7 @@
   async function watchFrom(firstRevision: number): Promise<void> {
     let afterRevision = firstRevision;
     while (!isStopped()) {
-      const waitMs = Math.round(options.waitMs * (1 + random()) * 0.5);
+      const waitMs = Math.round(options.waitMs() * (1 + random()) * 0.5);
       const watched = await store.watch({ prefix, afterRevision, waitMs })();
       if (isStopped()) return;
       if (E.isLeft(watched)) {
@@ -119,8 +132,11 @@
       // The changes are listed instead: revisions of this era may be others.
       if (watched.right.era !== knownEra) return;
       recordSuccess();
-      afterRevision = watched.right.revision;
-      watched.right.changes.forEach(options.onChange);
+      const { era, revision, changes } = watched.right;
+      const from = { era, revision: afterRevision };
+      afterRevision = revision;
+      changes.forEach(options.onChange);
+      options.onWatched?.(from, { era, revision }, changes);
       if (watched.right.changes.length > 0) await sleep(options.batchDelayMs);
     }
   }
@@ -139,6 +155,7 @@
 
   async function handleFailure(call: string, error: StoreError): Promise<void> {
     failures += 1;
+    options.onFailed?.();
     failingSinceMs ??= now();
     log.warn('store.callFailed', {
       prefix,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,4 +9,5 @@
 export * from './startGateway/index.ts';
 export * from './announceEntry/index.ts';
 export * from './followPrefix/index.ts';
+export * from './shareStore/index.ts';
 export * from './storePort/index.ts';
--- /dev/null
+++ b/packages/gateway/src/shareStore/_lib/storeNews.ts
@@ -0,0 +1,72 @@
+import { decode, encode } from '@msgpack/msgpack';
+import { listedTargetSchema } from '@endivegate/contracts/forwarding';
+import { z } from 'zod';
+
+const targetChangeSchema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('put'), target: listedTargetSchema }),
+  z.object({ type: z.literal('removed'), id: z.string() }),
+]);
+
+const newsSchema = z.object({
+  name: z.string(),
+  weight: z.number(),
+  era: z.number(),
+  /** Revision after which the changes were made. */
+  fromRevision: z.number(),
+  /** Revision up to which the sender follows the store. */
+  revision: z.number(),
+  /** Time since the store last answered the sender. */
+  storeAgeMs: z.number(),
+  /** Time for which removals are held after an outage of the store. */
+  holdMs: z.number(),
+  configVersion: z.number(),
+  changes: z.array(targetChangeSchema),
+});
+
+const snapshotSchema = z.object({
+  era: z.number(),
+  revision: z.number(),
+  holdMs: z.number(),
+  targets: z.array(listedTargetSchema),
+});
+
+/** A change of the list of targets. */
+export type TargetChange = z.infer<typeof targetChangeSchema>;
+
+/** What a watcher of the store tells the entries that do not watch. */
+export type StoreNews = z.infer<typeof newsSchema>;
+
+/** All targets that a watcher knows, for an entry that missed news. */
+export type TargetSnapshot = z.infer<typeof snapshotSchema>;
+
+/** Keeps a message within one network packet. */
+const MAX_NEWS_BYTES = 1300;
+
+/**
+ * Encodes news. Changes that do not fit into a datagram are left out, and the
+ * receivers fetch all targets instead.
+ */
+export function encodeNews(news: StoreNews): Uint8Array {
+  const bytes = encode(news);
+  return bytes.length <= MAX_NEWS_BYTES
+    ? bytes
+    : encode({ ...news, fromRevision: news.revision, changes: [] });
+}
+
+/** Decodes news; undefined if the bytes are malformed. */
+export function decodeNews(bytes: Uint8Array): StoreNews | undefined {
+  try {
+    return newsSchema.safeParse(decode(bytes)).data;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Decodes a snapshot; undefined if the text is malformed. */
+export function decodeSnapshot(text: string): TargetSnapshot | undefined {
+  try {
+    return snapshotSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/shareStore/index.ts
@@ -0,0 +1,376 @@
+import { createSocket } from 'node:dgram';
+import {
+  BEAT_INTERVAL_MS,
+  isSoundWatcher,
+  LAPSED_ENTRY_GRACE_MS,
+  type Peer,
+  probeIntervalMs,
+  sharesWatches,
+  type WatcherBeat,
+  watchesStore,
+} from '@endivegate/core/forwarding';
+import type { ListedTarget } from '@endivegate/contracts/forwarding';
+import type { EventLog } from '../createEventLog/index.ts';
+import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
+import type { StorePosition } from '../storePort/index.ts';
+import {
+  createSnapshotServer,
+  fetchSnapshot,
+} from './_lib/snapshotExchange.ts';
+import {
+  decodeNews,
+  encodeNews,
+  type StoreNews,
+  type TargetChange,
+} from './_lib/storeNews.ts';
+
+export type { TargetChange } from './_lib/storeNews.ts';
+
+/** Callbacks of a watch on the store; they are called after the state of the
+ * gateway was updated. */
+export interface StoreWatchHandlers {
+  /** All targets were listed. */
+  readonly onList: (
+    targets: readonly ListedTarget[],
+    at: StorePosition,
+  ) => void;
+  /** A watch ended, with or without changes. */
+  readonly onWatched: (
+    from: StorePosition,
+    to: StorePosition,
+    changes: readonly TargetChange[],
+  ) => void;
+  /** A call to the store failed. */
+  readonly onFailed: () => void;
+}
+
+/** Options of {@link shareStore}. */
+export interface ShareStoreOptions {
+  readonly runtime: GatewayRuntime;
+  readonly log: EventLog;
+  readonly name: string;
+  readonly dataCentre: string;
+  /** Capacity relative to other entries; those with more watch first. */
+  readonly weight: number;
+  /** IP and port for news and snapshots; all entries use the same port. */
+  readonly address: string;
+  /**
+   * Starts to follow the store, from a position or by listing it first, and
+   * returns a function that stops.
+   */
+  readonly startWatch: (
+    from: StorePosition | undefined,
+    handlers: StoreWatchHandlers,
+  ) => () => void;
+  /** Called when a watcher has a newer configuration than this entry. */
+  readonly onNewerConfig: (watcher: Peer) => void;
+  /** Called when a watcher tells that the store was restored. */
+  readonly onRestored: (era: number) => void;
+  /** Monotonic time in ms. */
+  readonly now: () => number;
+  readonly random?: () => number;
+}
+
+/** A running exchange of what the store holds. */
+export interface StoreSharing {
+  readonly isWatching: () => boolean;
+  readonly stop: () => void;
+}
+
+const TICK_INTERVAL_MS = 100;
+
+/** Entries that could take over a watch begin within this time, in random order,
+ * so that most hear of the first one and stay out. */
+const TAKEOVER_SPREAD_MS = 300;
+
+/** An entry stops watching when it was not needed for this long. */
+const STEP_DOWN_MS = 1000;
+
+/** Fleets beyond this size share watches in each data centre apart. */
+const MAX_FLEET_GROUP = 64;
+
+/** Peers that were silent for this long are not counted or told. */
+const PEER_TIMEOUT_MS = 4000;
+
+/** Entries that missed news fetch all targets within this time of each other. */
+const FETCH_SPREAD_MS = 100;
+
+/**
+ * Follows the store together with other entries: some watch it, and tell the
+ * others its position and each change of the targets. An entry that missed news
+ * fetches all targets from a watcher, and one that hears no sound watchers
+ * follows the store itself.
+ *
+ * @param options - State, addresses, and how to watch the store.
+ * @returns The running exchange.
+ *
+ * @example
+ * const sharing = shareStore({ runtime, log, startWatch, ...self });
+ */
+export function shareStore(options: ShareStoreOptions): StoreSharing {
+  const { runtime, log, name, weight, now, random = Math.random } = options;
+  const [host = '', port = ''] = options.address.split(':');
+  const beats = new Map<string, WatcherBeat>();
+  let listed = new Map<string, ListedTarget>();
+  let position: StorePosition | undefined;
+  let stopWatch: (() => void) | undefined;
+  let answeredAtMs = now();
+  let nextStartAtMs: number | undefined;
+  let unneededSinceMs: number | undefined;
+  let isFetching = false;
+  let isStopped = false;
+
+  const socket = createSocket('udp4');
+  socket.on('error', (error) => {
+    log.warn('storeNews.socketError', { reason: error.message });
+  });
+  socket.on('message', (bytes) => {
+    const news = decodeNews(bytes);
+    if (news === undefined) {
+      log.warn('storeNews.unreadable', { bytes: bytes.length });
+    } else if (news.name !== name) receive(news);
+  });
+  socket.bind(Number(port), host);
+  const server = createSnapshotServer(() =>
+    position === undefined
+      ? undefined
+      : { ...position, holdMs: holdMs(), targets: [...listed.values()] },
+  );
+  server.listen(Number(port), host);
+  const ticker = setInterval(tick, TICK_INTERVAL_MS);
+  const beatTimer = setInterval(() => {
+    if (stopWatch !== undefined && position !== undefined) {
+      tell(position, position, []);
+    }
+  }, BEAT_INTERVAL_MS);
+  start();
+
+  /** Entries with which this one shares watches, without itself. */
+  function group(): readonly Peer[] {
+    const { peers } = runtime.state();
+    const atMs = now();
+    const heard = [...peers.values()].filter(
+      (peer) => atMs - peer.heardAtMs < PEER_TIMEOUT_MS,
+    );
+    return heard.length < MAX_FLEET_GROUP
+      ? heard
+      : heard.filter((peer) => peer.dataCentre === options.dataCentre);
+  }
+
+  function tick(): void {
+    const atMs = now();
+    const members = group();
+    const isNeeded = watchesStore({
+      name,
+      weight,
+      groupSize: members.length + 1,
+      beats: [...beats.values()],
+      nowMs: atMs,
+    });
+    if (isNeeded) {
+      unneededSinceMs = undefined;
+      nextStartAtMs ??= atMs + TAKEOVER_SPREAD_MS * random();
+      if (stopWatch === undefined && atMs >= nextStartAtMs) start();
+      return;
+    }
+    if (stopWatch === undefined) {
+      nextStartAtMs = undefined;
+      return;
+    }
+    unneededSinceMs ??= atMs;
+    if (atMs - unneededSinceMs >= STEP_DOWN_MS) end('enough others watch');
+  }
+
+  function start(): void {
+    log.info('storeWatch.started', { ...position });
+    unneededSinceMs = undefined;
+    stopWatch = options.startWatch(position, {
+      onList(targets, at) {
+        noteAnswer();
+        listed = new Map(targets.map((target) => [target.id, target]));
+        position = at;
+        tell(at, at, []);
+      },
+      onWatched(from, to, changes) {
+        noteAnswer();
+        holdRemovals(0);
+        applyToListed(changes);
+        position = to;
+        if (to.revision > from.revision) tell(from, to, changes);
+      },
+      onFailed: handleFailure,
+    });
+  }
+
+  function end(reason: string): void {
+    log.info('storeWatch.ended', { reason });
+    stopWatch?.();
+    stopWatch = undefined;
+    unneededSinceMs = undefined;
+    nextStartAtMs = undefined;
+  }
+
+  function noteAnswer(): void {
+    answeredAtMs = now();
+  }
+
+  /**
+   * The first entries of the group keep trying. The others leave it to them, and
+   * try again after a while, since the store may answer only some entries.
+   */
+  function handleFailure(): void {
+    const members = group();
+    const isFirst = watchesStore({
+      name,
+      weight,
+      groupSize: members.length + 1,
+      beats: members.map((peer) => ({
+        name: peer.name,
+        weight: peer.weight,
+        heardAtMs: now(),
+        storeAgeMs: 0,
+      })),
+      nowMs: now(),
+    });
+    if (isFirst) return;
+    runtime.dispatch({ type: 'roster.storeLost', atMs: now() });
+    end('the store does not answer');
+    const intervalMs = probeIntervalMs(members.length + 1);
+    nextStartAtMs = now() + intervalMs * (0.5 + random());
+  }
+
+  function tell(
+    from: StorePosition,
+    to: StorePosition,
+    changes: readonly TargetChange[],
+  ): void {
+    const members = group();
+    if (isStopped || !sharesWatches(members.length + 1)) return;
+    const bytes = encodeNews({
+      name,
+      weight,
+      era: to.era,
+      fromRevision: from.revision,
+      revision: to.revision,
+      storeAgeMs: Math.round(now() - answeredAtMs),
+      holdMs: holdMs(),
+      configVersion: runtime.table()?.config.version ?? 0,
+      changes: [...changes],
+    });
+    members.forEach((peer) => {
+      socket.send(bytes, Number(port), hostOf(peer), () => {
+        // Send errors are ignored: the next beat tells the position again.
+      });
+    });
+  }
+
+  function holdMs(): number {
+    const { holdRemovalsUntilMs } = runtime.state().roster;
+    return Math.round(
+      Math.min(Math.max(holdRemovalsUntilMs - now(), 0), LAPSED_ENTRY_GRACE_MS),
+    );
+  }
+
+  function receive(news: StoreNews): void {
+    const beat = {
+      name: news.name,
+      weight: news.weight,
+      heardAtMs: now(),
+      storeAgeMs: news.storeAgeMs,
+    };
+    beats.set(news.name, beat);
+    const peer = runtime.state().peers.get(news.name);
+    if (peer === undefined) return;
+    const ownVersion = runtime.table()?.config.version ?? 0;
+    if (news.configVersion > ownVersion) options.onNewerConfig(peer);
+    if (stopWatch !== undefined || !isSoundWatcher(beat, now())) return;
+    if (!isNewer(news)) return;
+    const follows =
+      position?.era === news.era && news.fromRevision <= position.revision;
+    if (!follows) {
+      fetchFrom(peer);
+      return;
+    }
+    holdRemovals(news.holdMs);
+    news.changes.forEach(applyChange);
+    applyToListed(news.changes);
+    position = { era: news.era, revision: news.revision };
+  }
+
+  function isNewer(at: StorePosition): boolean {
+    return (
+      position === undefined ||
+      at.era > position.era ||
+      (at.era === position.era && at.revision > position.revision)
+    );
+  }
+
+  function applyChange(change: TargetChange): void {
+    const atMs = now();
+    if (change.type === 'put') {
+      runtime.dispatch({ type: 'roster.put', atMs, target: change.target });
+    } else {
+      runtime.dispatch({ type: 'roster.removed', atMs, id: change.id });
+    }
+  }
+
+  function applyToListed(changes: readonly TargetChange[]): void {
+    changes.forEach((change) => {
+      if (change.type === 'put') listed.set(change.target.id, change.target);
+      else listed.delete(change.id);
+    });
+  }
+
+  /** Holds removals for a while, at least when they are held without end because
+   * this entry lost the store. */
+  function holdRemovals(forMs: number): void {
+    const { holdRemovalsUntilMs } = runtime.state().roster;
+    const durationMs =
+      holdRemovalsUntilMs === Infinity ? LAPSED_ENTRY_GRACE_MS : forMs;
+    if (durationMs === 0) return;
+    const untilMs = now() + durationMs;
+    runtime.dispatch({ type: 'roster.removalsHeld', untilMs });
+  }
+
+  function fetchFrom(peer: Peer): void {
+    if (isFetching) return;
+    isFetching = true;
+    setTimeout(() => {
+      fetchSnapshot(`${hostOf(peer)}:${port}`, (result) => {
+        isFetching = false;
+        if (typeof result === 'string') {
+          log.warn('storeNews.fetchFailed', {
+            peer: peer.name,
+            reason: result,
+          });
+        } else if (stopWatch === undefined && isNewer(result)) {
+          if (position !== undefined && result.era > position.era) {
+            runtime.dispatch({ type: 'roster.storeRestored', atMs: now() });
+            options.onRestored(result.era);
+          }
+          holdRemovals(result.holdMs);
+          const { targets, era, revision } = result;
+          runtime.dispatch({ type: 'roster.listed', atMs: now(), targets });
+          listed = new Map(targets.map((target) => [target.id, target]));
+          position = { era, revision };
+        }
+      });
+    }, FETCH_SPREAD_MS * random());
+  }
+
+  return {
+    isWatching: () => stopWatch !== undefined,
+    stop() {
+      isStopped = true;
+      clearInterval(ticker);
+      clearInterval(beatTimer);
+      stopWatch?.();
+      socket.close();
+      server.close();
+    },
+  };
+}
+
+function hostOf(peer: Peer): string {
+  return peer.peerAddress.split(':')[0] ?? '';
+}
--- /dev/null
+++ b/packages/gateway/src/shareStore/test.ts
@@ -0,0 +1,201 @@
+import { expect } from 'chai';
+import type { ListedTarget } from '@endivegate/contracts/forwarding';
+import { createEventLog } from '../createEventLog/index.ts';
+import {
+  createGatewayRuntime,
+  type GatewayRuntime,
+} from '../gatewayRuntime/index.ts';
+import type { StorePosition } from '../storePort/index.ts';
+import { testAddress } from '../testAddress/index.ts';
+import {
+  shareStore,
+  type StoreSharing,
+  type StoreWatchHandlers,
+  type TargetChange,
+} from './index.ts';
+
+const ENTRIES = 20;
+
+const target = (id: string): ListedTarget => ({
+  id,
+  service: 's',
+  address: '10.0.0.1:80',
+  dataCentre: 'a',
+  draining: false,
+  slots: 4,
+  bornMs: 1,
+});
+
+/** A store whose watches are answered at each write. */
+function createFakeStore() {
+  const targets = new Map([['t0', target('t0')]]);
+  const watches = new Set<{
+    from: StorePosition;
+    readonly handlers: StoreWatchHandlers;
+  }>();
+  let at: StorePosition = { era: 1, revision: 1 };
+  const listAll = (handlers: StoreWatchHandlers): void => {
+    handlers.onList([...targets.values()], at);
+  };
+  return {
+    watches,
+    startWatch(
+      from: StorePosition | undefined,
+      handlers: StoreWatchHandlers,
+      runtime: GatewayRuntime,
+    ) {
+      const apply: StoreWatchHandlers = {
+        ...handlers,
+        onList(listed, position) {
+          runtime.dispatch({ type: 'roster.listed', atMs: 0, targets: listed });
+          handlers.onList(listed, position);
+        },
+        onWatched(start, end, changes) {
+          changes.forEach((change) => {
+            runtime.dispatch(
+              change.type === 'put'
+                ? { type: 'roster.put', atMs: 0, target: change.target }
+                : { type: 'roster.removed', atMs: 0, id: change.id },
+            );
+          });
+          handlers.onWatched(start, end, changes);
+        },
+      };
+      const watch = { from: at, handlers: apply };
+      const timer = setInterval(() => {
+        apply.onWatched(watch.from, at, []);
+        watch.from = at;
+      }, 50);
+      setTimeout(() => {
+        if (from?.revision === at.revision) watch.from = at;
+        else listAll(apply);
+        watches.add(watch);
+      }, 1);
+      return () => {
+        clearInterval(timer);
+        watches.delete(watch);
+      };
+    },
+    write(change: TargetChange) {
+      const from = at;
+      at = { ...at, revision: at.revision + 1 };
+      if (change.type === 'put') targets.set(change.target.id, change.target);
+      else targets.delete(change.id);
+      watches.forEach((watch) => {
+        watch.handlers.onWatched(from, at, [change]);
+        watch.from = at;
+      });
+    },
+    restore() {
+      at = { era: at.era + 1, revision: 1 };
+      watches.forEach((watch) => {
+        listAll(watch.handlers);
+        watch.from = at;
+      });
+    },
+  };
+}
+
+async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+}
+
+describe('shareStore', () => {
+  const running: {
+    readonly sharing: StoreSharing;
+    readonly runtime: GatewayRuntime;
+    stopped: boolean;
+  }[] = [];
+  const restoredEras: number[] = [];
+
+  async function startFleet(store: ReturnType<typeof createFakeStore>) {
+    const port = (await testAddress()).split(':')[1] ?? '';
+    const peers = Array.from({ length: ENTRIES }, (_, index) => ({
+      name: `e${index + 10}`,
+      peerAddress: `127.0.1.${index + 1}:1`,
+      callerAddress: `127.0.1.${index + 1}:2`,
+      dataCentre: 'a',
+      startedAtUnixMs: 1,
+      isReady: true,
+      isLeaving: false,
+      configVersion: 0,
+      weight: 1,
+    }));
+    peers.forEach((self) => {
+      const log = createEventLog({ entryId: self.name, write: () => true });
+      const runtime = createGatewayRuntime(log);
+      const others = peers.filter((peer) => peer !== self);
+      // The peers are heard far in the future, so that they never expire here.
+      runtime.dispatch({ type: 'peers.received', atMs: 1e9, peers: others });
+      const sharing = shareStore({
+        runtime,
+        log,
+        name: self.name,
+        dataCentre: 'a',
+        weight: 1,
+        address: `127.0.1.${Number(self.name.slice(1)) - 9}:${port}`,
+        startWatch: (from, handlers) =>
+          store.startWatch(from, handlers, runtime),
+        onNewerConfig: () => undefined,
+        onRestored: (era) => restoredEras.push(era),
+        now: () => performance.now(),
+      });
+      running.push({ sharing, runtime, stopped: false });
+    });
+  }
+
+  const alive = () => running.filter((one) => !one.stopped);
+  const watching = () => alive().filter((one) => one.sharing.isWatching());
+  const allHave = (id: string): boolean =>
+    alive().every((one) => one.runtime.state().roster.targets.has(id));
+
+  afterEach(() => {
+    alive().forEach((one) => {
+      one.sharing.stop();
+    });
+    running.length = 0;
+    restoredEras.length = 0;
+  });
+
+  it('has few entries watch, and tells all of them each change', async () => {
+    const store = createFakeStore();
+    await startFleet(store);
+    await until(() => watching().length === 3);
+    store.write({ type: 'put', target: target('t1') });
+    await until(() => allHave('t1'));
+    store.write({ type: 'removed', id: 't0' });
+    await until(() =>
+      alive().every((one) => !one.runtime.state().roster.targets.has('t0')),
+    );
+    expect(store.watches.size).to.equal(3);
+  }).timeout(20_000);
+
+  it('has others take over when all watchers are gone, and misses no change', async () => {
+    const store = createFakeStore();
+    await startFleet(store);
+    await until(() => watching().length === 3);
+    watching().forEach((one) => {
+      one.sharing.stop();
+      one.stopped = true;
+    });
+    store.write({ type: 'put', target: target('t2') });
+    await until(() => allHave('t2'));
+    await until(() => watching().length === 3);
+  }).timeout(20_000);
+
+  it('lists again at all entries when the store was restored', async () => {
+    const store = createFakeStore();
+    await startFleet(store);
+    await until(() => watching().length === 3);
+    store.write({ type: 'put', target: target('t3') });
+    await until(() => allHave('t3'));
+    store.restore();
+    await until(() => restoredEras.length === ENTRIES - 3);
+    expect(new Set(restoredEras)).to.deep.equal(new Set([2]));
+    expect(allHave('t3')).to.equal(true);
+  }).timeout(20_000);
+});
--- a/packages/gateway/src/storePort/index.ts
+++ b/packages/gateway/src/storePort/index.ts
@@ -30,6 +30,12 @@
   | { readonly type: 'put'; readonly item: StoredItem }
   | { readonly type: 'removed'; readonly key: string };
 
+/** A revision of the store, which is unique only within an era. */
+export interface StorePosition {
+  readonly era: number;
+  readonly revision: number;
+}
+
 /** Listed items, and the revision from which to watch for changes. */
 export interface StoredItems {
   readonly items: readonly StoredItem[];
