Time shared watches by the bounds, and register only watchers

Change: two watchers; a watch lasts as long as the bounds leave after a response timeout and a takeover; beats tell by how much an answer is overdue, so that a failing watcher is left at its second failure; entries that do not watch do not register in the store, which the others hear of through seeds and contacts.

Ruled out: longer watches told as sound by age alone, which notice a silent connection later than 3 s.

--- a/packages/core/src/forwarding/storeWatchers/index.ts
+++ b/packages/core/src/forwarding/storeWatchers/index.ts
@@ -4,8 +4,8 @@
   /** Capacity relative to other entries. */
   readonly weight: number;
   readonly heardAtMs: number;
-  /** Time since the store last answered it, when the beat was sent. */
-  readonly storeAgeMs: number;
+  /** Time by which an answer of the store was overdue when the beat was sent. */
+  readonly overdueMs: number;
 }
 
 /** What decides whether an entry watches the store. */
@@ -21,24 +21,23 @@
 /** How often a watcher tells the others that it follows the store. */
 export const BEAT_INTERVAL_MS = 500;
 
-/** Longest wait of a shared watch. A watch on a silent connection is noticed this
- * much and one response timeout later, within the time in which configurations
- * must be in force. */
-export const SHARED_WATCH_MS = 1000;
-
 /** A watcher that was silent for this long counts as lost: two beats were lost and
  * one is late. */
 const BEAT_TIMEOUT_MS = 1300;
 
-/** Longest time between two answers of the store to a sound watcher: its watch, a
- * response timeout and a retry. */
-const MAX_STORE_AGE_MS = 2200;
+/** A watcher whose answer is overdue for longer counts as lost: a retry was not
+ * answered either. */
+const MAX_OVERDUE_MS = 200;
+
+/** Time in which others notice that all watchers lost the store and have taken
+ * over: a beat, the random delay of a takeover, and the first answer. */
+export const TAKEOVER_MS = 1000;
 
 /** Groups up to this size do not share watches: every entry has its own. */
 const MAX_OWN_WATCHES = 16;
 
-/** Watchers of a group. Two of them may fail at the same time. */
-const WATCHERS = 3;
+/** Watchers of a group, so that the loss of one delays no change. */
+const WATCHERS = 2;
 
 /** Probes of the store by all entries that are not needed as watchers. */
 const PROBES_PER_S = 10;
@@ -53,10 +52,7 @@
 /** A watcher that still follows the store. */
 export function isSoundWatcher(beat: WatcherBeat, nowMs: number): boolean {
   const silenceMs = nowMs - beat.heardAtMs;
-  return (
-    silenceMs < BEAT_TIMEOUT_MS &&
-    beat.storeAgeMs + silenceMs < MAX_STORE_AGE_MS
-  );
+  return silenceMs < BEAT_TIMEOUT_MS && beat.overdueMs < MAX_OVERDUE_MS;
 }
 
 /**
--- a/packages/gateway/src/announceEntry/index.ts
+++ b/packages/gateway/src/announceEntry/index.ts
@@ -11,6 +11,11 @@
   readonly name: string;
   /** Address at which peers reach this entry. */
   readonly peerAddress: string;
+  /**
+   * Whether this entry registers. In a large fleet some do, and the others are
+   * heard of through them.
+   */
+  readonly isNeeded: () => boolean;
   readonly sleep?: (ms: number) => Promise<void>;
   /** Returns a number uniform in [0, 1), to spread writes over time. */
   readonly random?: () => number;
@@ -34,6 +39,10 @@
 
 const RETRY_INTERVAL_MS = 1000;
 
+/** Entries usually hear of each other through the seeds within this time, and most
+ * of a large fleet need not register then. */
+const START_DELAY_MS = 3000;
+
 /** All entries register again after a restore; they spread it over this time. */
 const RESTORE_SPREAD_MS = 1000;
 
@@ -60,7 +69,12 @@
   let wake: () => void = () => undefined;
 
   async function run(): Promise<void> {
+    await sleep(START_DELAY_MS);
     while (!isStopped) {
+      if (lease === undefined && !options.isNeeded()) {
+        await sleep(RETRY_INTERVAL_MS);
+        continue;
+      }
       const isDone = await announce();
       const restored = new Promise<void>((resolve) => {
         wake = resolve;
@@ -105,6 +119,7 @@
   });
   return {
     storeRestored() {
+      if (lease === undefined) return;
       lease = undefined;
       void sleep(RESTORE_SPREAD_MS * random()).then(() => {
         wake();
--- a/packages/gateway/src/announceEntry/test.ts
+++ b/packages/gateway/src/announceEntry/test.ts
@@ -18,6 +18,7 @@
   readonly eras: readonly number[];
   readonly sleeps: number;
   readonly restoreAtSleep?: number;
+  readonly isNeeded?: boolean;
 }): Promise<readonly string[]> {
   const calls: string[] = [];
   const eras = [...options.eras];
@@ -48,8 +49,9 @@
       name: 'e1',
       peerAddress: '10.0.0.1:1',
       random: () => 0,
+      isNeeded: () => options.isNeeded !== false,
       sleep: async (ms) => {
-        if (ms === 0) return;
+        if (ms === 0 || ms === 3000) return;
         sleeps += 1;
         if (sleeps > options.sleeps) {
           announcement.stop();
@@ -94,6 +96,11 @@
     ]);
   });
 
+  it('does not register while others do', async () => {
+    const options = { eras: [1], sleeps: 3, isNeeded: false };
+    expect(await announce(options)).to.deep.equal([]);
+  });
+
   it('registers again at once when it is told of a restore', async () => {
     const calls = await announce({ eras: [2], sleeps: 1, restoreAtSleep: 1 });
     expect(calls).to.deep.equal(['grant 1', 'put 1', 'grant 2', 'put 2']);
--- a/packages/gateway/src/shareStore/_lib/storeNews.ts
+++ b/packages/gateway/src/shareStore/_lib/storeNews.ts
@@ -15,8 +15,8 @@
   fromRevision: z.number(),
   /** Revision up to which the sender follows the store. */
   revision: z.number(),
-  /** Time since the store last answered the sender. */
-  storeAgeMs: z.number(),
+  /** Time by which an answer of the store to the sender is overdue. */
+  overdueMs: z.number(),
   /** Time for which removals are held after an outage of the store. */
   holdMs: z.number(),
   configVersion: z.number(),
--- a/packages/gateway/src/shareStore/index.ts
+++ b/packages/gateway/src/shareStore/index.ts
@@ -54,6 +54,8 @@
   readonly weight: number;
   /** IP and port for news and snapshots; all entries use the same port. */
   readonly address: string;
+  /** Longest time until the store answers a watch. */
+  readonly answerMs: number;
   /**
    * Starts to follow the store, from a position or by listing it first, and
    * returns a function that stops.
@@ -89,6 +91,9 @@
 /** Fleets beyond this size share watches in each data centre apart. */
 const MAX_FLEET_GROUP = 64;
 
+/** Told by an entry that no longer watches. */
+const ENDED_OVERDUE_MS = 3_600_000;
+
 /** Peers that were silent for this long are not counted or told. */
 const PEER_TIMEOUT_MS = 4000;
 
@@ -115,6 +120,7 @@
   let position: StorePosition | undefined;
   let stopWatch: (() => void) | undefined;
   let answeredAtMs = now();
+  let failingSinceMs: number | undefined;
   let nextStartAtMs: number | undefined;
   let unneededSinceMs: number | undefined;
   let isFetching = false;
@@ -184,6 +190,8 @@
   function start(): void {
     log.info('storeWatch.started', { ...position });
     unneededSinceMs = undefined;
+    failingSinceMs = undefined;
+    answeredAtMs = now();
     stopWatch = options.startWatch(position, {
       onList(targets, at) {
         noteAnswer();
@@ -208,10 +216,19 @@
     stopWatch = undefined;
     unneededSinceMs = undefined;
     nextStartAtMs = undefined;
+    if (position !== undefined) tell(position, position, []);
   }
 
   function noteAnswer(): void {
     answeredAtMs = now();
+    failingSinceMs = undefined;
+  }
+
+  /** Time by which an answer is overdue; without end after the watch was ended. */
+  function overdueMs(): number {
+    if (stopWatch === undefined) return ENDED_OVERDUE_MS;
+    const dueAtMs = failingSinceMs ?? answeredAtMs + options.answerMs;
+    return Math.max(now() - dueAtMs, 0);
   }
 
   /**
@@ -219,6 +236,7 @@
    * try again after a while, since the store may answer only some entries.
    */
   function handleFailure(): void {
+    failingSinceMs ??= now();
     const members = group();
     const isFirst = watchesStore({
       name,
@@ -228,7 +246,7 @@
         name: peer.name,
         weight: peer.weight,
         heardAtMs: now(),
-        storeAgeMs: 0,
+        overdueMs: 0,
       })),
       nowMs: now(),
     });
@@ -252,7 +270,7 @@
       era: to.era,
       fromRevision: from.revision,
       revision: to.revision,
-      storeAgeMs: Math.round(now() - answeredAtMs),
+      overdueMs: Math.round(overdueMs()),
       holdMs: holdMs(),
       configVersion: runtime.table()?.config.version ?? 0,
       changes: [...changes],
@@ -276,7 +294,7 @@
       name: news.name,
       weight: news.weight,
       heardAtMs: now(),
-      storeAgeMs: news.storeAgeMs,
+      overdueMs: news.overdueMs,
     };
     beats.set(news.name, beat);
     const peer = runtime.state().peers.get(news.name);
