Plan a late resume with the patience that its caller has

Change: patience begins anew with each event and ends at the deadline; computed by timeLeft, apart from the closure of forwardRequest.

Ruled out: a floor under the patience, which keeps the wrong order between streams.

--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -7,7 +7,6 @@
   type SendProgress,
   soonestUsableAtMs,
 } from '@endivegate/core/forwarding';
-import { callerStallTimeoutMs } from '../callerStallTimeoutMs/index.ts';
 import type { Reply } from '../createReply/index.ts';
 import { endToEndHeaders } from '../httpDialect/index.ts';
 import { planSend, type SendPlan } from '../planSend/index.ts';
@@ -19,20 +18,10 @@
 import type { ResponseHead, RunningSend } from '../sendRequest/index.ts';
 import type { StreamEvent } from '../splitEvents/index.ts';
 import { fingerprintOf } from './_lib/fingerprintOf.ts';
+import { type TimeLeft, timeLeft } from './_lib/timeLeft.ts';
 import { recordOutcome } from './_lib/recordOutcome.ts';
 import type { ForwardCall, ForwardContext } from './types.ts';
 
-/** Remaining time of a request. */
-interface TimeLeft {
-  /**
-   * Time until the latency target: negative once it is missed, 0 once the
-   * response has started.
-   */
-  readonly latencyBudgetMs: number;
-  /** Time until the caller disconnects. */
-  readonly patienceMs: number;
-}
-
 /** Retry-After for refused requests: a few decoding passes of an engine. */
 const RETRY_AFTER_MS = 150;
 
@@ -74,6 +63,7 @@
   let answerBegun = false;
   let isOver = false;
   let lastEventId: number | undefined;
+  let lastEventAtMs: number | undefined;
   let events = 0;
   let running: RunningSend | undefined;
 
@@ -96,19 +86,19 @@
       giveUp('the request crashed several targets');
       return;
     }
-    const left = timeLeft();
+    const left = timeLeftNow();
     const plan = planNow(excludedIds, left);
     if (plan === undefined) giveUp('no usable target is left');
     else if (!refuseIfLate(plan, left)) sendTo(plan);
   }
 
-  function timeLeft(): TimeLeft {
-    const elapsedMs = now() - call.arrivedAtMs;
-    const stallTimeoutMs = Math.min(callerStallTimeoutMs(route), waitMs);
-    return {
-      latencyBudgetMs: answerBegun ? 0 : route.targetLatencyMs - elapsedMs,
-      patienceMs: stallTimeoutMs - elapsedMs,
-    };
+  function timeLeftNow(): TimeLeft {
+    return timeLeft(route, {
+      arrivedAtMs: call.arrivedAtMs,
+      lastEventAtMs,
+      deadlineAtMs,
+      nowMs: now(),
+    });
   }
 
   function planNow(
@@ -131,7 +121,7 @@
    * so that the send to this target may be aborted.
    */
   function canFailOver(target: SendPlan['target']): boolean {
-    const plan = planNow(new Set([...excludedIds, target.id]), timeLeft());
+    const plan = planNow(new Set([...excludedIds, target.id]), timeLeftNow());
     return plan?.slotWaitMs === 0 && progress().budgetLeft;
   }
 
@@ -205,6 +195,7 @@
       recordResponseTime();
     }
     lastEventId = event.id ?? lastEventId;
+    lastEventAtMs = now();
     events += 1;
     return reply.write(event.bytes);
   }
