Rely only on watchers from which missed changes can be fetched

Cause, found by reading: an entry that heard beats but could not connect to their sender (a path cut for TCP or after a loss) missed changes and still counted it as sound; beats of an unknown peer counted too, and its news did not.

Change: a watcher from which the targets could not be fetched is not relied on for 3 s; beats of unknown peers are dropped with their news.

Ruled out: fetching from another peer at random, which may have missed the same.

Measured: the test fails on the code before (it never watches again).

--- a/packages/gateway/src/shareStore/index.ts
+++ b/packages/gateway/src/shareStore/index.ts
@@ -94,6 +94,10 @@
 /** Told by an entry that no longer watches. */
 const ENDED_OVERDUE_MS = 3_600_000;
 
+/** A watcher from which targets could not be fetched is not relied on for this
+ * long: a few tries of another one. */
+const DISTRUST_MS = 3000;
+
 /** Peers that were silent for this long are not counted or told. */
 const PEER_TIMEOUT_MS = 4000;
 
@@ -116,6 +120,7 @@
   const { runtime, log, name, weight, now, random = Math.random } = options;
   const [host = '', port = ''] = options.address.split(':');
   const beats = new Map<string, WatcherBeat>();
+  const distrustedUntilMs = new Map<string, number>();
   let listed = new Map<string, ListedTarget>();
   let position: StorePosition | undefined;
   let stopWatch: (() => void) | undefined;
@@ -296,9 +301,10 @@
       heardAtMs: now(),
       overdueMs: news.overdueMs,
     };
-    beats.set(news.name, beat);
     const peer = runtime.state().peers.get(news.name);
-    if (peer === undefined) return;
+    const isDistrusted = (distrustedUntilMs.get(news.name) ?? 0) > now();
+    if (peer === undefined || isDistrusted) return;
+    beats.set(news.name, beat);
     const ownVersion = runtime.table()?.config.version ?? 0;
     if (news.configVersion > ownVersion) options.onNewerConfig(peer);
     if (stopWatch !== undefined || !isSoundWatcher(beat, now())) return;
@@ -361,6 +367,9 @@
             peer: peer.name,
             reason: result,
           });
+          // Datagrams may arrive from a watcher that cannot be asked.
+          distrustedUntilMs.set(peer.name, now() + DISTRUST_MS);
+          beats.delete(peer.name);
         } else if (stopWatch === undefined && isNewer(result)) {
           if (position !== undefined && result.era > position.era) {
             runtime.dispatch({ type: 'roster.storeRestored', atMs: now() });
--- a/packages/gateway/src/shareStore/test.ts
+++ b/packages/gateway/src/shareStore/test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { createSocket } from 'node:dgram';
 import type { ListedTarget } from '@endivegate/contracts/forwarding';
 import { createEventLog } from '../createEventLog/index.ts';
 import {
@@ -7,6 +8,7 @@
 } from '../gatewayRuntime/index.ts';
 import type { StorePosition } from '../storePort/index.ts';
 import { testAddress } from '../testAddress/index.ts';
+import { encodeNews, type StoreNews } from './_lib/storeNews.ts';
 import {
   shareStore,
   type StoreSharing,
@@ -26,6 +28,19 @@
   bornMs: 1,
 });
 
+/** News of a watcher that has nothing to tell. */
+const beat: StoreNews = {
+  name: '',
+  weight: 2,
+  era: 1,
+  fromRevision: 9,
+  revision: 0,
+  overdueMs: 0,
+  holdMs: 0,
+  configVersion: 0,
+  changes: [],
+};
+
 /** A store whose watches are answered at each write. */
 function createFakeStore() {
   const targets = new Map([['t0', target('t0')]]);
@@ -112,8 +127,14 @@
   }[] = [];
   const restoredEras: number[] = [];
 
-  async function startFleet(store: ReturnType<typeof createFakeStore>) {
+  let fleetPort = '';
+
+  async function startFleet(
+    store: ReturnType<typeof createFakeStore>,
+    started = ENTRIES,
+  ) {
     const port = (await testAddress()).split(':')[1] ?? '';
+    fleetPort = port;
     const peers = Array.from({ length: ENTRIES }, (_, index) => ({
       name: `e${index + 10}`,
       peerAddress: `127.0.1.${index + 1}:1`,
@@ -125,7 +146,7 @@
       configVersion: 0,
       weight: 1,
     }));
-    peers.forEach((self) => {
+    peers.slice(0, started).forEach((self) => {
       const log = createEventLog({ entryId: self.name, write: () => true });
       const runtime = createGatewayRuntime(log);
       const others = peers.filter((peer) => peer !== self);
@@ -188,6 +209,25 @@
     await until(() => watching().length === 2);
   }).timeout(20_000);
 
+  it('watches itself when it cannot fetch what it missed', async () => {
+    const store = createFakeStore();
+    await startFleet(store, 1);
+    const socket = createSocket('udp4');
+    const [entry] = running;
+    const port = Number(fleetPort);
+    const beats = setInterval(() => {
+      ['e11', 'e12'].forEach((name) => {
+        socket.send(encodeNews({ ...beat, name, revision }), port, '127.0.1.1');
+      });
+    }, 50);
+    let revision = 0;
+    await until(() => entry?.sharing.isWatching() === false);
+    revision = 9;
+    await until(() => entry?.sharing.isWatching() === true);
+    clearInterval(beats);
+    socket.close();
+  }).timeout(20_000);
+
   it('lists again at all entries when the store was restored', async () => {
     const store = createFakeStore();
     await startFleet(store);
