Bound the digests of a data centre

Cause, worked out: two senders told the status of all entries of their data centre each second, so an entry of 195 decoded 312 statuses a second from other data centres, and the figure grew with the fleet.

Change: a digest tells of 16 entries, from a random one on. An entry of another data centre is then heard of about each 1.2 s at 195 entries; callers are told 64 addresses at most and need no complete list.

Ruled out: a longer interval, after which all entries of a data centre would count as silent together.

--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -81,6 +81,10 @@
  * of one leaves no gap. */
 const DIGEST_SENDERS = 2;
 
+/** Entries that one digest tells of. Callers are told few addresses, so the cost of
+ * digests need not grow with the fleet. */
+const MAX_DIGEST_ENTRIES = 16;
+
 /** A draining process is told for this long, which allows for lost datagrams. */
 const DRAINING_NEWS_MS = 10_000;
 
@@ -263,7 +267,7 @@
   }
 
   /**
-   * Tells the other data centres which entries this one has, without their
+   * Tells the other data centres of some entries that this one has, without their
    * requests.
    */
   function sendDigest(): void {
@@ -272,9 +276,13 @@
     if (!senders.includes(own.peerAddress)) return;
     const { silenceMs } = peerTimes(localPeers().length + 1);
     const atMs = now();
-    const passedOn = localPeers()
-      .filter((peer) => atMs - peer.heardAtMs < silenceMs)
-      .map((peer) => ({ ...NO_NEWS, self: peer }));
+    const heard = localPeers().filter(
+      (peer) => atMs - peer.heardAtMs < silenceMs,
+    );
+    const passedOn = pickSome(heard, MAX_DIGEST_ENTRIES).map((peer) => ({
+      ...NO_NEWS,
+      self: peer,
+    }));
     const digest = createBatch({
       delayMs: 0,
       maxBytes: MAX_BATCH_BYTES,
