--- /dev/null
+++ b/packages/gateway/src/createPeerLink/_lib/describeState.ts
@@ -0,0 +1,47 @@
+import {
+  type GatewayState,
+  type PeerStatus,
+  processKey,
+  type TargetProcess,
+} from '@endivegate/core/forwarding';
+import type { PeerMessage } from './peerMessage.ts';
+
+/** An entry's state and when it is described. */
+export interface DescribedEntry {
+  readonly state: GatewayState;
+  readonly self: PeerStatus;
+  readonly nowMs: number;
+}
+
+/** A draining process is told for this long, which allows for lost datagrams. */
+const DRAINING_NEWS_MS = 10_000;
+
+/** Describes what an entry shares with its peers. */
+export function describeState(entry: DescribedEntry): PeerMessage {
+  const { state, self } = entry;
+  return {
+    self,
+    flights: [...state.load.flights.values()],
+    drainingProcesses: recentlyDraining(entry),
+    crashes: [...state.suspects].flatMap(([fingerprint, suspect]) =>
+      suspect.crashedTargetIds.map((targetId) => ({ fingerprint, targetId })),
+    ),
+    addresses: [],
+  };
+}
+
+/** Draining processes that peers may not know of yet. */
+function recentlyDraining({
+  state,
+  nowMs,
+}: DescribedEntry): readonly TargetProcess[] {
+  const { targets, drainedProcesses } = state.roster;
+  if (drainedProcesses.size === 0) return [];
+  const sinceMs = nowMs - DRAINING_NEWS_MS;
+  return [...targets.values()]
+    .filter((target) => target.draining)
+    .filter(
+      (target) => (drainedProcesses.get(processKey(target)) ?? 0) > sinceMs,
+    )
+    .map(({ id, bornMs }) => ({ id, bornMs }));
+}
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -1,18 +1,15 @@
 import { createSocket, type RemoteInfo } from 'node:dgram';
 import {
-  formsCells,
-  type InFlightRequest,
   MAX_SHARED_ENTRIES,
-  type Peer,
   type PeerStatus,
   peerTimes,
-  processKey,
-  type TargetProcess,
 } from '@endivegate/core/forwarding';
+import * as E from 'fp-ts/lib/Either.js';
 import type { EventLog } from '../createEventLog/index.ts';
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
 import { createBatch } from './_lib/batch.ts';
 import { createConfigServer, fetchConfig } from './_lib/configExchange.ts';
+import { describeState } from './_lib/describeState.ts';
 import { createHubSelector } from './_lib/hubSelector.ts';
 import {
   decodePeerMessages,
@@ -20,6 +17,7 @@
   type PeerMessage,
   type TargetCodec,
 } from './_lib/peerMessage.ts';
+import { createPeerSelection, pickSome } from './_lib/peerSelection.ts';
 import { createTargetCodec } from './_lib/targetCodec.ts';
 
 /** Exchange of state with the other entries. */
@@ -59,9 +57,6 @@
 /** How often addresses without a known entry are contacted. */
 const CONTACT_INTERVAL_MS = 1050;
 
-/** Messages are sent to a peer until this long after it was last heard from. */
-const PEER_TIMEOUT_MS = 4000;
-
 /**
  * Delay before fetching a newer configuration from a peer: the store's own
  * change notification usually arrives first.
@@ -85,9 +80,6 @@
  * digests need not grow with the fleet. */
 const MAX_DIGEST_ENTRIES = 16;
 
-/** A draining process is told for this long, which allows for lost datagrams. */
-const DRAINING_NEWS_MS = 10_000;
-
 /** Entries that do not watch the store fetch a newer configuration within this time
  * of each other. */
 const SHARED_FETCH_SPREAD_MS = 100;
@@ -145,6 +137,8 @@
   let sendTimer: NodeJS.Timeout | undefined;
   let bypassHub = false;
   let isFetching = false;
+  const { knownPeers, localPeers, relays, hubCandidates, isCell } =
+    createPeerSelection({ runtime, self, now, random });
   const hubSelector = createHubSelector();
   const batch = createBatch({
     delayMs: HUB_BATCH_DELAY_MS,
@@ -189,28 +183,6 @@
     heartbeatTimer = setTimeout(broadcastBatched, heartbeatMs);
   }
 
-  function knownPeers(): readonly Peer[] {
-    return [...runtime.state().peers.values()].filter(
-      (peer) => now() - peer.heardAtMs < PEER_TIMEOUT_MS,
-    );
-  }
-
-  function localPeers(): readonly Peer[] {
-    return knownPeers().filter((peer) => peer.dataCentre === own.dataCentre);
-  }
-
-  /** Picks a random peer in each of the other data centres. */
-  function relays(): readonly Peer[] {
-    const remote = knownPeers().filter(
-      (peer) => peer.dataCentre !== own.dataCentre,
-    );
-    const names = [...new Set(remote.map((peer) => peer.dataCentre))];
-    return names.flatMap((name) => {
-      const peers = remote.filter((peer) => peer.dataCentre === name);
-      return peers.slice(Math.floor(random() * peers.length)).slice(0, 1);
-    });
-  }
-
   function broadcast(): void {
     if (isClosed) return;
     scheduleHeartbeat();
@@ -234,21 +206,6 @@
     }
   }
 
-  /** Whether requests are told to this data centre only; see `formsCells`. */
-  function isCell(): boolean {
-    return formsCells({ ...runtime.state(), dataCentre: own.dataCentre });
-  }
-
-  /** Entries of this data centre, those with the most capacity first. */
-  function hubCandidates(): readonly string[] {
-    return [...localPeers(), self()]
-      .toSorted(
-        (a, b) =>
-          b.weight - a.weight || (a.peerAddress < b.peerAddress ? -1 : 1),
-      )
-      .map((entry) => entry.peerAddress);
-  }
-
   function sendToAll(messages: Uint8Array): void {
     sendToLocal(messages);
     if (!isCell() || self().isLeaving) sendToRelays(messages);
@@ -279,10 +236,12 @@
     const heard = localPeers().filter(
       (peer) => atMs - peer.heardAtMs < silenceMs,
     );
-    const passedOn = pickSome(heard, MAX_DIGEST_ENTRIES).map((peer) => ({
-      ...NO_NEWS,
-      self: peer,
-    }));
+    const passedOn = pickSome(heard, MAX_DIGEST_ENTRIES, random).map(
+      (peer) => ({
+        ...NO_NEWS,
+        self: peer,
+      }),
+    );
     const digest = createBatch({
       delayMs: 0,
       maxBytes: MAX_BATCH_BYTES,
@@ -306,7 +265,7 @@
     const unknown = [...addresses].filter(
       (address) => !knownAddresses.has(address),
     );
-    pickSome(unknown, MAX_CONTACTS).forEach((address) => {
+    pickSome(unknown, MAX_CONTACTS, random).forEach((address) => {
       send(CONTACT, message, address);
     });
     // The seeds pass on addresses; in a large fleet some entries at a time do.
@@ -322,7 +281,7 @@
     const known = knownPeers().map((peer) => peer.peerAddress);
     const message = {
       ...ownMessage(),
-      addresses: pickSome(known, MAX_SENT_ADDRESSES),
+      addresses: pickSome(known, MAX_SENT_ADDRESSES, random),
     };
     return encodePeerMessage(message, codec, now());
   }
@@ -337,40 +296,12 @@
       });
   }
 
-  /** Picks a run of items that begins at a random one. */
-  function pickSome<T>(items: readonly T[], count: number): readonly T[] {
-    const first = Math.floor(random() * items.length);
-    return [...items.slice(first), ...items.slice(0, first)].slice(0, count);
-  }
-
   function ownMessage(): PeerMessage {
-    const state = runtime.state();
-    return {
+    return describeState({
+      state: runtime.state(),
       self: self(),
-      flights: ownFlights(),
-      drainingProcesses: recentlyDraining(),
-      crashes: [...state.suspects].flatMap(([fingerprint, suspect]) =>
-        suspect.crashedTargetIds.map((targetId) => ({ fingerprint, targetId })),
-      ),
-      addresses: [],
-    };
-  }
-
-  function ownFlights(): readonly InFlightRequest[] {
-    return [...runtime.state().load.flights.values()];
-  }
-
-  /** Draining processes that peers may not know of yet. */
-  function recentlyDraining(): readonly TargetProcess[] {
-    const { targets, drainedProcesses } = runtime.state().roster;
-    const sinceMs = now() - DRAINING_NEWS_MS;
-    if (drainedProcesses.size === 0) return [];
-    return [...targets.values()]
-      .filter((target) => target.draining)
-      .filter(
-        (target) => (drainedProcesses.get(processKey(target)) ?? 0) > sinceMs,
-      )
-      .map(({ id, bornMs }) => ({ id, bornMs }));
+      nowMs: now(),
+    });
   }
 
   function encodeState(): Uint8Array {
@@ -459,12 +390,12 @@
       }
       fetchConfig(peer.peerAddress, (result) => {
         isFetching = false;
-        if (typeof result === 'string') {
+        if (E.isLeft(result)) {
           log.warn('config.peerFetchFailed', {
             peer: peer.name,
-            reason: result,
+            reason: result.left,
           });
-        } else runtime.applyConfig(result, `peer ${peer.name}`);
+        } else runtime.applyConfig(result.right, `peer ${peer.name}`);
       });
     }, delayMs);
   }
--- /dev/null
+++ b/packages/gateway/src/exchangeJson/index.ts
@@ -0,0 +1,95 @@
+import { createServer, request as httpRequest, type Server } from 'node:http';
+import * as E from 'fp-ts/lib/Either.js';
+
+const HTTP_OK = 200;
+const NOT_FOUND = 404;
+
+/** A value that a peer serves. */
+export interface JsonSource {
+  /** IP and port of the peer. */
+  readonly address: string;
+  readonly path: string;
+  /** Time limit for the complete response. */
+  readonly timeoutMs: number;
+}
+
+/**
+ * Creates a server from which peers fetch a value as JSON.
+ *
+ * @param path - Path of the value.
+ * @param current - Returns the value, or undefined while there is none.
+ * @returns The server, not yet listening.
+ *
+ * @example
+ * serveJson('/config', () => config).listen(7340);
+ */
+export function serveJson(path: string, current: () => unknown): Server {
+  return createServer((request, response) => {
+    const value = current();
+    if (request.url !== path || value === undefined) {
+      response.writeHead(NOT_FOUND, { connection: 'close' }).end();
+      return;
+    }
+    response.writeHead(HTTP_OK, { connection: 'close' });
+    response.end(JSON.stringify(value));
+  });
+}
+
+/**
+ * Fetches a value from a peer.
+ *
+ * @param source - Peer, path and time limit.
+ * @param decode - Reads the parsed JSON; a left is the reason why it is invalid.
+ * @param done - Receives the value, or the reason why there is none.
+ *
+ * @example
+ * fetchJson({ address, path: '/config', timeoutMs: 1500 }, decode, done);
+ */
+export function fetchJson<T>(
+  source: JsonSource,
+  decode: (value: unknown) => E.Either<string, T>,
+  done: (result: E.Either<string, T>) => void,
+): void {
+  const [host = '', port = ''] = source.address.split(':');
+  let isOver = false;
+  const finish = (result: E.Either<string, T>): void => {
+    if (isOver) return;
+    isOver = true;
+    clearTimeout(timer);
+    call.destroy();
+    done(result);
+  };
+  const timer = setTimeout(() => {
+    finish(E.left('request timed out'));
+  }, source.timeoutMs);
+  const call = httpRequest(
+    { host, port: Number(port), path: source.path, agent: false },
+    (response) => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('error', (error) => {
+        finish(E.left(error.message));
+      });
+      response.on('end', () => {
+        finish(readBody(response.statusCode, Buffer.concat(chunks), decode));
+      });
+    },
+  );
+  call.on('error', (error) => {
+    finish(E.left(error.message));
+  });
+  call.end();
+}
+
+function readBody<T>(
+  status: number | undefined,
+  bytes: Buffer,
+  decode: (value: unknown) => E.Either<string, T>,
+): E.Either<string, T> {
+  if (status !== HTTP_OK) return E.left(`unexpected status ${status ?? 0}`);
+  try {
+    return decode(JSON.parse(bytes.toString('utf8')));
+  } catch (error) {
+    return E.left(String(error));
+  }
+}
--- a/packages/gateway/src/shareStore/_lib/snapshotExchange.ts
+++ b/packages/gateway/src/shareStore/_lib/snapshotExchange.ts
@@ -1,9 +1,9 @@
-import { createServer, request as httpRequest, type Server } from 'node:http';
-import { decodeSnapshot, type TargetSnapshot } from './storeNews.ts';
+import type { Server } from 'node:http';
+import * as E from 'fp-ts/lib/Either.js';
+import { fetchJson, serveJson } from '../../exchangeJson/index.ts';
+import { snapshotSchema, type TargetSnapshot } from './storeNews.ts';
 
 const SNAPSHOT_PATH = '/targets';
-const HTTP_OK = 200;
-const NOT_FOUND = 404;
 
 /** Many round trips, and the transfer of some hundred targets. */
 const FETCH_TIMEOUT_MS = 800;
@@ -12,15 +12,7 @@
 export function createSnapshotServer(
   current: () => TargetSnapshot | undefined,
 ): Server {
-  return createServer((request, response) => {
-    const snapshot = current();
-    if (request.url !== SNAPSHOT_PATH || snapshot === undefined) {
-      response.writeHead(NOT_FOUND, { connection: 'close' }).end();
-      return;
-    }
-    response.writeHead(HTTP_OK, { connection: 'close' });
-    response.end(JSON.stringify(snapshot));
-  });
+  return serveJson(SNAPSHOT_PATH, current);
 }
 
 /**
@@ -31,36 +23,13 @@
  */
 export function fetchSnapshot(
   address: string,
-  done: (result: TargetSnapshot | string) => void,
+  done: (result: E.Either<string, TargetSnapshot>) => void,
 ): void {
-  const [host = '', port = ''] = address.split(':');
-  let isOver = false;
-  const finish = (result: TargetSnapshot | string): void => {
-    if (isOver) return;
-    isOver = true;
-    clearTimeout(timer);
-    call.destroy();
-    done(result);
-  };
-  const timer = setTimeout(() => {
-    finish('request timed out');
-  }, FETCH_TIMEOUT_MS);
-  const call = httpRequest(
-    { host, port: Number(port), path: SNAPSHOT_PATH, agent: false },
-    (response) => {
-      const chunks: Buffer[] = [];
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
-      response.on('error', (error) => {
-        finish(error.message);
-      });
-      response.on('end', () => {
-        const text = Buffer.concat(chunks).toString('utf8');
-        finish(decodeSnapshot(text) ?? `status ${response.statusCode ?? 0}`);
-      });
-    },
-  );
-  call.on('error', (error) => {
-    finish(error.message);
-  });
-  call.end();
+  const source = { address, path: SNAPSHOT_PATH, timeoutMs: FETCH_TIMEOUT_MS };
+  fetchJson(source, decodeSnapshot, done);
+}
+
+function decodeSnapshot(value: unknown): E.Either<string, TargetSnapshot> {
+  const parsed = snapshotSchema.safeParse(value);
+  return parsed.success ? E.right(parsed.data) : E.left(parsed.error.message);
 }
--- a/packages/gateway/src/shareStore/_lib/storeNews.ts
+++ b/packages/gateway/src/shareStore/_lib/storeNews.ts
@@ -23,7 +23,8 @@
   changes: z.array(targetChangeSchema),
 });
 
-const snapshotSchema = z.object({
+/** All targets that a watcher knows, for an entry that missed news. */
+export const snapshotSchema = z.object({
   era: z.number(),
   revision: z.number(),
   holdMs: z.number(),
@@ -36,7 +37,7 @@
 /** What a watcher of the store tells the entries that do not watch. */
 export type StoreNews = z.infer<typeof newsSchema>;
 
-/** All targets that a watcher knows, for an entry that missed news. */
+/** See {@link snapshotSchema}. */
 export type TargetSnapshot = z.infer<typeof snapshotSchema>;
 
 /** Keeps a message within one network packet. */
@@ -61,12 +62,3 @@
     return undefined;
   }
 }
-
-/** Decodes a snapshot; undefined if the text is malformed. */
-export function decodeSnapshot(text: string): TargetSnapshot | undefined {
-  try {
-    return snapshotSchema.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/gateway/src/shareStore/index.ts
+++ b/packages/gateway/src/shareStore/index.ts
@@ -10,8 +10,7 @@
   watchesStore,
 } from '@endivegate/core/forwarding';
 import type { ListedTarget } from '@endivegate/contracts/forwarding';
-import type { EventLog } from '../createEventLog/index.ts';
-import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
+import * as E from 'fp-ts/lib/Either.js';
 import type { StorePosition } from '../storePort/index.ts';
 import {
   createSnapshotServer,
@@ -22,56 +21,12 @@
   encodeNews,
   type StoreNews,
   type TargetChange,
+  type TargetSnapshot,
 } from './_lib/storeNews.ts';
+import type { ShareStoreOptions } from './types.ts';
 
 export type { TargetChange } from './_lib/storeNews.ts';
-
-/** Callbacks of a watch on the store; they are called after the state of the
- * gateway was updated. */
-export interface StoreWatchHandlers {
-  /** All targets were listed. */
-  readonly onList: (
-    targets: readonly ListedTarget[],
-    at: StorePosition,
-  ) => void;
-  /** A watch ended, with or without changes. */
-  readonly onWatched: (
-    from: StorePosition,
-    to: StorePosition,
-    changes: readonly TargetChange[],
-  ) => void;
-  /** A call to the store failed. */
-  readonly onFailed: () => void;
-}
-
-/** Options of {@link shareStore}. */
-export interface ShareStoreOptions {
-  readonly runtime: GatewayRuntime;
-  readonly log: EventLog;
-  readonly name: string;
-  readonly dataCentre: string;
-  /** Capacity relative to other entries; those with more watch first. */
-  readonly weight: number;
-  /** IP and port for news and snapshots; all entries use the same port. */
-  readonly address: string;
-  /** Longest time until the store answers a watch. */
-  readonly answerMs: number;
-  /**
-   * Starts to follow the store, from a position or by listing it first, and
-   * returns a function that stops.
-   */
-  readonly startWatch: (
-    from: StorePosition | undefined,
-    handlers: StoreWatchHandlers,
-  ) => () => void;
-  /** Called when a watcher has a newer configuration than this entry. */
-  readonly onNewerConfig: (watcher: Peer) => void;
-  /** Called when a watcher tells that the store was restored. */
-  readonly onRestored: (era: number) => void;
-  /** Monotonic time in ms. */
-  readonly now: () => number;
-  readonly random?: () => number;
-}
+export type { ShareStoreOptions, StoreWatchHandlers } from './types.ts';
 
 /** A running exchange of what the store holds. */
 export interface StoreSharing {
@@ -362,29 +317,32 @@
     setTimeout(() => {
       fetchSnapshot(`${hostOf(peer)}:${port}`, (result) => {
         isFetching = false;
-        if (typeof result === 'string') {
+        if (E.isLeft(result)) {
           log.warn('storeNews.fetchFailed', {
             peer: peer.name,
-            reason: result,
+            reason: result.left,
           });
           // Datagrams may arrive from a watcher that cannot be asked.
           distrustedUntilMs.set(peer.name, now() + DISTRUST_MS);
           beats.delete(peer.name);
-        } else if (stopWatch === undefined && isNewer(result)) {
-          if (position !== undefined && result.era > position.era) {
-            runtime.dispatch({ type: 'roster.storeRestored', atMs: now() });
-            options.onRestored(result.era);
-          }
-          holdRemovals(result.holdMs);
-          const { targets, era, revision } = result;
-          runtime.dispatch({ type: 'roster.listed', atMs: now(), targets });
-          listed = new Map(targets.map((target) => [target.id, target]));
-          position = { era, revision };
-        }
+        } else applySnapshot(result.right);
       });
     }, FETCH_SPREAD_MS * random());
   }
 
+  function applySnapshot(snapshot: TargetSnapshot): void {
+    if (stopWatch !== undefined || !isNewer(snapshot)) return;
+    const { targets, era, revision } = snapshot;
+    if (position !== undefined && era > position.era) {
+      runtime.dispatch({ type: 'roster.storeRestored', atMs: now() });
+      options.onRestored(era);
+    }
+    holdRemovals(snapshot.holdMs);
+    runtime.dispatch({ type: 'roster.listed', atMs: now(), targets });
+    listed = new Map(targets.map((target) => [target.id, target]));
+    position = { era, revision };
+  }
+
   return {
     isWatching: () => stopWatch !== undefined,
     stop() {
