Fetch a configuration at the version that a beat tells

The news of a watcher told the newer version, but the fetch compared the peer's own status, which is older until its next heartbeat, and gave up: configurations travelled by heartbeats only.

Change: the told version goes with the peer to the fetch.

Ruled out: lost datagrams alone, since beats repeat each half second.

Measured: the test fails on the code before (the status' version 0 is told).

--- a/packages/gateway/src/shareStore/index.ts
+++ b/packages/gateway/src/shareStore/index.ts
@@ -261,7 +261,10 @@
     if (peer === undefined || isDistrusted) return;
     beats.set(news.name, beat);
     const ownVersion = runtime.table()?.config.version ?? 0;
-    if (news.configVersion > ownVersion) options.onNewerConfig(peer);
+    if (news.configVersion > ownVersion) {
+      // The peer's own status may still tell an older version.
+      options.onNewerConfig({ ...peer, configVersion: news.configVersion });
+    }
     if (stopWatch !== undefined || !isSoundWatcher(beat, now())) return;
     if (!isNewer(news)) return;
     const follows =
--- a/packages/gateway/src/shareStore/test.ts
+++ b/packages/gateway/src/shareStore/test.ts
@@ -126,6 +126,7 @@
     stopped: boolean;
   }[] = [];
   const restoredEras: number[] = [];
+  const newerVersions: number[] = [];
 
   let fleetPort = '';
 
@@ -162,7 +163,7 @@
         answerMs: 500,
         startWatch: (from, handlers) =>
           store.startWatch(from, handlers, runtime),
-        onNewerConfig: () => undefined,
+        onNewerConfig: (peer) => newerVersions.push(peer.configVersion),
         onRestored: (era) => restoredEras.push(era),
         now: () => performance.now(),
       });
@@ -181,6 +182,7 @@
     });
     running.length = 0;
     restoredEras.length = 0;
+    newerVersions.length = 0;
   });
 
   it('has few entries watch, and tells all of them each change', async () => {
@@ -209,7 +211,7 @@
     await until(() => watching().length === 2);
   }).timeout(20_000);
 
-  it('watches itself when it cannot fetch what it missed', async () => {
+  it('tells of newer configurations, and watches itself when it cannot fetch what it missed', async () => {
     const store = createFakeStore();
     await startFleet(store, 1);
     const socket = createSocket('udp4');
@@ -217,11 +219,16 @@
     const port = Number(fleetPort);
     const beats = setInterval(() => {
       ['e11', 'e12'].forEach((name) => {
-        socket.send(encodeNews({ ...beat, name, revision }), port, '127.0.1.1');
+        const news = { ...beat, name, revision, configVersion };
+        socket.send(encodeNews(news), port, '127.0.1.1');
       });
     }, 50);
     let revision = 0;
+    let configVersion = 0;
     await until(() => entry?.sharing.isWatching() === false);
+    configVersion = 3;
+    await until(() => newerVersions.length > 0);
+    expect(newerVersions[0]).to.equal(3);
     revision = 9;
     await until(() => entry?.sharing.isWatching() === true);
     clearInterval(beats);
