Do not take a slow caller for a silent target

A send that is paused because its caller reads slowly delivers no events, and the stall detector counted that as the target's silence: the request was sent to another target, and on the code before its own send was cancelled first. The detector now stops with the pause, and silence and gaps count anew after it.

The test lets a target write 300 events of 64 KiB to a caller that reads nothing for a second.

--- a/packages/gateway/src/forwardRequest/test.ts
+++ b/packages/gateway/src/forwardRequest/test.ts
@@ -168,4 +168,36 @@
       obstacle: 'noTarget',
     });
   });
+
+  // A send that waits for its caller delivers no events either.
+  it('does not take a caller that reads slowly for a silent target', async () => {
+    const stream = Array.from(
+      { length: 300 },
+      (_, index) => `id: ${index + 1}\ndata: ${'x'.repeat(64 * 1024)}\n\n`,
+    ).join('');
+    const writeAll: RequestListener = (request, response) => {
+      sign(request, response);
+      response.end(stream);
+    };
+    fleet = await startTestGateway({ targets: [writeAll, writeAll] });
+    const caller = connect(fleet.callerPort, '127.0.0.1');
+    caller.write(
+      'GET /1 HTTP/1.1\r\nHost: api.example\r\nx-request: a1\r\n' +
+        'Connection: close\r\n\r\n',
+    );
+    caller.pause();
+    await settle(STREAM_SILENCE_MS);
+    const bytes = await new Promise<number>((resolve) => {
+      let received = 0;
+      caller.on('data', (chunk) => {
+        received += chunk.length;
+      });
+      caller.on('close', () => {
+        resolve(received);
+      });
+      caller.resume();
+    });
+    expect(bytes).to.be.above(stream.length);
+    expect(fleet.sends).to.have.length(1);
+  });
 });
--- a/packages/gateway/src/runSend/_lib/eventTimes.ts
+++ b/packages/gateway/src/runSend/_lib/eventTimes.ts
@@ -4,6 +4,8 @@
    * Records an event. Returns the gap before it, or undefined for the first.
    */
   readonly note: (atMs: number) => number | undefined;
+  /** Counts the silence, and the gap to the next event, from now on. */
+  readonly restart: (atMs: number) => void;
   readonly eventCount: () => number;
   /** Time since the last event, or since the start if there was none. */
   readonly silenceMs: (atMs: number) => number;
@@ -29,6 +31,9 @@
       lastAtMs = atMs;
       return gapMs;
     },
+    restart(atMs) {
+      lastAtMs = atMs;
+    },
     eventCount: () => events,
     silenceMs: (atMs) => atMs - lastAtMs,
     longestGapMs: () => Math.max(0, ...gapsMs),
--- a/packages/gateway/src/runSend/_lib/test.ts
+++ b/packages/gateway/src/runSend/_lib/test.ts
@@ -64,6 +64,9 @@
     expect(times.longestGapMs()).to.equal(500);
     expect(times.silenceMs(750)).to.equal(10);
     expect(times.eventCount()).to.equal(5);
+    times.restart(1740);
+    expect(times.silenceMs(1750)).to.equal(10);
+    expect(times.note(1760)).to.equal(20);
   });
 });
 
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -65,6 +65,7 @@
   const eventTimes = createEventTimes(startedAtMs);
   let isLate = run.resumeAfterId !== undefined;
   let isOver = false;
+  let isPaused = false;
   let sending: RunningSend | undefined;
   let releaseMemory: (() => void) | undefined;
   const stallDetector = createStallDetector({
@@ -139,7 +140,22 @@
       return;
     }
     const canContinue = splitter.push(chunk).map(forwardEvent).every(Boolean);
-    if (!canContinue) sending?.pause();
+    if (!canContinue) pause();
+  }
+
+  /** While the caller reads slowly, the target's silence says nothing. */
+  function pause(): void {
+    isPaused = true;
+    stallDetector.stop();
+    sending?.pause();
+  }
+
+  function resume(): void {
+    if (isOver || !isPaused) return;
+    isPaused = false;
+    eventTimes.restart(now());
+    stallDetector.reset();
+    sending?.resume();
   }
 
   function forwardEvent(event: StreamEvent): boolean {
@@ -264,7 +280,7 @@
       cleanUp();
       sending?.cancel();
     },
-    resume: () => sending?.resume(),
+    resume,
   };
 }
 
