Take a response with a status below 100 for a broken send

Callers saw, over loopback: a target answers `HTTP/1.1 099`, and the caller gets neither an answer nor a refusal, and its connection stays open past the route's timeout.

Cause: Node's client accepts such a status, its server does not. The request had been finished, and its deadline timer stopped, before writeHead threw ERR_HTTP_INVALID_STATUS_CODE; the process caught that and went on.

Change: such a response is broken, so the request is sent again or fails with 502.

Evidence: the test gets `answered` with status 99 before the change and passes with it, with the ten other tests of sendRequest.

--- a/packages/gateway/src/sendRequest/index.ts
+++ b/packages/gateway/src/sendRequest/index.ts
@@ -58,6 +58,7 @@
 }
 
 const MISDIRECTED = 421;
+const MIN_STATUS = 100;
 const MIN_SUCCESS_STATUS = 200;
 const MIN_REDIRECT_STATUS = 300;
 const MS_PER_S = 1000;
@@ -82,7 +83,7 @@
  * Sends a request to a target and reports the response as it arrives.
  *
  * A response is reported as broken if it has another attempt id, if it is
- * truncated, or if it is successful but lacks the attempt id or the signature
+ * truncated or has an invalid status, or if it is successful but lacks the attempt id or the signature
  * or has a content encoding. The connection is reused only after a complete
  * response.
  *
@@ -244,6 +245,7 @@
     status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
   const isMismatched =
     head.attemptId !== undefined && head.attemptId !== attemptId;
+  if (status < MIN_STATUS) return 'response with an invalid status';
   if (isMismatched) return 'response to another request';
   if (!isSuccess) return undefined;
   if (head.attemptId === undefined)
--- a/packages/gateway/src/sendRequest/test.ts
+++ b/packages/gateway/src/sendRequest/test.ts
@@ -120,6 +120,19 @@
     expect(end.type).to.equal('broken');
   });
 
+  // Such a status cannot be passed on, and the caller got no answer at all.
+  it('reports a response with a status below 100 as broken', async () => {
+    const { end } = await sendTo((socket) => {
+      socket.write(
+        'HTTP/1.1 099 Odd\r\nx-request: a1\r\ncontent-length: 0\r\n\r\n',
+      );
+    });
+    expect(end).to.deep.equal({
+      type: 'broken',
+      reason: 'response with an invalid status',
+    });
+  });
+
   it('reports an explicit refusal and discards its body', async () => {
     const { end, body } = await sendTo((socket) => {
       socket.write(
