--- a/packages/gateway/src/sendRequest/test.ts
+++ b/packages/gateway/src/sendRequest/test.ts
@@ -133,6 +133,20 @@
     });
   });
 
+  // Its connection closed without an event, and the request was held until its
+  // deadline.
+  it('reports a response that switches protocols as broken', async () => {
+    const { end } = await sendTo((socket) => {
+      socket.write(
+        'HTTP/1.1 101 Odd\r\nconnection: upgrade\r\nupgrade: odd\r\n\r\n',
+      );
+    });
+    expect(end).to.deep.equal({
+      type: 'broken',
+      reason: 'response switches protocols',
+    });
+  });
+
   it('reports an explicit refusal and discards its body', async () => {
     const { end, body } = await sendTo((socket) => {
       socket.write(
