Write no error response into an answer in progress

Callers saw, over loopback: bytes that are not a request, or the unfinished head of a further one, on a connection with an answer in progress, and the gateway wrote `HTTP/1.1 400 Bad Request` into the middle of that answer.

Cause: the handler of `clientError` looked only whether the socket was writable.

Change: a connection on which an answer is due is closed instead, so the answer is seen to be truncated. Other connections get 400 as before.

Evidence: 'writes no error into an answer in progress' fails before the change with the 400 inside the answer and passes with it.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from 'node:http';
 import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import {
   matchRoute,
   pickService,
@@ -55,6 +56,9 @@
 const BAD_REQUEST = 400;
 const UNAVAILABLE = 503;
 
+/** Response to bytes that are not an HTTP request. */
+const NOT_HTTP = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
+
 /** Above any configured limit, so that the configured limits apply first. */
 const MAX_PARSED_HEADER_BYTES = 64 * 1024;
 
@@ -84,7 +88,7 @@
 ): CallerServer {
   const { runtime, log } = context;
   const sockets = new Set<Socket>();
-  const openRequestsBySocket = new Map<Socket, number>();
+  const openRequestsBySocket = new Map<Duplex, number>();
   let openRequests = 0;
 
   const server = createServer(
@@ -104,9 +108,9 @@
   });
   server.on('clientError', (error, socket) => {
     log.warn('caller.badRequest', { reason: error.message });
-    if (socket.writable) {
-      socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
-    } else socket.destroy();
+    const hasAnswerDue = openRequestsBySocket.has(socket);
+    if (hasAnswerDue || !socket.writable) socket.destroy();
+    else socket.end(NOT_HTTP);
   });
   runtime.onConfig(({ config }) => {
     server.keepAliveTimeout = config.limits.idleTimeoutMs;
--- /dev/null
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -0,0 +1,102 @@
+import { expect } from 'chai';
+import type { RequestListener } from 'node:http';
+import { connect, type Socket } from 'node:net';
+import {
+  sign,
+  startTestGateway,
+  testConfig,
+  type TestGateway,
+} from '../testGateway/index.ts';
+
+const HEAD = 'GET /1 HTTP/1.1\r\nHost: api.example\r\nx-request: a1\r\n\r\n';
+
+const FIRST_EVENT = 'id: 1\ndata: e1\n\n';
+const HEADER_TIMEOUT_MS = 300;
+
+/** A caller that writes bytes as it likes, and all that it received. */
+interface RawCaller {
+  readonly socket: Socket;
+  readonly received: () => string;
+  readonly closed: Promise<void>;
+}
+
+function connectCaller(port: number): RawCaller {
+  const socket = connect(port, '127.0.0.1');
+  const chunks: Buffer[] = [];
+  socket.on('data', (chunk: Buffer) => chunks.push(chunk));
+  socket.on('error', () => undefined);
+  return {
+    socket,
+    received: () => Buffer.concat(chunks).toString('latin1'),
+    closed: new Promise((resolve) => {
+      socket.on('close', () => {
+        resolve();
+      });
+    }),
+  };
+}
+
+const settle = (ms: number) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+const streamForever: RequestListener = (request, response) => {
+  sign(request, response);
+  response.write(FIRST_EVENT);
+};
+
+describe('createCallerServer', () => {
+  let fleet: TestGateway;
+
+  afterEach(() => fleet.stop());
+
+  // A status line in the middle of an answer is taken for a part of it.
+  it('writes no error into an answer in progress', async () => {
+    fleet = await startTestGateway({ targets: [streamForever] });
+    const caller = connectCaller(fleet.callerPort);
+    caller.socket.write(HEAD);
+    while (!caller.received().includes(FIRST_EVENT)) await settle(5);
+    caller.socket.write('\u0001\r\n\r\n');
+    await caller.closed;
+    expect(caller.received()).not.to.include('400');
+  });
+
+  it('answers 400 to bytes that are not a request', async () => {
+    fleet = await startTestGateway({ targets: [streamForever] });
+    const caller = connectCaller(fleet.callerPort);
+    caller.socket.write('\u0001\r\n\r\n');
+    await caller.closed;
+    expect(caller.received()).to.match(/^HTTP\/1\.1 400 /);
+  });
+
+  it('answers a request that is in progress when a configuration without its route and with shorter limits comes', async () => {
+    const answerLater: RequestListener = (request, response) => {
+      sign(request, response);
+      setTimeout(() => response.end('read'), 3 * HEADER_TIMEOUT_MS);
+    };
+    fleet = await startTestGateway({
+      targets: [answerLater],
+      route: { repeat: 'atMostOnce' },
+    });
+    const caller = connectCaller(fleet.callerPort);
+    caller.socket.write(
+      'POST /1 HTTP/1.1\r\nHost: api.example\r\nx-request: a1\r\nContent-Length: 4\r\n\r\nab',
+    );
+    await settle(50);
+    const config = testConfig();
+    const limits = {
+      ...config.limits,
+      headerTimeoutMs: HEADER_TIMEOUT_MS,
+      idleTimeoutMs: HEADER_TIMEOUT_MS,
+    };
+    fleet.gateway.runtime.applyConfig(
+      { ...config, version: 2, routes: [], services: [], limits },
+      'test',
+    );
+    await settle(3 * HEADER_TIMEOUT_MS);
+    caller.socket.write('cd');
+    while (!caller.received().endsWith('read')) await settle(5);
+    expect(caller.received()).to.match(/^HTTP\/1\.1 200 /);
+  });
+});
