Answer 408 when the head of a request was not read in time

Callers saw, over loopback: an entry whose event loop was held up for longer than `HeaderTimeoutMs`, or that was given a shorter one, answered 400 and closed the connection, in the trial to a whole request that it had not read yet. Callers send nothing again after 400.

Cause: the handler of `clientError` answered 400 to every error, also to ERR_HTTP_REQUEST_TIMEOUT. Node checks that limit on a timer, before it reads what has arrived since.

Change: that error gets 408, which promises that the request has not run and never will; nothing of it was passed on. Other errors get 400 as before.

Evidence: 'answers 408 to a request whose head it did not read in time' fails before the change with 400 and passes with it.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -59,6 +59,12 @@
 /** Response to bytes that are not an HTTP request. */
 const NOT_HTTP = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
 
+/** Response to a request whose head was not read in time, so it has not run. */
+const TIMEOUT = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n';
+
+/** Code of Node's error for such a request. */
+const HEAD_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 /** Above any configured limit, so that the configured limits apply first. */
 const MAX_PARSED_HEADER_BYTES = 64 * 1024;
 
@@ -106,11 +112,11 @@
       sockets.delete(socket);
     });
   });
-  server.on('clientError', (error, socket) => {
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     log.warn('caller.badRequest', { reason: error.message });
     const hasAnswerDue = openRequestsBySocket.has(socket);
     if (hasAnswerDue || !socket.writable) socket.destroy();
-    else socket.end(NOT_HTTP);
+    else socket.end(error.code === HEAD_TIMEOUT_CODE ? TIMEOUT : NOT_HTTP);
   });
   runtime.onConfig(({ config }) => {
     server.keepAliveTimeout = config.limits.idleTimeoutMs;
--- a/packages/gateway/src/createCallerServer/test.ts
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -62,6 +62,21 @@
     expect(caller.received()).not.to.include('400');
   });
 
+  // The caller may send a request again that was not read, but never after 400.
+  it('answers 408 to a request whose head it did not read in time', async () => {
+    fleet = await startTestGateway({ targets: [streamForever] });
+    const config = testConfig();
+    const limits = { ...config.limits, headerTimeoutMs: HEADER_TIMEOUT_MS };
+    fleet.gateway.runtime.applyConfig(
+      { ...config, version: 2, limits },
+      'test',
+    );
+    const caller = connectCaller(fleet.callerPort);
+    caller.socket.write(HEAD.slice(0, HEAD.length / 2));
+    await caller.closed;
+    expect(caller.received()).to.match(/^HTTP\/1\.1 408 /);
+  });
+
   it('answers 400 to bytes that are not a request', async () => {
     fleet = await startTestGateway({ targets: [streamForever] });
     const caller = connectCaller(fleet.callerPort);
