Count the resumes of an attempt anew once its stream has gone on

Callers of the second interface would see a streamed answer end as failed ('attempt lost: decoding') though its engine was sound: at the sixth silence of 2 s after which the engine went on.

Cause: a silence of 2 s leads to a status query. An engine that has gone on by then reports more tokens than were received when the silence was noticed, and the stream is resumed on a new connection. That counts towards MAX_RESUMES, which was never counted anew, however many tokens followed.

Change: new tokens set the resumes and the failed queries of the attempt back to 0. A stream that is resumed again and again without a token is given up as before.

Evidence: 'keeps a stream whose engine falls silent again and again and goes on each time' fails before the change with `failed, attempt lost: decoding` and passes with it; 'gives up a stream that its engine resumes again and again without a token' passes before and after. requestsSlice, createAttemptRunner and createEngineHttpPort: 31 pass. Reduced events only; not seen over sockets.

--- a/packages/core/src/requests/_lib/attemptQueries.ts
+++ b/packages/core/src/requests/_lib/attemptQueries.ts
@@ -18,9 +18,33 @@
  */
 export const MAX_FAILED_QUERIES = 2;
 
-/** Largest number of times that one attempt is resumed on a new connection. */
+/**
+ * Largest number of times that one attempt is resumed on a new connection without
+ * a further token.
+ */
 export const MAX_RESUMES = 5;
 
+/**
+ * Records the tokens received so far. New ones show that the attempt goes on, so
+ * its resumes and failed queries are counted anew.
+ *
+ * @param request - The request with its open attempt.
+ * @param outputTokens - Tokens received for the caller.
+ * @returns The request.
+ */
+export function withProgress(
+  request: OpenRequest,
+  outputTokens: number,
+): OpenRequest {
+  const { attempt } = request;
+  if (outputTokens <= request.outputTokens) return request;
+  return {
+    ...request,
+    outputTokens,
+    attempt: attempt && { ...attempt, resumes: 0, failedQueries: 0 },
+  };
+}
+
 /**
  * Queries, on a new connection, whether a target still runs an attempt.
  *
--- a/packages/core/src/requests/_lib/attempts.ts
+++ b/packages/core/src/requests/_lib/attempts.ts
@@ -2,7 +2,7 @@
 import { SETTLE_GRACE_MS } from '../../once/_lib/constants.ts';
 import { getEntry } from '../../bucketMap/index.ts';
 import { unchanged } from '../../step/index.ts';
-import { queryAttempt } from './attemptQueries.ts';
+import { queryAttempt, withProgress } from './attemptQueries.ts';
 import { closeRequest, needsClaim, storeRequest } from './closeRequest.ts';
 import { ranOfAttempt } from './ran.ts';
 import { retryOrEnd } from './retry.ts';
@@ -178,8 +178,8 @@
 ): RequestsStep {
   const found = requestOfAttempt(state, event);
   if (found === undefined) return unchanged(state);
-  const outputTokens = Math.max(found.outputTokens, event.outputTokens);
-  const request = { ...found, outputTokens };
+  const request = withProgress(found, event.outputTokens);
+  const { outputTokens } = request;
   const ended = { ...request, attempt: undefined };
   if (event.end.type === 'done') {
     return closeRequest(state, ended, {
--- a/packages/core/src/requests/_lib/types.ts
+++ b/packages/core/src/requests/_lib/types.ts
@@ -18,7 +18,7 @@
    * Whether the attempt's connection is lost; only a query can show its status.
    */
   readonly cut: boolean;
-  /** Number of times the stream was resumed on a new connection. */
+  /** Times the stream was resumed on a new connection since its last token. */
   readonly resumes: number;
 }
 
--- a/packages/core/src/requests/index.ts
+++ b/packages/core/src/requests/index.ts
@@ -3,7 +3,11 @@
 import type { RequestInfo } from '../request/index.ts';
 import type { Slice } from '../slice/index.ts';
 import { unchanged } from '../step/index.ts';
-import { handleAttemptReport, queryAttempt } from './_lib/attemptQueries.ts';
+import {
+  handleAttemptReport,
+  queryAttempt,
+  withProgress,
+} from './_lib/attemptQueries.ts';
 import {
   handleAttemptEnded,
   recordFirstToken,
@@ -160,12 +164,10 @@
   if (state.serviceTargetIds.has(request.attempt.targetId)) {
     return unchanged(state);
   }
-  const outputTokens = Math.max(request.outputTokens, event.outputTokens);
-  return queryAttempt(
-    state,
-    { ...request, outputTokens },
-    { event, cut: false },
-  );
+  return queryAttempt(state, withProgress(request, event.outputTokens), {
+    event,
+    cut: false,
+  });
 }
 
 function updateServiceTargets(
--- a/packages/core/src/requests/test.ts
+++ b/packages/core/src/requests/test.ts
@@ -201,6 +201,33 @@
     expect(result).toMatchSnapshot();
   });
 
+  // Each silence of a sound engine used up one of the resumes of its attempt, and
+  // the last one ended the stream.
+  it('keeps a stream whose engine falls silent again and again and goes on each time', () => {
+    const silences = Array.from({ length: 12 }, (_, index): Input[] => [
+      silent(10 * (index + 1)),
+      reported({ type: 'decoding', outputTokens: 10 * (index + 1) + 1 }),
+    ]);
+    const result = run([
+      received,
+      dispatched('e1'),
+      ...silences.flat(),
+      ended('r1.1', { type: 'done' }, { outputTokens: 200 }),
+    ]);
+    expect(finishEffectsOf(result)).to.deep.equal(['yes {"type":"answered"}']);
+  });
+
+  it('gives up a stream that its engine resumes again and again without a token', () => {
+    const cuts = Array.from({ length: 12 }, (): Input[] => [
+      ended('r1.1', cut, { outputTokens: 4 }),
+      reported({ type: 'decoding', outputTokens: 4 }),
+    ]);
+    const result = run([received, dispatched('e1'), ...cuts.flat()]);
+    expect(finishEffectsOf(result)).to.deep.equal([
+      'yes {"type":"failed","reason":"attempt lost: decoding"}',
+    ]);
+  });
+
   it('restarts on another engine when an attempt is lost before its first token', () => {
     const result = run([
       received,
