Keep an open stream whose engine does not accept a status query

Callers of the second interface would see a streamed answer end as failed ('attempt lost: notSent') when its engine was silent for 2 s and one new connection to it failed or it was missing from the list of targets, though the stream was still open.

Cause: a status query that could not be sent was taken for an engine that is gone, at once and also while the connection of the attempt was open.

Change: with the connection open, such a query counts as failed, and the next silence leads to the next one; the attempt is abandoned after MAX_FAILED_QUERIES as for queries that time out. With the connection lost, it is abandoned at once as before.

Evidence: 'keeps a silent stream when one status query ends with notSent' fails before the change with `failed, attempt lost: notSent` and passes with it; the same test with `timedOut` passes before and after. requestsSlice and createAttemptRunner: 18 pass. Reduced events only; not seen over sockets.

--- a/packages/core/src/requests/_lib/attemptQueries.ts
+++ b/packages/core/src/requests/_lib/attemptQueries.ts
@@ -112,18 +112,35 @@
           event.report.outputTokens > request.outputTokens,
       });
     case 'absent':
-    case 'notSent':
       return abandonAttempt(state, replied, event);
     default:
-      return attempt.failedQueries + 1 < MAX_FAILED_QUERIES
-        ? queryAttempt(state, withFailedQuery(replied, attempt), {
-            event,
-            cut: false,
-          })
-        : abandonAttempt(state, replied, event);
+      return handleFailedQuery(state, replied, event);
   }
 }
 
+/**
+ * Queries again, or abandons the attempt after {@link MAX_FAILED_QUERIES}. An
+ * engine that accepts no connection is taken for gone only if the connection of
+ * the attempt is lost too; otherwise the next silence leads to the next query.
+ */
+function handleFailedQuery(
+  state: RequestsState,
+  request: OpenRequest,
+  event: Extract<SharedEvent, { readonly type: 'attempt.reported' }>,
+): RequestsStep {
+  const { attempt } = request;
+  if (attempt === undefined) return unchanged(state);
+  const wasSent = event.report.type !== 'notSent';
+  const isLost =
+    attempt.failedQueries + 1 >= MAX_FAILED_QUERIES ||
+    (attempt.cut && !wasSent);
+  if (isLost) return abandonAttempt(state, request, event);
+  const failed = withFailedQuery(request, attempt);
+  return wasSent
+    ? queryAttempt(state, failed, { event, cut: false })
+    : { state: storeRequest(state, failed), effects: [] };
+}
+
 function continueAttempt(
   state: RequestsState,
   request: OpenRequest,
--- a/packages/core/src/requests/test.ts
+++ b/packages/core/src/requests/test.ts
@@ -217,6 +217,24 @@
     expect(finishEffectsOf(result)).to.deep.equal(['yes {"type":"answered"}']);
   });
 
+  // A connection that is not accepted says nothing about a stream that is open.
+  const unanswered: TargetError[] = [
+    { type: 'notSent', reason: 'reset' },
+    { type: 'timedOut' },
+  ];
+  unanswered.forEach((error) => {
+    it(`keeps a silent stream when one status query ends with ${error.type}`, () => {
+      const result = run([
+        ...[received, dispatched('e1'), silent(4), reported(error), silent(4)],
+        reported({ type: 'decoding', outputTokens: 4 }),
+        ended('r1.1', { type: 'done' }, { outputTokens: 10 }),
+      ]);
+      expect(finishEffectsOf(result)).to.deep.equal([
+        'yes {"type":"answered"}',
+      ]);
+    });
+  });
+
   it('gives up a stream that its engine resumes again and again without a token', () => {
     const cuts = Array.from({ length: 12 }, (): Input[] => [
       ended('r1.1', cut, { outputTokens: 4 }),
