Read what a target has sent before its silence is reported

Callers would see takeovers after every pause of the entry itself (a busy core, the reading of a large configuration): each stream is sent to another target, which costs an attempt and the retry budget, and its own target is avoided as slow and loses its idle connections. Before the stream was also cut off at its target, though its events had arrived.

Cause: Node runs timers before it reads sockets. After a pause the stall timer expires first, and what the target has sent is read afterwards.

Change: the silence is reported after the sockets have been read once, unless an event has come.

Evidence: 'does not take its own pause for a silence of the target' (the loop is held up for 1 s right after an event was written) fails before the change: the request is also sent to t1. It passes with it. forwardRequest, createStallDetector and the takeovers: 19 pass. The four other tests of takeovers are variants that did not try and pass without this change: both targets go on in the same tick, a third attempt, the deadline and a leaving entry during a takeover.

--- a/packages/gateway/src/runSend/_lib/stallDetector.ts
+++ b/packages/gateway/src/runSend/_lib/stallDetector.ts
@@ -35,22 +35,28 @@
   options: StallDetectorOptions,
 ): StallDetector {
   let timer: NodeJS.Timeout | undefined;
+  let report: NodeJS.Immediate | undefined;
 
   function check(): void {
     const remainingMs = options.remainingSilenceMs(options.backlogMs()) ?? 0;
     const isSilent = remainingMs <= MIN_WAIT_MS;
     timer = setTimeout(check, isSilent ? RECHECK_INTERVAL_MS : remainingMs);
-    if (isSilent) options.onSilence();
+    // Timers run before sockets are read: if the process was held up, what the
+    // target has sent may still be waiting.
+    if (isSilent) report = setImmediate(options.onSilence);
+  }
+
+  function stop(): void {
+    clearTimeout(timer);
+    clearImmediate(report);
   }
 
   return {
     reset() {
-      clearTimeout(timer);
+      stop();
       const remainingMs = options.remainingSilenceMs(0);
       if (remainingMs !== undefined) timer = setTimeout(check, remainingMs);
     },
-    stop() {
-      clearTimeout(timer);
-    },
+    stop,
   };
 }
--- /dev/null
+++ b/packages/gateway/src/runSend/test.ts
@@ -0,0 +1,147 @@
+import { expect } from 'chai';
+import type { RequestListener, ServerResponse } from 'node:http';
+import {
+  sign,
+  startTestGateway,
+  type TestGateway,
+} from '../testGateway/index.ts';
+
+const event = (id: number): string => `id: ${id}\ndata: e${id}\n\n`;
+
+/** Longer than the silence after which a stream is sent to another target. */
+const STREAM_SILENCE_MS = 1000;
+
+const wholeStream = { status: 200, body: event(1) + event(2), isWhole: true };
+
+const settle = (ms: number) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+const refuse: RequestListener = (_request, response) => {
+  response.writeHead(503, { 'x-not-run': '1' }).end();
+};
+
+/** Keeps the event loop from reading what arrives. */
+function holdUp(ms: number): void {
+  const untilMs = performance.now() + ms;
+  while (performance.now() < untilMs);
+}
+
+/** Falls silent after the first event, and goes on after this time. */
+const silentFor =
+  (silenceMs: number): RequestListener =>
+  (request, response) => {
+    sign(request, response);
+    response.write(event(1));
+    setTimeout(() => response.end(event(2)), silenceMs);
+  };
+
+describe('a takeover from a silent target', () => {
+  let fleet: TestGateway;
+
+  afterEach(() => fleet.stop());
+
+  it('forwards an event once when both targets go on in the same tick', async () => {
+    let silent: ServerResponse | undefined;
+    const beginOnly: RequestListener = (request, response) => {
+      sign(request, response);
+      response.write(event(1));
+      silent = response;
+    };
+    const goOnTogether: RequestListener = (request, response) => {
+      sign(request, response);
+      silent?.end(event(2));
+      response.end(event(2));
+    };
+    fleet = await startTestGateway({ targets: [beginOnly, goOnTogether] });
+    expect(await fleet.ask('/1')).to.deep.equal(wholeStream);
+    expect(fleet.sends).to.have.length(2);
+  });
+
+  it('keeps the first of two silent targets when a third one refuses', async () => {
+    fleet = await startTestGateway({
+      targets: [silentFor(4000), silentFor(4000), refuse],
+      route: { maxAttempts: 3 },
+    });
+    expect(await fleet.ask('/1')).to.deep.equal(wholeStream);
+    expect(fleet.sends.map(({ target }) => target)).to.deep.equal([
+      't0',
+      't1',
+      't2',
+    ]);
+  });
+
+  it('closes every send at the deadline', async () => {
+    let open = 0;
+    const silentForGood: RequestListener = (request, response) => {
+      open += 1;
+      sign(request, response);
+      if (open === 1) response.write(event(1));
+      request.socket.on('close', () => {
+        open -= 1;
+      });
+    };
+    fleet = await startTestGateway({
+      targets: [silentForGood, silentForGood],
+      route: { timeoutMs: 2 * STREAM_SILENCE_MS },
+    });
+    const answer = await fleet.ask('/1');
+    expect(answer).to.deep.equal({
+      status: 200,
+      body: event(1),
+      isWhole: false,
+    });
+    expect(fleet.sends).to.have.length(2);
+    while (open > 0) await settle(5);
+  });
+
+  it('finishes before the entry leaves', async () => {
+    fleet = await startTestGateway({
+      targets: [silentFor(4500), refuse],
+    });
+    const answer = fleet.ask('/1');
+    await settle(300);
+    const left = new Promise<void>((resolve) => {
+      fleet.gateway.leave(resolve);
+    });
+    expect(await answer).to.deep.equal(wholeStream);
+    await left;
+  });
+
+  // What arrived while the entry itself was held up was taken for a silence.
+  it('does not take its own pause for a silence of the target', async () => {
+    const firstAnswers = [refuse];
+    const pauseEntry: RequestListener = (request, response) => {
+      sign(request, response);
+      response.write(event(1));
+      setTimeout(() => {
+        response.write(event(2));
+        process.nextTick(() => {
+          holdUp(STREAM_SILENCE_MS);
+          setTimeout(() => response.end(event(3)), 0);
+        });
+      }, 50);
+    };
+    const answerWhole: RequestListener = (request, response) => {
+      sign(request, response);
+      response.end(event(1));
+    };
+    fleet = await startTestGateway({
+      targets: [
+        (request, response) => {
+          (firstAnswers.pop() ?? pauseEntry)(request, response);
+        },
+        answerWhole,
+      ],
+    });
+    // Leaves an idle connection to the other target.
+    await fleet.ask('/1');
+    await settle(50);
+    const answer = await fleet.ask('/1');
+    expect(answer.body).to.equal(event(1) + event(2) + event(3));
+    expect(fleet.sends.slice(2)).to.deep.equal([
+      { target: 't0', lastEventId: undefined },
+    ]);
+  });
+});
