Deliver a target's error when no other send gives an answer

Callers saw, over loopback: one target answered 500 to a call that may be repeated, another broke off, and the caller got the gateway's 502 instead of the 500.

Cause: an answer after which the request waits or is sent again was not kept.

Change: it is kept, and delivered where the request would fail otherwise. At the deadline the caller still gets 504.

--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -69,6 +69,8 @@
   let lastEventId: number | undefined;
   let lastEventAtMs: number | undefined;
   let events = 0;
+  /** Error of a target, delivered if no other send gives a better answer. */
+  let heldAnswer: BufferedResponse | undefined;
   const openSends = createOpenSends();
 
   const deadlineTimer = setTimeout(
@@ -246,6 +248,7 @@
         mayHaveRun,
         answerBegun,
       });
+      if (end.type === 'answered') heldAnswer = result.answer;
     }
     applyStep(step, result.answer);
   }
@@ -312,6 +315,10 @@
         });
         return;
       case 'fail':
+        if (heldAnswer !== undefined) {
+          deliver(heldAnswer);
+          return;
+        }
         finish('failed');
         reply.fail({
           status: BAD_GATEWAY,
--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -109,6 +109,26 @@
     await left;
   });
 
+  // The answer of the other target was dropped, and the caller got a 502.
+  it('delivers the error of the other target when the silent one breaks off', async () => {
+    const breakOffLater: RequestListener = (request) => {
+      setTimeout(() => request.socket.resetAndDestroy(), STREAM_SILENCE_MS);
+    };
+    const fail: RequestListener = (request, response) => {
+      sign(request, response);
+      response.writeHead(500).end('failed');
+    };
+    fleet = await startTestGateway({
+      targets: [breakOffLater, fail],
+      route: { repeat: 'idempotent', timeoutMs: 2000 },
+    });
+    expect(await fleet.ask('/1')).to.deep.equal({
+      status: 500,
+      body: 'failed',
+      isWhole: true,
+    });
+  });
+
   // What arrived while the entry itself was held up was taken for a silence.
   it('does not take its own pause for a silence of the target', async () => {
     const firstAnswers = [refuse];
