Test a third attempt whichever of two equal targets comes next

The test was wrong.

What a target does now follows from the order of the sends, so the second send is always silent and the third always refused, as the title says; the answer, the first target and one send to each of the three are checked as before.

--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -60,16 +60,18 @@
   });
 
   it('keeps the first of two silent targets when a third one refuses', async () => {
+    const later = [silentFor(4000), refuse];
+    const other: RequestListener = (request, response) => {
+      (later.shift() ?? refuse)(request, response);
+    };
     fleet = await startTestGateway({
-      targets: [silentFor(4000), silentFor(4000), refuse],
+      targets: [silentFor(4000), other, other],
       route: { maxAttempts: 3 },
     });
     expect(await fleet.ask('/1')).to.deep.equal(wholeStream);
-    expect(fleet.sends.map(({ target }) => target)).to.deep.equal([
-      't0',
-      't1',
-      't2',
-    ]);
+    const targets = fleet.sends.map(({ target }) => target);
+    expect(targets[0]).to.equal('t0');
+    expect(targets.toSorted()).to.deep.equal(['t0', 't1', 't2']);
   });
 
   it('closes every send at the deadline', async () => {
