Poll a connection attempt once more before it times out

Callers would see, after a pause of the entry itself of 400 ms or more, that targets to which it was just connecting are avoided as broken and their requests sent elsewhere, though the connections were open.

Cause: Node runs timers before it polls sockets, so after a pause the timer of the attempt expires first.

Change: the attempt fails only if the connection is not open after the sockets have been polled once.

Evidence: 'does not take its own pause for a failed connection attempt' fails before the change (the request reaches t1 instead of t0) and passes with it, with the other takeovers, startGateway and sendRequest.

--- a/packages/gateway/src/createConnectionPool/index.ts
+++ b/packages/gateway/src/createConnectionPool/index.ts
@@ -171,27 +171,34 @@
     noDelay: true,
     allowHalfOpen: true,
   });
-  const fail = (reason: string): void => {
+  let expiry: NodeJS.Immediate | undefined;
+  const stopTimer = (): void => {
     clearTimeout(timer);
+    clearImmediate(expiry);
+  };
+  const fail = (reason: string): void => {
+    stopTimer();
     socket.removeAllListeners();
     socket.on('error', ignoreError);
     socket.destroy();
     done({ type: 'connectFailed', reason });
   };
   const timer = setTimeout(() => {
-    fail('connection attempt timed out');
+    // Timers run before sockets are polled: if the process was held up, the
+    // connection may be open.
+    expiry = setImmediate(fail, 'connection attempt timed out');
   }, options.connectTimeoutMs);
   socket.once('error', (error) => {
     fail(error.message);
   });
   socket.once('connect', () => {
-    clearTimeout(timer);
+    stopTimer();
     socket.removeAllListeners();
     socket.on('error', ignoreError);
     done({ socket, isReused: false });
   });
   return () => {
-    clearTimeout(timer);
+    stopTimer();
     socket.removeAllListeners();
     socket.on('error', ignoreError);
     socket.destroy();
--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -166,4 +166,20 @@
       { target: 't0', lastEventId: undefined },
     ]);
   });
+
+  // A target to which the connection was open was avoided as broken.
+  it('does not take its own pause for a failed connection attempt', async () => {
+    const answer: RequestListener = (request, response) => {
+      sign(request, response);
+      response.end(event(1) + event(2));
+    };
+    fleet = await startTestGateway({ targets: [answer, answer] });
+    fleet.gateway.runtime.onSendStarted(() => {
+      setImmediate(holdUp, STREAM_SILENCE_MS);
+    });
+    expect(await fleet.ask('/1')).to.deep.equal(wholeStream);
+    expect(fleet.sends).to.deep.equal([
+      { target: 't0', lastEventId: undefined },
+    ]);
+  });
 });
