--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -1,10 +1,19 @@
 import { expect } from 'chai';
+import * as E from 'fp-ts/lib/Either.js';
 import type { RequestListener, ServerResponse } from 'node:http';
+import { createConnectionPool } from '../createConnectionPool/index.ts';
+import { createEventLog } from '../createEventLog/index.ts';
+import { createGatewayMetrics } from '../createGatewayMetrics/index.ts';
+import { createGatewayRuntime } from '../gatewayRuntime/index.ts';
+import type { SendPlan } from '../planSend/index.ts';
+import { testDialect } from '../testDialect/index.ts';
 import {
   sign,
   startTestGateway,
+  testConfig,
   type TestGateway,
 } from '../testGateway/index.ts';
+import { runSend } from './index.ts';
 
 const event = (id: number): string => `id: ${id}\ndata: e${id}\n\n`;
 
@@ -183,3 +192,92 @@
     ]);
   });
 });
+
+describe('runSend', () => {
+  it('releases the memory of a send that is superseded before or after it was reserved', async () => {
+    const orders: string[] = [];
+    const order =
+      (name: string) =>
+      ({ id }: { readonly id: string }) =>
+      () => {
+        orders.push(`${name} ${id}`);
+        return Promise.resolve(E.right(undefined));
+      };
+    const log = createEventLog({
+      entryId: 'e1',
+      write: (_text, done) => {
+        done();
+      },
+    });
+    const runtime = createGatewayRuntime(log);
+    const pool = createConnectionPool();
+    const [route] = testConfig().routes;
+    const [service] = testConfig().services;
+    if (route === undefined || service === undefined) throw new Error('config');
+    const target = { id: 't0', address: '127.0.0.1:9' };
+    const helper = { id: 't1', address: '127.0.0.1:9' };
+    const start = (number: number) =>
+      runSend(
+        {
+          call: {
+            attemptId: 'a1',
+            route,
+            service,
+            workspace: undefined,
+            priority: 1,
+            method: 'GET',
+            path: '/1',
+            rawHeaders: [],
+            caller: testDialect.readCaller({}),
+            body: Buffer.alloc(0),
+            arrivedAtMs: 0,
+          },
+          plan: {
+            target,
+            helpers: [helper],
+            reservations: [{ target: helper, tokens: 10 }],
+            partPrefillMs: 0,
+            slotWaitMs: 0,
+          } as unknown as SendPlan,
+          number,
+          isLast: false,
+          deadlineAtMs: 1000,
+          resumeAfterId: 1,
+        },
+        {
+          onSent: () => undefined,
+          onEvent: () => true,
+          onSilence: () => undefined,
+          onEnd: () => undefined,
+        },
+        {
+          runtime,
+          pool,
+          orders: { reserve: order('reserve'), release: order('release') },
+          dialect: testDialect,
+          log,
+          metrics: createGatewayMetrics(),
+          bounds: {
+            retry: { ratio: 0.2, windowMs: 10_000, slack: 1 },
+            graceMs: 1000,
+          },
+          dataCentre: 'a',
+          startedAtMs: 0,
+          now: () => 0,
+        },
+      );
+    start(1).supersede();
+    await settle(20);
+    expect(orders.at(0)).to.equal('reserve t1');
+    expect(orders.at(-1)).to.equal('release t1');
+    expect(runtime.state().load.flights.size).to.equal(0);
+    orders.splice(0);
+    const reserved = start(2);
+    await new Promise((resolve) => setImmediate(resolve));
+    reserved.supersede();
+    await settle(20);
+    expect(orders).to.deep.equal(['reserve t1', 'release t1']);
+    expect(runtime.state().load.flights.size).to.equal(0);
+    pool.close();
+  });
+});
