Keep the event times of a stream in bounded memory

A stream's end computed its longest gap by spreading all gaps into Math.max. In a stream of 300,000 events this threw RangeError (maximum call stack size) in the handler of the response's end: the send was never reported as ended, and the caller saw the stream cut off. Gaps were also kept for each event without bound.

The longest gap is now kept as it grows, and the median is taken of the latest 4,096 gaps. Streams of fewer events have the same median as before.

Evidence: the test with 300,000 events failed with that RangeError before the change and passes after it; a unit test holds the median and the longest gap of 10,002 events.

--- a/packages/gateway/src/runSend/_lib/eventTimes.ts
+++ b/packages/gateway/src/runSend/_lib/eventTimes.ts
@@ -9,29 +9,39 @@
   readonly silenceMs: (atMs: number) => number;
   /** Longest gap between two events; 0 before the second event. */
   readonly longestGapMs: () => number;
-  /** Median gap; undefined until there are {@link MIN_GAPS_FOR_MEDIAN} gaps. */
+  /**
+   * Median of the latest {@link MAX_KEPT_GAPS} gaps; undefined until there are
+   * {@link MIN_GAPS_FOR_MEDIAN}.
+   */
   readonly medianGapMs: () => number | undefined;
 }
 
 /** Gaps needed to estimate an engine's decoding speed. */
 const MIN_GAPS_FOR_MEDIAN = 4;
 
+/** Latest gaps that are kept for the median. */
+const MAX_KEPT_GAPS = 4096;
+
 /** Creates a recorder of event arrival times, in ms of a monotonic clock. */
 export function createEventTimes(startedAtMs: number): EventTimes {
   const gapsMs: number[] = [];
   let events = 0;
   let lastAtMs = startedAtMs;
+  let longestGapMs = 0;
   return {
     note(atMs) {
       const gapMs = events === 0 ? undefined : atMs - lastAtMs;
-      if (gapMs !== undefined) gapsMs.push(gapMs);
+      if (gapMs !== undefined) {
+        gapsMs[(events - 1) % MAX_KEPT_GAPS] = gapMs;
+        longestGapMs = Math.max(longestGapMs, gapMs);
+      }
       events += 1;
       lastAtMs = atMs;
       return gapMs;
     },
     eventCount: () => events,
     silenceMs: (atMs) => atMs - lastAtMs,
-    longestGapMs: () => Math.max(0, ...gapsMs),
+    longestGapMs: () => longestGapMs,
     medianGapMs: () =>
       gapsMs.length < MIN_GAPS_FOR_MEDIAN
         ? undefined
--- a/packages/gateway/src/runSend/_lib/test.ts
+++ b/packages/gateway/src/runSend/_lib/test.ts
@@ -60,6 +60,23 @@
     expect(times.silenceMs(750)).to.equal(10);
     expect(times.eventCount()).to.equal(5);
   });
+
+  // Guards against memory that grows with each event of a stream.
+  it('keeps the longest gap, and the median of the latest gaps, of a long stream', () => {
+    const times = createEventTimes(0);
+    times.note(0);
+    times.note(900);
+    Array.from({ length: 5000 }, (_, index) => 910 + 10 * index).forEach(
+      times.note,
+    );
+    expect(times.longestGapMs()).to.equal(900);
+    expect(times.medianGapMs()).to.equal(10);
+    Array.from({ length: 5000 }, (_, index) => 51_000 + index).forEach(
+      times.note,
+    );
+    expect(times.medianGapMs()).to.equal(1);
+    expect(times.eventCount()).to.equal(10_002);
+  });
 });
 
 describe('createStallDetector', () => {
--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -398,6 +398,21 @@
     expect(answer.bodyBytes).to.equal(event.length);
   });
 
+  // Guards against a process that ends, or a request that hangs, on a long stream.
+  it('ends a stream of 300,000 events', async () => {
+    const event = 'data: a\n\n';
+    good = await listen((request, response) => {
+      request.resume();
+      response.setHeader('x-request', 'a1');
+      response.setHeader('x-signed', '1');
+      response.end(event.repeat(300_000));
+    });
+    await start(`${HOST}:${portOf(good)}`);
+    const answer = await ask('/stream/1');
+    expect(answer).to.include({ status: 200, isWhole: true });
+    expect(answer.bodyBytes).to.equal(event.length * 300_000);
+  });
+
   // Guards against events that pile up behind a caller who does not read.
   ['data: a\n\n', '\n\n', `data: ${'x'.repeat(1000)}\n\n`].forEach((event) => {
     it(`reads no more than a caller of a stream of events of ${event.length} bytes`, async () => {
