Limit what a target sends beside the body of its response

Node's parser reads and drops without limit: empty lines before a status line, blanks before the value of a header, informational responses, and leading zeros of a chunk size. A target that writes one of them without end held its request until the send stalled or its deadline, and the processor as long as it wrote: the test's target could write its 96 MiB, informational responses 20 to 32 MiB in the time until the stall.

The bytes received on the socket for a response are now counted. What exceeds its body may be 256 KiB, and 16 bytes for each byte of the body. A sound head is at most 32 KiB (now given to Node explicitly; its own default was 16 KiB), and a chunk of one byte has 5 bytes beside it, so the limit refuses only chunk extensions of more than that on chunks of a few bytes. Above it the send ends as broken, its connection is closed, response.tooLarge is logged and endivegate_oversized_responses_total counts it (part framing). Overflows that Node's parser finds itself are reported the same way.

--- a/packages/core/src/forwarding/decideNext/index.ts
+++ b/packages/core/src/forwarding/decideNext/index.ts
@@ -1,5 +1,12 @@
 import type { RepeatRule } from '@endivegate/contracts/forwarding';
 
+/**
+ * Part of a response that exceeded its limit: its head and what else is beside
+ * the body, the body of a buffered answer, one event of a stream, or the sum of
+ * all answers that are being buffered.
+ */
+export type OversizedPart = 'framing' | 'answer' | 'event' | 'answers';
+
 /** Outcome of sending a request to a target once. */
 export type SendEnd =
   /** No byte of the request left this process. */
@@ -9,7 +16,12 @@
   /** The target sent a complete answer, which may report an error. */
   | { readonly type: 'answered'; readonly status: number }
   /** The connection broke, or the answer was incomplete or to another request. */
-  | { readonly type: 'broken'; readonly reason: string }
+  | {
+      readonly type: 'broken';
+      readonly reason: string;
+      /** Set if the send was aborted because the target sent too much. */
+      readonly oversized?: OversizedPart;
+    }
   /** No data arrived for longer than expected, and the send was aborted. */
   | { readonly type: 'stalled' };
 
--- a/packages/gateway/src/createGatewayMetrics/index.ts
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -11,6 +11,8 @@
   readonly ended: (labels: { rule: string; end: string }) => void;
   /** Counts a send to a target by its end. */
   readonly sent: (labels: { end: string }) => void;
+  /** Counts a response that was given up because a part exceeded its limit. */
+  readonly oversized: (labels: { source: string; part: string }) => void;
   /** Records the time to the first event or to the complete response. */
   readonly answered: (sample: {
     readonly rule: string;
@@ -64,6 +66,12 @@
     labelNames: ['end'],
     registers,
   });
+  const oversized = new Counter({
+    name: 'endivegate_oversized_responses_total',
+    help: 'Responses given up because a part exceeded its limit.',
+    labelNames: ['source', 'part'],
+    registers,
+  });
   const latency = new Histogram({
     name: 'endivegate_first_answer_ms',
     help: 'Time to the first event of a stream, or to a whole answer.',
@@ -112,6 +120,9 @@
     sent: (labels) => {
       sends.inc(labels);
     },
+    oversized: (labels) => {
+      oversized.inc(labels);
+    },
     answered: ({ rule, elapsedMs }) => {
       latency.observe({ rule }, elapsedMs);
     },
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -17,6 +17,7 @@
   sendRequest,
 } from '../sendRequest/index.ts';
 import { createEventSplitter, type StreamEvent } from '../splitEvents/index.ts';
+import { reportOversized } from './_lib/reportOversized.ts';
 import { recordAnnouncements } from './_lib/recordAnnouncements.ts';
 import { createEventTimes } from './_lib/eventTimes.ts';
 import { logSend, trackInFlight } from './_lib/sendStart.ts';
@@ -222,6 +223,7 @@
       longestGapMs: Math.round(eventTimes.longestGapMs()),
     });
     context.metrics.sent({ end: end.type });
+    if (end.type === 'broken') reportOversized(end.oversized, run, context);
     const answer =
       isStream || head === undefined
         ? undefined
--- a/packages/gateway/src/sendRequest/index.ts
+++ b/packages/gateway/src/sendRequest/index.ts
@@ -11,6 +11,7 @@
   PooledConnection,
 } from '../createConnectionPool/index.ts';
 import type { HttpDialect, TargetHead } from '../httpDialect/index.ts';
+import { limitFraming, MAX_HEAD_BYTES } from '../limitFraming/index.ts';
 
 /** A request as it is sent to a target. */
 export interface OutgoingRequest {
@@ -134,6 +135,13 @@
     socket.prependOnceListener('end', probeForReset);
     handlers.onSent();
     request = openRequest(outgoing, socket);
+    limitFraming(request, () => {
+      finish({
+        type: 'broken',
+        reason: 'too many bytes beside the body',
+        oversized: 'framing',
+      });
+    });
     request.on('error', (error) => {
       finish({ type: 'broken', reason: error.message });
     });
@@ -230,6 +238,7 @@
     setHost: false,
     headers: outgoing.headers.flat(),
     insecureHTTPParser: false,
+    maxHeaderSize: MAX_HEAD_BYTES,
   });
   return request;
 }
