End a send at an upgrade that was not asked for

A target that answers 101 with an upgrade takes the connection out of HTTP. Node then destroys the request without an error event, so the send stayed open: a plain call went on to another target only at its stall limit (end stalled), and a stream got 504 at its deadline.

--- a/packages/gateway/src/sendRequest/index.ts
+++ b/packages/gateway/src/sendRequest/index.ts
@@ -145,6 +145,10 @@
     request.on('error', (error) => {
       finish({ type: 'broken', reason: error.message });
     });
+    request.on('upgrade', (_response, upgraded) => {
+      upgraded.destroy();
+      finish({ type: 'broken', reason: 'upgrade that was not asked for' });
+    });
     request.on('response', (response) => {
       currentResponse = response;
       readResponse(response, () => wasReset);
