Limit the plain answers that an entry buffers

A plain answer is kept until it is complete, and an answer without end until the send stalled or the request's deadline: the tests' target could write all its 96 MiB. Chunks were kept as slices of the blocks they were received in, so an answer in chunks of one byte held each block and an object for each byte.

An answer may now have 32 MiB, and all answers that an entry is receiving 64 MiB together; above that the largest is broken off, so that one without end does not cost a sound one. Bytes are copied into one growing buffer. The discarded body of a refusal may have 1 MiB. Above a limit the send ends as broken, is logged and counted (part answer or answers), and its connection is closed. No bound of plain answers is stated: a sound answer above 32 MiB is refused from now on, and one below it when others fill the 64 MiB and it is the largest. A unit test holds the choice of the largest, and the gateway test delivers 8 MiB in chunks of 8 kB.

Chunks of a few bytes cost processor time before they cost memory, so framing may now be 1 MiB and as many bytes as the body (before: 256 KiB and 16 for each). The shape 'a body in chunks' had 5 bytes a chunk: on this machine the send stalled after 3.2 s before 32 MiB had arrived, with the core busy. It now has 1 KiB a chunk, with the same checks; the shape of 5 bytes is a test of its own that takes either end, since which comes first depends on the machine.

--- a/packages/gateway/src/limitFraming/index.ts
+++ b/packages/gateway/src/limitFraming/index.ts
@@ -9,10 +9,14 @@
  * head, chunk framing and trailers. A paused response holds back some body
  * bytes, which are counted as framing until they are read.
  */
-const MAX_FRAMING_BYTES = 256 * 1024;
+const MAX_FRAMING_BYTES = 1024 * 1024;
 
-/** Framing allowed for each byte of the body; a chunk of one byte has 5. */
-const FRAMING_PER_BODY_BYTE = 16;
+/**
+ * Framing allowed in addition for each byte of the body. Framing is 5 bytes for
+ * a chunk of up to 15 bytes, so the limit refuses a body of more than 262,000
+ * chunks of one byte, which cost far more processor time than memory.
+ */
+const FRAMING_PER_BODY_BYTE = 1;
 
 /** Errors of Node's parser for a head or a chunk extension without end. */
 const OVERFLOW_CODES: ReadonlySet<string> = new Set([
--- /dev/null
+++ b/packages/gateway/src/runSend/_lib/bufferAnswer.ts
@@ -0,0 +1,115 @@
+import { collectBytes } from '@endivegate/core/forwarding';
+
+/** A plain answer that is kept until it is complete. */
+export interface AnswerBuffer {
+  readonly add: (chunk: Buffer) => void;
+  readonly bytes: () => Buffer;
+  /** Stops counting the answer among those that are being received. */
+  readonly release: () => void;
+}
+
+/** Limits of {@link bufferAnswer}. */
+export interface BufferAnswerLimits {
+  /** Maximum size of one answer. */
+  readonly maxAnswerBytes: number;
+  /** Maximum size of all answers that an entry is receiving. */
+  readonly maxTotalBytes: number;
+}
+
+/** A limit that was exceeded. */
+export type AnswerExcess = 'answer' | 'answers';
+
+interface ReceivedAnswer {
+  readonly byteLength: () => number;
+  readonly breakOff: () => void;
+}
+
+const MIB = 1024 * 1024;
+
+/** No bound of plain answers is stated; answers of several MB are sound. */
+const MAX_ANSWER_BYTES = 32 * MIB;
+
+/** A quarter of the memory of the smallest entry, which has 250 MB. */
+const MAX_TOTAL_BYTES = 64 * MIB;
+
+const DEFAULTS: BufferAnswerLimits = {
+  maxAnswerBytes: MAX_ANSWER_BYTES,
+  maxTotalBytes: MAX_TOTAL_BYTES,
+};
+
+/** Answers that an entry is receiving, and their size together. */
+interface ReceivedAnswers {
+  readonly answers: Set<ReceivedAnswer>;
+  totalBytes: number;
+}
+
+const receivedByOwner = new WeakMap<object, ReceivedAnswers>();
+
+/**
+ * Creates the buffer of an answer that is forwarded once it is complete.
+ *
+ * When all answers of an entry together exceed their limit, the largest is
+ * broken off, so that an answer without end does not cost a smaller one.
+ *
+ * @param owner - Identifies the entry; all its answers count together.
+ * @param onExcess - Called once when this answer has to be broken off.
+ * @param limits - Sizes.
+ * @returns The buffer.
+ */
+export function bufferAnswer(
+  owner: object,
+  onExcess: (limit: AnswerExcess) => void,
+  limits: BufferAnswerLimits = DEFAULTS,
+): AnswerBuffer {
+  const collector = collectBytes({ maxBytes: limits.maxAnswerBytes });
+  const received = receivedBy(owner);
+  let countedBytes = 0;
+  const self: ReceivedAnswer = {
+    byteLength: collector.byteLength,
+    breakOff() {
+      release();
+      onExcess('answers');
+    },
+  };
+
+  function release(): void {
+    received.answers.delete(self);
+    received.totalBytes -= countedBytes;
+    countedBytes = 0;
+  }
+
+  return {
+    add(chunk) {
+      if (!collector.add(chunk)) {
+        release();
+        onExcess('answer');
+        return;
+      }
+      received.answers.add(self);
+      received.totalBytes += chunk.length;
+      countedBytes += chunk.length;
+      if (received.totalBytes > limits.maxTotalBytes) {
+        largestOf(received.answers)?.breakOff();
+      }
+    },
+    bytes() {
+      const { buffer, byteOffset, byteLength } = collector.bytes();
+      return Buffer.from(buffer, byteOffset, byteLength);
+    },
+    release,
+  };
+}
+
+function receivedBy(owner: object): ReceivedAnswers {
+  const known = receivedByOwner.get(owner);
+  if (known !== undefined) return known;
+  const received = { answers: new Set<ReceivedAnswer>(), totalBytes: 0 };
+  receivedByOwner.set(owner, received);
+  return received;
+}
+
+function largestOf(
+  answers: ReadonlySet<ReceivedAnswer>,
+): ReceivedAnswer | undefined {
+  return [...answers].toSorted((a, b) => b.byteLength() - a.byteLength())[0];
+}
--- a/packages/gateway/src/runSend/_lib/test.ts
+++ b/packages/gateway/src/runSend/_lib/test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import type { ForwardingRoute } from '@endivegate/contracts/forwarding';
 import type { SendPlan } from '../../planSend/index.ts';
+import { bufferAnswer } from './bufferAnswer.ts';
 import { createEventTimes } from './eventTimes.ts';
 import { createStallDetector } from './stallDetector.ts';
 import { remainingSilenceMs } from './remainingSilenceMs.ts';
@@ -79,6 +80,53 @@
   });
 });
 
+describe('bufferAnswer', () => {
+  const limits = { maxAnswerBytes: 10, maxTotalBytes: 15 };
+  const chunk = (bytes: number) => Buffer.alloc(bytes, 'x');
+
+  it('keeps an answer up to the limit and breaks off a larger one', () => {
+    const excess: string[] = [];
+    const answer = bufferAnswer({}, (limit) => excess.push(limit), limits);
+    answer.add(chunk(4));
+    answer.add(chunk(6));
+    expect(answer.bytes().toString()).to.equal('x'.repeat(10));
+    expect(excess).to.deep.equal([]);
+    answer.add(chunk(1));
+    expect(excess).to.deep.equal(['answer']);
+  });
+
+  // Guards against many answers that fill the memory together.
+  it('breaks off the largest answer when all together exceed their limit', () => {
+    const owner = {};
+    const excess: string[] = [];
+    const [large, small, other] = ['large', 'small', 'other'].map((name) =>
+      bufferAnswer(owner, (limit) => excess.push(`${name} ${limit}`), limits),
+    );
+    large?.add(chunk(9));
+    small?.add(chunk(2));
+    other?.add(chunk(4));
+    bufferAnswer({}, () => excess.push('elsewhere'), limits).add(chunk(9));
+    expect(excess).to.deep.equal([]);
+    small?.add(chunk(1));
+    expect(excess).to.deep.equal(['large answers']);
+    other?.add(chunk(4));
+    expect(small?.bytes().length).to.equal(3);
+    expect(other?.bytes().length).to.equal(8);
+  });
+
+  it('no longer counts an answer that was released', () => {
+    const owner = {};
+    const excess: string[] = [];
+    const add = (): void => {
+      const answer = bufferAnswer(owner, (limit) => excess.push(limit), limits);
+      answer.add(chunk(9));
+      answer.release();
+    };
+    [1, 2, 3].forEach(add);
+    expect(excess).to.deep.equal([]);
+  });
+});
+
 describe('createStallDetector', () => {
   it('computes the backlog only when the timer expires, and waits for it', async () => {
     const asked: number[] = [];
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -1,6 +1,7 @@
 import {
   allLoads,
   estimatePassMs,
+  type OversizedPart,
   type SendEnd,
   type TargetLoad,
 } from '@endivegate/core/forwarding';
@@ -17,6 +18,7 @@
   sendRequest,
 } from '../sendRequest/index.ts';
 import { createEventSplitter, type StreamEvent } from '../splitEvents/index.ts';
+import { bufferAnswer } from './_lib/bufferAnswer.ts';
 import { reportOversized } from './_lib/reportOversized.ts';
 import { recordAnnouncements } from './_lib/recordAnnouncements.ts';
 import { createEventTimes } from './_lib/eventTimes.ts';
@@ -59,7 +61,7 @@
   const flightId = `${call.attemptId}/${run.number}`;
   const startedAtMs = now();
   const splitter = createEventSplitter();
-  const chunks: Buffer[] = [];
+  const answerBuffer = bufferAnswer(runtime, breakOff);
   let head: ResponseHead | undefined;
   let isStream = false;
   const eventTimes = createEventTimes(startedAtMs);
@@ -141,13 +143,19 @@
 
   function onBody(chunk: Buffer): void {
     if (!isStream) {
-      chunks.push(chunk);
+      answerBuffer.add(chunk);
       return;
     }
     const canContinue = splitter.push(chunk).map(forwardEvent).every(Boolean);
     if (!canContinue) sending?.pause();
   }
 
+  /** Ends the send because the target sends too much. */
+  function breakOff(oversized: OversizedPart): void {
+    sending?.cancel();
+    finish({ type: 'broken', reason: 'response too large', oversized });
+  }
+
   function forwardEvent(event: StreamEvent): boolean {
     if (isOver || head === undefined) return true;
     const gapMs = eventTimes.note(now());
@@ -198,6 +206,7 @@
     isOver = true;
     stallDetector.stop();
     releaseMemory?.();
+    answerBuffer.release();
     runtime.dispatch({ type: 'load.ended', flightId });
   }
 
@@ -227,7 +236,7 @@
     const answer =
       isStream || head === undefined
         ? undefined
-        : { head, body: Buffer.concat(chunks) };
+        : { head, body: answerBuffer.bytes() };
     handlers.onEnd({
       end,
       target: targetHead,
--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -279,7 +279,10 @@
 
   const inBody: Readonly<Record<string, EndlessScript>> = {
     'a body without length': { opening: `${OK}\r\n`, repeated: 'x' },
-    'a body in chunks': { opening: CHUNKED, repeated: '5\r\nhello\r\n' },
+    'a body in chunks': {
+      opening: CHUNKED,
+      repeated: `400\r\n${'x'.repeat(1024)}\r\n`,
+    },
     'a body in chunks of one byte': {
       opening: CHUNKED,
       repeated: '1\r\nx\r\n',
@@ -325,6 +328,21 @@
     });
   });
 
+  // Guards against chunks of a few bytes that each keep a block in memory. They
+  // take so much processor time that the send may stall before it is too large.
+  it('answers a plain call from another target during a body in chunks of 5 bytes', async () => {
+    const target = await startWith({
+      opening: CHUNKED,
+      repeated: '5\r\nhello\r\n',
+    });
+    const answer = await ask('/read/1');
+    expect(answer).to.include({ status: 200, body: 'fine' });
+    await target.idle();
+    expect(target.hasGivenUp()).to.equal(false);
+    expect(target.writtenBytes()).to.be.below(2 * MAX_ANSWER_WRITTEN_BYTES);
+    expect(['broken', 'stalled']).to.include((await endsOfFirst())[0]);
+  });
+
   // Guards against reading an event until memory is full, and again for each chunk.
   Object.entries({ ...inHead, ...inFraming, ...inEvent }).forEach(
     ([what, script]) => {
--- a/packages/gateway/src/sendRequest/index.ts
+++ b/packages/gateway/src/sendRequest/index.ts
@@ -63,6 +63,9 @@
 const MIN_REDIRECT_STATUS = 300;
 const MS_PER_S = 1000;
 
+/** Maximum size of the body of a refusal, which is discarded. */
+const MAX_REFUSAL_BYTES = 1024 * 1024;
+
 /**
  * Written when a close-delimited response ends. Node reports a reset that
  * arrives together with the last bytes as a regular end; writing to the socket
@@ -187,8 +190,20 @@
         target: head,
       });
     }
+    let refusalBytes = 0;
     response.on('data', (chunk: Buffer) => {
-      if (!isOver && !isRefusal) handlers.onBody(chunk);
+      if (isOver) return;
+      if (!isRefusal) {
+        handlers.onBody(chunk);
+        return;
+      }
+      refusalBytes += chunk.length;
+      if (refusalBytes <= MAX_REFUSAL_BYTES) return;
+      finish({
+        type: 'broken',
+        reason: 'response too large',
+        oversized: 'answer',
+      });
     });
     response.on('error', (error) => {
       finish({ type: 'broken', reason: error.message });
