Limit an event of a stream and scan its bytes once

An event without end was kept until the memory was full. With each chunk the splitter copied all pending bytes and searched them again from the start, so its processor time grew with the square of the event's size.

An event may now have 4 MiB; above that the send ends as broken, is logged and counted (part event), and the stream is resumed elsewhere or cut off as after any broken send. Pending bytes are copied once into a growing buffer, and only the new chunk is searched; an event end that is split between two chunks is found by the last pending byte. No bound of events is stated: an event above 4 MiB is refused from now on; the gateway test forwards one of 1 MiB.

--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -147,7 +147,8 @@
       return;
     }
     const canContinue = splitter.push(chunk).map(forwardEvent).every(Boolean);
-    if (!canContinue) sending?.pause();
+    if (splitter.isOversized()) breakOff('event');
+    else if (!canContinue) sending?.pause();
   }
 
   /** Ends the send because the target sends too much. */
--- a/packages/gateway/src/splitEvents/index.ts
+++ b/packages/gateway/src/splitEvents/index.ts
@@ -1,3 +1,5 @@
+import { collectBytes } from '@endivegate/core/forwarding';
+
 /**
  * A complete server-sent event: its bytes, and its id if it has a numeric one.
  */
@@ -12,37 +14,89 @@
   readonly push: (chunk: Buffer) => readonly StreamEvent[];
   /** Number of buffered bytes of an incomplete event. */
   readonly pendingBytes: () => number;
+  /** Whether an event exceeded the limit; no events are returned from then on. */
+  readonly isOversized: () => boolean;
+}
+
+/** Options of {@link createEventSplitter}. */
+export interface CreateEventSplitterOptions {
+  /** Maximum size of an event; {@link MAX_EVENT_BYTES} by default. */
+  readonly maxEventBytes?: number;
 }
 
+/** No bound is stated; an event of one decoding step has some hundred bytes. */
+const MAX_EVENT_BYTES = 4 * 1024 * 1024;
+
+const LINE_END = 0x0a;
 const EVENT_END = '\n\n';
 
 /**
- * Creates a splitter for a stream of server-sent events.
+ * Creates a splitter for a stream of server-sent events. Each byte is scanned
+ * once, and copied once if its event arrives in several chunks.
  *
+ * @param options - Limit of an event.
  * @returns The splitter.
  *
  * @example
  * createEventSplitter().push(Buffer.from('id: 1\ndata: a\n\n')); // one event
  */
-export function createEventSplitter(): EventSplitter {
-  let pending: Buffer = Buffer.alloc(0);
+export function createEventSplitter(
+  options: CreateEventSplitterOptions = {},
+): EventSplitter {
+  const { maxEventBytes = MAX_EVENT_BYTES } = options;
+  let pending = collectBytes({ maxBytes: maxEventBytes });
+  let endsInLineEnd = false;
+  let isOversized = false;
+
+  /** Returns the end of the event that starts in the pending bytes, or -1. */
+  function endOfPending(chunk: Buffer): number {
+    if (endsInLineEnd && chunk[0] === LINE_END) return 1;
+    const separatorAt = chunk.indexOf(EVENT_END);
+    return separatorAt < 0 ? -1 : separatorAt + EVENT_END.length;
+  }
+
+  function keep(rest: Buffer): void {
+    if (rest.length === 0) return;
+    isOversized = !pending.add(rest);
+    endsInLineEnd = rest.at(-1) === LINE_END;
+  }
+
+  /** Returns the event that the chunk completes, if one was pending. */
+  function completePending(chunk: Buffer, end: number): Buffer | undefined {
+    const start = pending;
+    pending = collectBytes({ maxBytes: maxEventBytes });
+    endsInLineEnd = false;
+    isOversized = !start.add(chunk.subarray(0, end));
+    return isOversized ? undefined : Buffer.from(start.bytes());
+  }
+
   return {
     push(chunk) {
-      const bytes =
-        pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+      if (isOversized) return [];
       const events: StreamEvent[] = [];
       let from = 0;
-      let separatorAt = bytes.indexOf(EVENT_END);
+      if (pending.byteLength() > 0) {
+        from = endOfPending(chunk);
+        if (from < 0) {
+          keep(chunk);
+          return [];
+        }
+        const event = completePending(chunk, from);
+        if (event === undefined) return [];
+        events.push(parseEvent(event));
+      }
+      let separatorAt = chunk.indexOf(EVENT_END, from);
       while (separatorAt >= 0) {
         const end = separatorAt + EVENT_END.length;
-        events.push(parseEvent(bytes.subarray(from, end)));
+        events.push(parseEvent(chunk.subarray(from, end)));
         from = end;
-        separatorAt = bytes.indexOf(EVENT_END, from);
+        separatorAt = chunk.indexOf(EVENT_END, from);
       }
-      pending = Buffer.from(bytes.subarray(from));
+      keep(chunk.subarray(from));
       return events;
     },
-    pendingBytes: () => pending.length,
+    pendingBytes: () => pending.byteLength(),
+    isOversized: () => isOversized,
   };
 }
 
--- a/packages/gateway/src/splitEvents/test.ts
+++ b/packages/gateway/src/splitEvents/test.ts
@@ -36,4 +36,34 @@
     expect(splitter.push(Buffer.from('id: 3\ndata: par'))).to.have.length(0);
     expect(splitter.pendingBytes()).to.equal(15);
   });
+
+  it('finds an event end that is split between two chunks', () => {
+    const splitter = createEventSplitter();
+    expect(splitter.push(Buffer.from('data: a\n'))).to.have.length(0);
+    const events = splitter.push(Buffer.from('\n\n\ndata: b\n'));
+    expect(events.map((event) => event.bytes.toString())).to.deep.equal([
+      'data: a\n\n',
+      '\n\n',
+    ]);
+    expect(splitter.pendingBytes()).to.equal(8);
+  });
+
+  // Guards against an event that fills the memory.
+  it('returns events up to the limit and nothing after a larger one', () => {
+    const splitter = createEventSplitter({ maxEventBytes: 10 });
+    expect(splitter.push(Buffer.from('data: ab'))).to.have.length(0);
+    expect(splitter.push(Buffer.from('\n\ndata: c'))).to.have.length(1);
+    expect(splitter.isOversized()).to.equal(false);
+    expect(splitter.push(Buffer.from('def\n'))).to.have.length(0);
+    expect(splitter.isOversized()).to.equal(true);
+    expect(splitter.push(Buffer.from('\ndata: d\n\n'))).to.have.length(0);
+    expect(splitter.pendingBytes()).to.equal(0);
+  });
+
+  it('applies the limit to the last part of an event', () => {
+    const splitter = createEventSplitter({ maxEventBytes: 10 });
+    splitter.push(Buffer.from('data: ab'));
+    expect(splitter.push(Buffer.from('c\n\n'))).to.have.length(0);
+    expect(splitter.isOversized()).to.equal(true);
+  });
 });
