Limit what an entry fetches from a peer

A configuration or a list of targets was read from a peer until the request's time was up (0.8 or 1.5 s), whatever came: the tests' peer could write its 96 MiB, and was ended by its own limits.

A value may now have 16 MiB: a configuration is stored in at most 1 MiB, and a list of thousands of targets is smaller. What comes beside the body has the same limit as in a response of a target. Above it the request fails with 'response too large', which config.peerFetchFailed and storeNews.fetchFailed tell, and the connection is closed. There is no metric for it.

Evidence: the 6 shapes without end failed before and pass; a value of 8 MiB is fetched.

--- a/packages/gateway/src/exchangeJson/index.ts
+++ b/packages/gateway/src/exchangeJson/index.ts
@@ -1,9 +1,19 @@
 import { createServer, request as httpRequest, type Server } from 'node:http';
+import { collectBytes } from '@endivegate/core/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
+import { limitFraming, MAX_HEAD_BYTES } from '../limitFraming/index.ts';
 
 const HTTP_OK = 200;
 const NOT_FOUND = 404;
 
+/**
+ * Maximum size of a value: several times a configuration, which is stored in at
+ * most 1 MiB, or a list of thousands of targets.
+ */
+const MAX_VALUE_BYTES = 16 * 1024 * 1024;
+
+const TOO_LARGE = 'response too large';
+
 /** A value that a peer serves. */
 export interface JsonSource {
   /** IP and port of the peer. */
@@ -36,7 +46,7 @@
 }
 
 /**
- * Fetches a value from a peer.
+ * Fetches a value of at most {@link MAX_VALUE_BYTES} from a peer.
  *
  * @param source - Peer, path and time limit.
  * @param decode - Reads the parsed JSON; a left is the reason why it is invalid.
@@ -63,18 +73,31 @@
     finish(E.left('request timed out'));
   }, source.timeoutMs);
   const call = httpRequest(
-    { host, port: Number(port), path: source.path, agent: false },
+    {
+      host,
+      port: Number(port),
+      path: source.path,
+      agent: false,
+      maxHeaderSize: MAX_HEAD_BYTES,
+    },
     (response) => {
-      const chunks: Buffer[] = [];
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      const body = collectBytes({ maxBytes: MAX_VALUE_BYTES });
+      response.on('data', (chunk: Buffer) => {
+        if (!body.add(chunk)) finish(E.left(TOO_LARGE));
+      });
       response.on('error', (error) => {
         finish(E.left(error.message));
       });
       response.on('end', () => {
-        finish(readBody(response.statusCode, Buffer.concat(chunks), decode));
+        finish(
+          readBody(response.statusCode, Buffer.from(body.bytes()), decode),
+        );
       });
     },
   );
+  limitFraming(call, () => {
+    finish(E.left(TOO_LARGE));
+  });
   call.on('error', (error) => {
     finish(E.left(error.message));
   });
