--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,7 @@
 export * from './createGatewayMetrics/index.ts';
 export * from './gatewayRuntime/index.ts';
 export * from './httpDialect/index.ts';
+export * from './limitFraming/index.ts';
 export * from './orderPort/index.ts';
 export * from './startGateway/index.ts';
 export * from './announceEntry/index.ts';
--- a/packages/gateway/src/testEndlessServer/index.ts
+++ b/packages/gateway/src/testEndlessServer/index.ts
@@ -6,7 +6,7 @@
   readonly opening?: string;
   /** Written again and again until the connection closes. */
   readonly repeated: string | Buffer;
-  /** Pause between two writes; 0 by default. */
+  /** Pause before each write but the opening; 0 by default. */
   readonly pauseMs?: number;
   /** Bytes after which the server resets the connection by itself. */
   readonly maxBytes?: number;
@@ -123,5 +123,5 @@
     });
   }
 
-  writeBlock();
+  setTimeout(writeBlock, pauseMs);
 }
