Search each part of an engine's line once

readLines joined an incomplete line with each chunk and split the whole again. A line of 1 MiB (the limit) in chunks of 8 bytes did not end within 100 s on this machine. Only the new chunk is split now.

Through undici the shape was not slow, since its body joins small chunks.

--- a/packages/daemon/src/adapters/_lib/readLines.ts
+++ b/packages/daemon/src/adapters/_lib/readLines.ts
@@ -14,9 +14,16 @@
   const decoder = new TextDecoder();
   let rest = '';
   for await (const chunk of chunks) {
-    const lines = (rest + decoder.decode(chunk, { stream: true })).split('\n');
-    rest = lines.pop() ?? '';
+    const text = decoder.decode(chunk, { stream: true });
+    // Only new text is searched: an incomplete line may come byte by byte.
+    const [first = '', ...others] = text.split('\n');
+    const last = others.pop();
+    rest += first;
+    if (last !== undefined) {
+      yield rest;
+      yield* others;
+      rest = last;
+    }
     if (rest.length > MAX_LINE_LENGTH) throw new RangeError('line too long');
-    yield* lines;
   }
 }
--- a/packages/daemon/src/adapters/_lib/test.ts
+++ b/packages/daemon/src/adapters/_lib/test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { toTargetError } from './classifyError.ts';
+import { readLines } from './readLines.ts';
 
 function systemError(code: string, syscall: string): Error {
   return Object.assign(new Error(code), { code, syscall });
@@ -27,3 +28,45 @@
     expect(errors.map(toTargetError)).toMatchSnapshot();
   });
 });
+
+async function* chunksOf(...chunks: string[]): AsyncGenerator<Uint8Array> {
+  await Promise.resolve();
+  yield* chunks.map((chunk) => Buffer.from(chunk));
+}
+
+async function linesOf(chunks: AsyncIterable<Uint8Array>): Promise<string[]> {
+  const lines: string[] = [];
+  for await (const line of readLines(chunks)) lines.push(line);
+  return lines;
+}
+
+describe('readLines', () => {
+  it('returns the same lines for any chunk boundaries', async () => {
+    const text = 'one\n\nté\nthree\nrest';
+    const whole = await linesOf(chunksOf(text));
+    expect(whole).to.deep.equal(['one', '', 'té', 'three']);
+    const byBytes = [...Buffer.from(text)].map((byte) => Buffer.of(byte));
+    const single = async function* (): AsyncGenerator<Uint8Array> {
+      await Promise.resolve();
+      yield* byBytes;
+    };
+    expect(await linesOf(single())).to.deep.equal(whole);
+    const pairs = await linesOf(chunksOf('on', 'e\n', '\nt', 'é\nth', 'ree\n'));
+    expect(pairs).to.deep.equal(whole);
+  });
+
+  // Guards against a line without end that comes a few bytes at a time.
+  it('gives up a line above its limit', async () => {
+    let chunks = 0;
+    const endless = async function* (): AsyncGenerator<Uint8Array> {
+      await Promise.resolve();
+      while (chunks < 1_000_000) {
+        chunks += 1;
+        yield Buffer.from('xxxxxxxx');
+      }
+    };
+    const error = await linesOf(endless()).catch((thrown: unknown) => thrown);
+    expect(error).to.be.instanceOf(RangeError);
+    expect(chunks).to.be.at.most(131_073);
+  });
+});
