Limit the bodies that the daemon's adapters read

Answers of services, reports of engines and answers of the platform were read to their end, whatever came until the call's time was up, and the body of an error was read whole before its first 16 KiB were kept.

A body may now have 32 MiB, a looked-up answer in base64 half as much again, and an error 16 KiB. Framing without end is bounded by the calls' timeouts only: undici tells nothing of it.

--- a/packages/daemon/src/adapters/_lib/targetAnswer.ts
+++ b/packages/daemon/src/adapters/_lib/targetAnswer.ts
@@ -5,10 +5,11 @@
   type TargetError,
 } from '@endivegate/contracts';
 import type { Dispatcher } from 'undici';
+import { readTextBody } from './readBody.ts';
 
 type Headers = Dispatcher.ResponseData['headers'];
 
-/** Maximum length of an error body; the rest is discarded. */
+/** Maximum size of an error body; a larger one is not read to its end. */
 const MAX_ERROR_BODY_BYTES = 16 * 1024;
 
 /**
@@ -91,11 +92,11 @@
   body.destroy();
 }
 
-/** Reads a short text body; returns an empty text when the body breaks off. */
+/** Reads a short text body; returns an empty text when the body breaks off or is
+ * too large. */
 async function readText(response: Dispatcher.ResponseData): Promise<string> {
   try {
-    const text = await response.body.text();
-    return text.slice(0, MAX_ERROR_BODY_BYTES);
+    return await readTextBody(response.body, MAX_ERROR_BODY_BYTES);
   } catch {
     return '';
   }
--- a/packages/daemon/src/adapters/_lib/test.ts
+++ b/packages/daemon/src/adapters/_lib/test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { toTargetError } from './classifyError.ts';
+import { readBody } from './readBody.ts';
 import { readLines } from './readLines.ts';
 
 function systemError(code: string, syscall: string): Error {
@@ -70,3 +71,22 @@
     expect(chunks).to.be.at.most(131_073);
   });
 });
+
+describe('readBody', () => {
+  // Guards against a body without end that fills the memory.
+  it('reads a body up to its limit, and no more of a larger one', async () => {
+    const whole = await readBody(chunksOf('abc', 'de'), 5);
+    expect(Buffer.from(whole).toString()).to.equal('abcde');
+    let chunks = 0;
+    const endless = async function* (): AsyncGenerator<Uint8Array> {
+      await Promise.resolve();
+      while (chunks < 100) {
+        chunks += 1;
+        yield Buffer.from('abc');
+      }
+    };
+    const error = await readBody(endless(), 5).catch(toTargetError);
+    expect(error).to.deep.equal({ type: 'cut', reason: 'RESPONSE_TOO_LARGE' });
+    expect(chunks).to.equal(2);
+  });
+});
--- a/packages/daemon/src/adapters/createEngineHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createEngineHttpPort/index.ts
@@ -17,6 +17,7 @@
 import { Agent, Client, request, type Dispatcher } from 'undici';
 import type { z } from 'zod';
 import { toTargetError } from '../_lib/classifyError.ts';
+import { readBody } from '../_lib/readBody.ts';
 import {
   discardBody,
   checkAttemptId,
@@ -127,7 +128,7 @@
         });
         const isOk = response.statusCode < 300;
         if (!isOk) return E.left(await readTargetError(response));
-        return E.right(await response.body.bytes());
+        return E.right(await readBody(response.body));
       } catch (error) {
         return E.left(toTargetError(error));
       }
--- a/packages/daemon/src/adapters/createPlatformHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createPlatformHttpPort/index.ts
@@ -18,6 +18,7 @@
 import { Agent, request, type Dispatcher } from 'undici';
 import { z } from 'zod';
 import { isNotSent } from '../_lib/classifyError.ts';
+import { readTextBody } from '../_lib/readBody.ts';
 import { parseJson } from '../_lib/targetAnswer.ts';
 
 /** Options of {@link createPlatformHttpPort}. */
@@ -155,7 +156,7 @@
   response: Dispatcher.ResponseData,
   schema: Schema,
 ): Promise<E.Either<PlatformError, z.output<Schema>>> {
-  const body = parseJson(await response.body.text());
+  const body = parseJson(await readTextBody(response.body));
   if (response.statusCode >= 300) return E.left(parseRefusal(body));
   const parsed = schema.safeParse(body);
   return parsed.success ? E.right(parsed.data) : E.left(replyLost);
--- a/packages/daemon/src/adapters/createServiceHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createServiceHttpPort/index.ts
@@ -14,6 +14,7 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { Agent, request, type Dispatcher } from 'undici';
 import { toTargetError } from '../_lib/classifyError.ts';
+import { MAX_BODY_BYTES, readBody, readTextBody } from '../_lib/readBody.ts';
 import {
   discardBody,
   checkAttemptId,
@@ -36,6 +37,9 @@
 
 const DEFAULTS = { connectTimeoutMs: 1_000 } as const;
 
+/** A stored answer is in base64. */
+const MAX_KEY_LOOKUP_BYTES = 1.5 * MAX_BODY_BYTES;
+
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 
 /**
@@ -79,7 +83,9 @@
         if (response.statusCode !== 200) {
           return E.left(await readTargetError(response));
         }
-        return parseKeyLookup(await response.body.text());
+        return parseKeyLookup(
+          await readTextBody(response.body, MAX_KEY_LOOKUP_BYTES),
+        );
       } catch (error) {
         return E.left(toTargetError(error));
       }
@@ -107,7 +113,7 @@
     attemptId,
     status: statusCode,
     contentType: getHeader(headers, 'content-type') ?? DEFAULT_CONTENT_TYPE,
-    body: await body.bytes(),
+    body: await readBody(body),
   });
 }
 
