Limit the responses that endivegatectl reads

The client of the operators' API read a response to its end for up to 60 s. A response may now have 64 MiB; above that the connection is closed and the call ends as without a response: unreachable, or in doubt if it changes something.

Evidence: with a response of 128 MiB the test's server wrote all of it before, and is stopped by the client now; a response of 8 MiB is read.

--- a/packages/cli/src/createAdminClient/index.ts
+++ b/packages/cli/src/createAdminClient/index.ts
@@ -1,7 +1,8 @@
 import { adminErrorBodySchema } from '@endivegate/contracts';
+import { collectBytes } from '@endivegate/core/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
-import { request } from 'undici';
+import { type Dispatcher, request } from 'undici';
 import type { z } from 'zod';
 import type { CliError } from '../cliError.ts';
 import { EXIT_CODE_OF_ERROR, EXIT_CODES } from '../exitCodes.ts';
@@ -33,6 +34,9 @@
 /** Timeout of a call, longer than an entry itself tries to settle an edit. */
 const CALL_TIMEOUT_MS = 60_000;
 
+/** Maximum size of a response: a table of many thousand rows has several MB. */
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
+
 /**
  * Creates a client of one entry's operators' API.
  *
@@ -86,13 +90,24 @@
     });
     return E.right({
       status: reply.statusCode,
-      body: parseJson(await reply.body.text()),
+      body: parseJson(await readText(reply.body)),
     });
   } catch (error) {
     return E.left(toCallError(options.url, call, error));
   }
 }
 
+/** Reads a text body; throws when it is too large, which closes its connection. */
+async function readText(
+  body: Dispatcher.ResponseData['body'],
+): Promise<string> {
+  const collector = collectBytes({ maxBytes: MAX_BODY_BYTES });
+  for await (const chunk of body as AsyncIterable<Uint8Array>) {
+    if (!collector.add(chunk)) throw new RangeError('response too large');
+  }
+  return new TextDecoder().decode(collector.bytes());
+}
+
 /**
  * Creates the error of a call without a response. A call that changes something
  * is in doubt unless the connection was refused, as it may have taken effect.
