--- a/packages/gateway/src/forwardRequest/_lib/openSends.ts
+++ b/packages/gateway/src/forwardRequest/_lib/openSends.ts
@@ -18,8 +18,8 @@
   readonly isAny: () => boolean;
   /** Number of sends by whether they are silent. */
   readonly count: () => { readonly live: number; readonly silent: number };
-  /** Ends all sends but this one, which has answered. Returns how many. */
-  readonly keepOnly: (send: OpenSend) => number;
+  /** Ends all sends but the one that has answered. Returns how many. */
+  readonly supersede: (answered?: OpenSend) => number;
   readonly cancelAll: () => void;
   readonly resumeAll: () => void;
 }
@@ -42,9 +42,8 @@
       const silent = [...sends].filter((send) => send.isSilent).length;
       return { live: sends.size - silent, silent };
     },
-    keepOnly(kept) {
-      if (sends.size <= 1) return 0;
-      const others = [...sends].filter((send) => send !== kept);
+    supersede(answered) {
+      const others = [...sends].filter((send) => send !== answered);
       others.forEach((send) => {
         sends.delete(send);
         send.handle?.supersede();
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -219,7 +219,7 @@
     event: StreamEvent,
     head: ResponseHead,
   ): boolean {
-    if (openSends.keepOnly(send) > 0) mayHaveRun = true;
+    if (openSends.supersede(send) > 0) mayHaveRun = true;
     send.isSilent = false;
     if (!answerBegun) {
       answerBegun = true;
@@ -332,6 +332,7 @@
   }
 
   function deliver(response: BufferedResponse | undefined): void {
+    openSends.supersede();
     if (response === undefined) {
       finish('answered');
       reply.end();
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -1,6 +1,7 @@
 import {
   allLoads,
   estimatePassMs,
+  type OversizedPart,
   type SendEnd,
   type TargetLoad,
 } from '@endivegate/core/forwarding';
@@ -17,6 +18,8 @@
   sendRequest,
 } from '../sendRequest/index.ts';
 import { createEventSplitter, type StreamEvent } from '../splitEvents/index.ts';
+import { bufferAnswer } from './_lib/bufferAnswer.ts';
+import { reportOversized } from './_lib/reportOversized.ts';
 import { recordAnnouncements } from './_lib/recordAnnouncements.ts';
 import { createEventTimes } from './_lib/eventTimes.ts';
 import { logSend, trackInFlight } from './_lib/sendStart.ts';
@@ -59,7 +62,7 @@
   const flightId = `${call.attemptId}/${run.number}`;
   const startedAtMs = now();
   const splitter = createEventSplitter();
-  const chunks: Buffer[] = [];
+  const answerBuffer = bufferAnswer(runtime, breakOff);
   let head: ResponseHead | undefined;
   let isStream = false;
   const eventTimes = createEventTimes(startedAtMs);
@@ -136,11 +139,18 @@
 
   function onBody(chunk: Buffer): void {
     if (!isStream) {
-      chunks.push(chunk);
+      answerBuffer.add(chunk);
       return;
     }
     const canContinue = splitter.push(chunk).map(forwardEvent).every(Boolean);
-    if (!canContinue) pause();
+    if (splitter.isOversized()) breakOff('event');
+    else if (!canContinue) pause();
+  }
+
+  /** Ends the send because the target sends too much. */
+  function breakOff(oversized: OversizedPart): void {
+    sending?.cancel();
+    finish({ type: 'broken', reason: 'response too large', oversized });
   }
 
   /** While the caller reads slowly, the target's silence says nothing. */
@@ -208,6 +218,7 @@
     isOver = true;
     stallDetector.stop();
     releaseMemory?.();
+    answerBuffer.release();
     runtime.dispatch({ type: 'load.ended', flightId });
   }
 
@@ -226,7 +237,7 @@
     const answer =
       isStream || head === undefined
         ? undefined
-        : { head, body: Buffer.concat(chunks) };
+        : { head, body: answerBuffer.bytes() };
     handlers.onEnd({
       end,
       target: targetHead,
@@ -247,6 +258,7 @@
       longestGapMs: Math.round(eventTimes.longestGapMs()),
     });
     context.metrics.sent({ end: end.type });
+    if (end.type === 'broken') reportOversized(end.oversized, run, context);
   }
 
   /**
--- a/packages/gateway/src/sendRequest/index.ts
+++ b/packages/gateway/src/sendRequest/index.ts
@@ -11,6 +11,7 @@
   PooledConnection,
 } from '../createConnectionPool/index.ts';
 import type { HttpDialect, TargetHead } from '../httpDialect/index.ts';
+import { limitFraming, MAX_HEAD_BYTES } from '../limitFraming/index.ts';
 
 /** A request as it is sent to a target. */
 export interface OutgoingRequest {
@@ -63,6 +64,9 @@
 const MIN_REDIRECT_STATUS = 300;
 const MS_PER_S = 1000;
 
+/** Maximum size of the body of a refusal, which is discarded. */
+const MAX_REFUSAL_BYTES = 1024 * 1024;
+
 /**
  * Written when a close-delimited response ends. Node reports a reset that
  * arrives together with the last bytes as a regular end; writing to the socket
@@ -135,6 +139,13 @@
     socket.prependOnceListener('end', probeForReset);
     handlers.onSent();
     request = openRequest(outgoing, socket);
+    limitFraming(request, () => {
+      finish({
+        type: 'broken',
+        reason: 'too many bytes beside the body',
+        oversized: 'framing',
+      });
+    });
     request.on('error', (error) => {
       finish({ type: 'broken', reason: error.message });
     });
@@ -180,8 +191,20 @@
         target: head,
       });
     }
+    let refusalBytes = 0;
     response.on('data', (chunk: Buffer) => {
-      if (!isOver && !isRefusal) handlers.onBody(chunk);
+      if (isOver) return;
+      if (!isRefusal) {
+        handlers.onBody(chunk);
+        return;
+      }
+      refusalBytes += chunk.length;
+      if (refusalBytes <= MAX_REFUSAL_BYTES) return;
+      finish({
+        type: 'broken',
+        reason: 'response too large',
+        oversized: 'answer',
+      });
     });
     response.on('error', (error) => {
       finish({ type: 'broken', reason: error.message });
@@ -235,6 +258,7 @@
     setHost: false,
     headers: outgoing.headers.flat(),
     insecureHTTPParser: false,
+    maxHeaderSize: MAX_HEAD_BYTES,
   });
   return request;
 }
