Check that a stream beside a pause of the entry ends as complete

'does not take its own pause for a silence of the target' compared the body only and now compares status and completeness too. A scratch variant, in which the other target refuses, saw once a caller with all three events whose answer was not complete, while the gateway had logged `request.ended` answered. 109 further runs saw it complete: 4 of the same test, 45 with another caller in one process, 60 with a pause of 0.7 s instead of 1 s in one process. The cause is not found.

--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -169,8 +169,11 @@
     // Leaves an idle connection to the other target.
     await fleet.ask('/1');
     await settle(50);
-    const answer = await fleet.ask('/1');
-    expect(answer.body).to.equal(event(1) + event(2) + event(3));
+    expect(await fleet.ask('/1')).to.deep.equal({
+      status: 200,
+      body: event(1) + event(2) + event(3),
+      isWhole: true,
+    });
     expect(fleet.sends.slice(2)).to.deep.equal([
       { target: 't0', lastEventId: undefined },
     ]);
