Read the shared parts of a prompt from a caller's request

A request names the parts of its prompt; all but the last are shared with other requests. Nothing read them, so two requests could be known as related by their whole body only. The dialect now reads their ids once for each request, at most 12 of up to 32 characters; a list with an empty or longer id is read as none. Nothing uses them yet.

--- a/packages/gateway/src/httpDialect/index.ts
+++ b/packages/gateway/src/httpDialect/index.ts
@@ -17,6 +17,9 @@
   readonly lastEventId: string | undefined;
   readonly key: string | undefined;
   readonly prompt: DeclaredPrompt | undefined;
+  /** Ids of the parts that the prompt shares with other requests, in order: all
+   * but the last one, which is the request's own. */
+  readonly sharedParts: readonly string[];
 }
 
 /** Values sent to a target in addition to the caller's headers. */
@@ -80,6 +83,34 @@
     : { type: 'unreadable', text };
 }
 
+/** Longest list of part ids that is read: the first ones are shared by most. */
+const MAX_SHARED_PARTS = 12;
+
+const MAX_PART_ID_LENGTH = 32;
+
+/**
+ * Reads a list of a prompt's parts, as comma-separated `id` or `id:tokens`.
+ *
+ * @param text - Value of the header; undefined if the request has none.
+ * @returns Ids of all parts but the last one, without repeats; empty if the list
+ * cannot be read.
+ *
+ * @example
+ * readSharedParts('5c1e07a2:800,91bd3f06:410,e4402b7d:250');
+ */
+export function readSharedParts(text: string | undefined): readonly string[] {
+  if (text === undefined) return [];
+  const ids = text
+    .split(',')
+    .map((part) => part.split(':', 1)[0]?.trim() ?? '');
+  const isReadable = ids.every(
+    (id) => id !== '' && id.length <= MAX_PART_ID_LENGTH,
+  );
+  return isReadable
+    ? [...new Set(ids.slice(0, -1))].slice(0, MAX_SHARED_PARTS)
+    : [];
+}
+
 /**
  * Maps the values that the gateway uses to the HTTP headers of a deployment.
  */
--- a/packages/gateway/src/httpDialect/test.ts
+++ b/packages/gateway/src/httpDialect/test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { endToEndHeaders } from './index.ts';
+import { endToEndHeaders, readSharedParts } from './index.ts';
 
 describe('passedHeaders', () => {
   it('removes hop-by-hop headers, those listed in Connection and withheld ones', () => {
@@ -22,3 +22,21 @@
     ]);
   });
 });
+
+describe('readSharedParts', () => {
+  it('returns all parts but the last one, each once', () => {
+    expect(readSharedParts('a1:800,b2:410,a1:3,c3:250')).to.deep.equal([
+      'a1',
+      'b2',
+    ]);
+    expect(readSharedParts('a1:800')).to.deep.equal([]);
+  });
+
+  it('returns none of a list that cannot be read', () => {
+    [undefined, '', 'a1:1,,b2:1', `${'a'.repeat(40)}:1,b2:1`].forEach(
+      (text) => {
+        expect(readSharedParts(text)).to.deep.equal([]);
+      },
+    );
+  });
+});
--- a/packages/gateway/src/testDialect/index.ts
+++ b/packages/gateway/src/testDialect/index.ts
@@ -3,6 +3,7 @@
   headerText,
   type HttpDialect,
   readRetryAfter,
+  readSharedParts,
 } from '../httpDialect/index.ts';
 
 /** HTTP dialect for tests, with header names that no deployment uses. */
@@ -22,6 +23,7 @@
             maxOutputTokens: 100,
             hintedOutputTokens: undefined,
           },
+    sharedParts: readSharedParts(headerText(headers, 'x-parts')),
   }),
   writeSend: (head) => [
     ['X-Deadline-Ms', String(head.deadlineMs)],
