Refuse requests with a part that crashes targets

Cause: suspects are kept by the hash of path, workspace and body, which never repeats here, so no limit was reached on any entry.

Change: an entry whose send breaks before its answer began opens one connection to the target. If it is refused, or another process is listed by then, the target died; one that accepts or cannot be reached did not, and one that was leaving or is no longer listed ended as planned. Deaths go to core/forwarding/partSuspects with the parts of the request. Requests with blocked parts are refused at once: 503 with the time until the next trial, at most 60 s, or 502 if an earlier send may have run. After a block's time one request at the entry that ranks first is sent to one target.

Reasons of a broken send are not read: whatever they say, only a target that then refuses connections counts, so garbled or foreign answers do not.

Peers are told in datagrams of their own, direct to the data centre and by a relay to the others, also where these form cells: within 4 ms of a death, an answer that clears a part, or a block, then each second for 3.5 s; blocks also by two entries of each data centre each second, for entries that start later. At most 8 rows of each kind and 1,000 bytes. Other messages keep their five elements, so that entries of the previous build hear of this one also during an incident; they log these datagrams as unreadable. The decoder takes five elements, six, and more.

On the path of a request nothing is computed until a target died.

Logs: suspect.death, suspect.blocked, suspect.cleared; the reason of request.givenUp names the parts. Metric: endivegate_part_suspects_total.

--- a/packages/core/src/forwarding/gatewayReduce/index.ts
+++ b/packages/core/src/forwarding/gatewayReduce/index.ts
@@ -17,6 +17,13 @@
   type LoadState,
   reduceLoad,
 } from '../engineLoad/index.ts';
+import {
+  initialPartSuspects,
+  type PartSuspectsEffect,
+  type PartSuspectsEvent,
+  type PartSuspectsState,
+  reducePartSuspects,
+} from '../partSuspects/index.ts';
 import {
   initialPeers,
   type PeersEffect,
@@ -40,14 +47,20 @@
   readonly peers: PeersState;
   readonly budget: BudgetState;
   readonly suspects: SuspectsState;
+  readonly partSuspects: PartSuspectsState;
 }
 
 /** Every event that changes the state of a gateway. */
 export type GatewayEvent =
-  RosterEvent | LoadEvent | PeersEvent | BudgetEvent | SuspectsEvent;
+  | RosterEvent
+  | LoadEvent
+  | PeersEvent
+  | BudgetEvent
+  | SuspectsEvent
+  | PartSuspectsEvent;
 
 /** State changes to log. */
-export type GatewayEffect = RosterEffect | PeersEffect;
+export type GatewayEffect = RosterEffect | PeersEffect | PartSuspectsEffect;
 
 /** State of a gateway before its first event. */
 export const initialGatewayState: GatewayState = {
@@ -56,6 +69,7 @@
   peers: initialPeers,
   budget: initialBudget,
   suspects: initialSuspects,
+  partSuspects: initialPartSuspects,
 };
 
 /**
@@ -75,4 +89,5 @@
     peers: { initial: initialPeers, reduce: reducePeers },
     budget: { initial: initialBudget, reduce: reduceBudget },
     suspects: { initial: initialSuspects, reduce: reduceSuspects },
+    partSuspects: { initial: initialPartSuspects, reduce: reducePartSuspects },
   });
--- a/packages/gateway/src/createGatewayMetrics/index.ts
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -21,6 +21,9 @@
   /** Counts a response in which a target said that it is leaving or asked for a
    * pause. */
   readonly targetAnnounced: (labels: { announcement: string }) => void;
+  /** Counts a target's death under a request with parts, and a request refused for
+   * a part that crashes targets. */
+  readonly partSuspected: (labels: { event: 'death' | 'refused' }) => void;
   /** Sets the era of the store, which rises when it is restored. */
   readonly storeEra: (era: number) => void;
   /** Counts a new connection to a target. */
@@ -88,6 +91,12 @@
     labelNames: ['announcement'],
     registers,
   });
+  const partSuspects = new Counter({
+    name: 'endivegate_part_suspects_total',
+    help: 'Deaths of targets under requests with parts, and requests refused for a part.',
+    labelNames: ['event'],
+    registers,
+  });
   const era = new Gauge({
     name: 'endivegate_store_era',
     help: 'Era of the store; it rises when the store is restored from a copy.',
@@ -121,6 +130,9 @@
     targetAnnounced: (labels) => {
       announcements.inc(labels);
     },
+    partSuspected: (labels) => {
+      partSuspects.inc(labels);
+    },
     storeEra: (value) => {
       era.set(value);
     },
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -1,10 +1,12 @@
 import { decodeMulti, encode } from '@msgpack/msgpack';
 import type {
   InFlightRequest,
+  PartNews,
   PeerStatus,
   TargetProcess,
 } from '@endivegate/core/forwarding';
 import { z } from 'zod';
+import { decodePartRows, encodePartRows } from './partRows.ts';
 
 /** Message with the complete state that an entry shares with its peers. */
 export interface PeerMessage {
@@ -20,6 +22,8 @@
   }[];
   /** Peer addresses of other entries. */
   readonly addresses: readonly string[];
+  /** Parts of prompts that crash targets; undefined if there is no news. */
+  readonly parts?: PartNews | undefined;
 }
 
 /** Maps target ids to the hashes that stand for them in messages. */
@@ -58,13 +62,16 @@
   z.array(z.tuple([hash, z.number()])),
 ]);
 
-const messageSchema = z.tuple([
-  selfSchema,
-  z.array(flightSchema).nullable(),
-  z.array(z.tuple([z.string(), z.number()])),
-  z.array(z.tuple([z.string(), z.string()])),
-  z.array(z.string()),
-]);
+/** Later builds append elements, which this one does not read. */
+const messageSchema = z
+  .tuple([
+    selfSchema,
+    z.array(flightSchema).nullable(),
+    z.array(z.tuple([z.string(), z.number()])),
+    z.array(z.tuple([z.string(), z.string()])),
+    z.array(z.string()),
+  ])
+  .rest(z.unknown());
 
 const messagesSchema = z.array(messageSchema).min(1);
 
@@ -102,6 +109,9 @@
     message.drainingProcesses.map((one) => [one.id, one.bornMs]),
     message.crashes.map((one) => [one.fingerprint, one.targetId]),
     [...message.addresses],
+    ...(message.parts === undefined
+      ? []
+      : [encodePartRows(message.parts, nowMs)]),
   ];
   return encode(body);
 }
@@ -131,7 +141,8 @@
   codec: TargetCodec,
   nowMs: number,
 ): PeerMessage {
-  const [self, flights, draining, crashes, addresses] = row;
+  const [self, flights, draining, crashes, addresses, partRows] = row;
+  const parts = decodePartRows(partRows, nowMs);
   return {
     self: {
       name: self[0],
@@ -151,6 +162,7 @@
       targetId,
     })),
     addresses,
+    ...(parts === undefined ? {} : { parts }),
   };
 }
 
--- a/packages/gateway/src/createPeerLink/_lib/test.ts
+++ b/packages/gateway/src/createPeerLink/_lib/test.ts
@@ -1,3 +1,4 @@
+import { decode, encode } from '@msgpack/msgpack';
 import { expect } from 'chai';
 import { createBatch } from './batch.ts';
 import { createHubSelector } from './hubSelector.ts';
@@ -92,6 +93,76 @@
   });
 });
 
+describe('news of parts', () => {
+  const parts: PeerMessage['parts'] = {
+    deaths: [
+      {
+        id: 't1@7#99',
+        service: 's',
+        process: 't1@7',
+        parts: ['a', 'b'],
+        sentAtMs: 800,
+        endedAtMs: 900,
+      },
+    ],
+    sounds: [{ service: 's', part: 'a', atMs: 950 }],
+    blocks: [
+      { service: 's', parts: ['b'], cause: 't1@7', level: 1, sinceMs: 900 },
+    ],
+  };
+  const rowOf = (bytes: Uint8Array) => decode(bytes) as unknown[];
+
+  // Guards against entries of earlier builds not hearing of this one.
+  it('leaves messages without news as they were', () => {
+    expect(rowOf(encodePeerMessage(message, codec, 0))).to.have.length(5);
+  });
+
+  it('tells ages, so that clocks need not be synchronised', () => {
+    const bytes = encodePeerMessage({ ...message, parts }, codec, 1000);
+    const decoded = decodeOne(bytes, codec, 50_000);
+    expect(decoded?.parts?.deaths[0]).to.include({
+      sentAtMs: 49_800,
+      endedAtMs: 49_900,
+    });
+    expect(decoded?.parts?.sounds[0]?.atMs).to.equal(49_950);
+    expect(decoded?.parts?.blocks[0]).to.deep.equal({
+      ...parts.blocks[0],
+      sinceMs: 49_900,
+    });
+  });
+
+  it('reads messages with more elements, or with news that it cannot read', () => {
+    const row = rowOf(encodePeerMessage({ ...message, parts }, codec, 1000));
+    const longer = decodeOne(encode([...row, 'later', 7]), codec, 1000);
+    expect(longer?.parts?.sounds).to.deep.equal(parts.sounds);
+    ['text', [], [[], [], [['s', ['b'], 't', -1, 5]]]].forEach((unknown) => {
+      const other = encode([...row.slice(0, 5), unknown]);
+      const decoded = decodeOne(other, codec, 1000);
+      expect(decoded?.self.name).to.equal('p');
+      expect(decoded?.parts).to.equal(undefined);
+    });
+  });
+
+  it('stays within a packet, and keeps blocks before deaths', () => {
+    const long = Array.from({ length: 12 }, (_, n) => `${n}`.repeat(10));
+    const many: PeerMessage['parts'] = {
+      deaths: Array.from({ length: 8 }, (_, n) => ({
+        ...parts.deaths[0]!,
+        id: `t${n}@1790000000000#1`,
+        parts: long,
+      })),
+      sounds: Array.from({ length: 8 }, () => parts.sounds[0]!),
+      blocks: Array.from({ length: 8 }, () => parts.blocks[0]!),
+    };
+    const own = { ...message, flights: undefined, addresses: [] };
+    const bytes = encodePeerMessage({ ...own, parts: many }, codec, 1000);
+    expect(bytes.length).to.be.below(1300);
+    const decoded = decodeOne(bytes, codec, 1000)?.parts;
+    expect(decoded?.blocks).to.have.length(8);
+    expect(decoded?.deaths.length).to.be.within(1, 7);
+  });
+});
+
 describe('createBatch', () => {
   it('sends messages together and before they exceed the maximum size', async () => {
     const sent: string[] = [];
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -1,6 +1,7 @@
 import { createSocket, type RemoteInfo } from 'node:dgram';
 import {
   MAX_SHARED_ENTRIES,
+  partNews,
   type PeerStatus,
   peerTimes,
 } from '@endivegate/core/forwarding';
@@ -54,6 +55,9 @@
  */
 const SEND_DELAY_MS = 4;
 
+/** Shortest time between two datagrams with news of parts. */
+const PART_NEWS_INTERVAL_MS = 40;
+
 /** How often addresses without a known entry are contacted. */
 const CONTACT_INTERVAL_MS = 1050;
 
@@ -135,6 +139,7 @@
   const socket = createSocket('udp4');
   let heartbeatTimer: NodeJS.Timeout | undefined;
   let sendTimer: NodeJS.Timeout | undefined;
+  let partNewsTimer: NodeJS.Timeout | undefined;
   let bypassHub = false;
   let isFetching = false;
   const { knownPeers, localPeers, relays, hubCandidates, isCell } =
@@ -155,7 +160,10 @@
   socket.bind(Number(port), host, contactAddresses);
   const server = createConfigServer(() => runtime.table()?.config);
   server.listen(Number(port), host);
-  const digestTimer = setInterval(sendDigest, DIGEST_INTERVAL_MS);
+  const digestTimer = setInterval(() => {
+    sendDigest();
+    sendPartNews();
+  }, DIGEST_INTERVAL_MS);
   const contactTimer = setInterval(() => {
     const atMs = now();
     runtime.dispatch({ type: 'peers.ticked', atMs });
@@ -173,6 +181,15 @@
     }, SEND_DELAY_MS);
   });
 
+  runtime.onPartNews(() => {
+    if (partNewsTimer !== undefined) return;
+    setTimeout(sendPartNews, SEND_DELAY_MS);
+    partNewsTimer = setTimeout(() => {
+      partNewsTimer = undefined;
+      sendPartNews();
+    }, PART_NEWS_INTERVAL_MS);
+  });
+
   /** Restarts the heartbeat timer; called for each message sent. */
   function scheduleHeartbeat(): void {
     clearTimeout(heartbeatTimer);
@@ -254,6 +271,25 @@
     );
   }
 
+  /**
+   * Tells all data centres of parts that crash targets, in datagrams of their own:
+   * entries of earlier builds cannot read them.
+   */
+  function sendPartNews(): void {
+    if (isClosed) return;
+    const atMs = now();
+    const tellsAllBlocks = hubCandidates()
+      .slice(0, DIGEST_SENDERS)
+      .includes(own.peerAddress);
+    const { partSuspects } = runtime.state();
+    const parts = partNews(partSuspects, { nowMs: atMs, tellsAllBlocks });
+    if (parts === undefined) return;
+    const message = { ...NO_NEWS, self: self(), parts };
+    const bytes = encodePeerMessage(message, codec, atMs);
+    sendToLocal(bytes);
+    sendToRelays(bytes);
+  }
+
   /**
    * Sends the state and the known addresses to addresses without a known entry,
    * and to the seeds.
@@ -369,6 +405,10 @@
         if (known?.crashedTargetIds.includes(crash.targetId) === true) return;
         runtime.dispatch({ type: 'suspects.crashed', atMs, ...crash });
       });
+    messages.forEach(({ parts }) => {
+      if (parts === undefined) return;
+      runtime.dispatch({ type: 'partSuspects.heard', atMs, ...parts });
+    });
     const newest = peers.find(isNewer);
     if (newest !== undefined) scheduleConfigFetch(newest);
   }
@@ -418,6 +458,7 @@
       clearTimeout(heartbeatTimer);
       batch.close();
       clearTimeout(sendTimer);
+      clearTimeout(partNewsTimer);
       socket.close();
       server.close();
     },
--- a/packages/gateway/src/createPeerLink/test.ts
+++ b/packages/gateway/src/createPeerLink/test.ts
@@ -5,6 +5,7 @@
 } from '@endivegate/contracts/forwarding';
 import {
   allLoads,
+  findBlockedParts,
   type InFlightRequest,
   servingPeers,
 } from '@endivegate/core/forwarding';
@@ -218,6 +219,65 @@
     expect(inB.map(requestsAt)).to.deep.equal(inB.map(() => 0));
   }).timeout(20_000);
 
+  const blocks = (entry: Entry, part: string): boolean =>
+    findBlockedParts(entry.runtime.state().partSuspects, {
+      service: 's',
+      parts: [part],
+      nowMs: performance.now(),
+    }) !== undefined;
+
+  /** Has an entry find that a part crashes targets. */
+  function blockPart(entry: Entry, part: string): void {
+    const sinceMs = performance.now() - 1000;
+    const { runtime } = entry;
+    [0, 100, 200].forEach((ms) => {
+      const [sentAtMs, endedAtMs] = [sinceMs + ms, sinceMs + ms + 50];
+      runtime.dispatch({
+        type: 'partSuspects.died',
+        atMs: endedAtMs,
+        death: {
+          id: `p${ms}#1`,
+          service: 's',
+          process: `p${ms}`,
+          parts: [part],
+          sentAtMs,
+          endedAtMs,
+        },
+      });
+    });
+    [1, 2, 3].forEach(() => {
+      const atMs = performance.now();
+      const answer = { service: 's', parts: [], atMs };
+      runtime.dispatch({ type: 'partSuspects.answered', ...answer });
+    });
+  }
+
+  it('tells all data centres of parts that crash targets, and of answers to them', async () => {
+    const first = await startEntry('e1', 'a', []);
+    const second = await startEntry('e2', 'a', [first.address]);
+    const third = await startEntry('e3', 'b', [first.address]);
+    await until(() => peersOf(first).length === 2);
+    await until(() => peersOf(third).length === 2);
+    blockPart(first, 'p');
+    expect(blocks(first, 'p')).to.equal(true);
+    await until(() => [second, third].every((one) => blocks(one, 'p')));
+    third.runtime.dispatch({
+      type: 'partSuspects.answered',
+      atMs: performance.now(),
+      service: 's',
+      parts: ['p'],
+    });
+    await until(() => [first, second].every((one) => !blocks(one, 'p')));
+  });
+
+  it('tells an entry that starts later which parts are blocked', async () => {
+    const first = await startEntry('e1', 'a', []);
+    blockPart(first, 'p');
+    skippedMs = 5000;
+    const second = await startEntry('e2', 'b', [first.address]);
+    await until(() => blocks(second, 'p'));
+  });
+
   it('reaches all entries of a large fleet even when its hub is gone', async () => {
     const first = await startEntry('e00', 'a', []);
     const names = Array.from({ length: 19 }, (_, n) => `e${n + 10}`);
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -9,6 +9,7 @@
 } from '@endivegate/core/forwarding';
 import type { Reply } from '../createReply/index.ts';
 import { endToEndHeaders } from '../httpDialect/index.ts';
+import { createPartGuard } from '../partGuard/index.ts';
 import { planSend, type SendPlan } from '../planSend/index.ts';
 import {
   type BufferedResponse,
@@ -56,6 +57,7 @@
   const waitMs = Math.min(route.timeoutMs, call.caller.deadlineMs ?? Infinity);
   const deadlineAtMs = call.arrivedAtMs + waitMs;
   const fingerprint = fingerprintOf(call);
+  const partGuard = createPartGuard(call, context);
   const excludedIds = new Set<string>();
   let sends = 0;
   let unsent = 0;
@@ -86,6 +88,11 @@
       giveUp('the request crashed several targets');
       return;
     }
+    const blocked = partGuard.refusal();
+    if (blocked !== undefined) {
+      giveUp(blocked);
+      return;
+    }
     const left = timeLeftNow();
     const plan = planNow(excludedIds, left);
     if (plan === undefined) giveUp('no usable target is left');
@@ -180,6 +187,7 @@
 
   function onSent(): void {
     sends += 1;
+    partGuard.sent();
     if (sends === 1) return;
     runtime.dispatch({
       type: 'budget.retried',
@@ -191,6 +199,7 @@
   function onEvent(event: StreamEvent, head: ResponseHead): boolean {
     if (!answerBegun) {
       answerBegun = true;
+      partGuard.answerBegan();
       reply.begin(HTTP_OK, responseHeaders(head));
       recordResponseTime();
     }
@@ -206,6 +215,7 @@
     if (end.type !== 'notSent' && end.type !== 'refused') mayHaveRun = true;
     excludedIds.add(plan.target.id);
     recordOutcome({ plan, result, fingerprint }, context);
+    partGuard.sendEnded(plan.target, end);
     const step = decideNext(end, progress());
     if (step.type !== 'deliver') {
       log.info('request.next', {
@@ -243,7 +253,8 @@
         { ...context.bounds.retry, entries, uptimeMs },
       ),
       isCrasher:
-        state.suspects.size > 0 && isCrasher(state.suspects, fingerprint()),
+        partGuard.isBlocked() ||
+        (state.suspects.size > 0 && isCrasher(state.suspects, fingerprint())),
     };
   }
 
@@ -317,7 +328,11 @@
   function retryAfterMs(): number {
     const { roster } = runtime.state();
     const usableAtMs = soonestUsableAtMs(roster, service.name) ?? 0;
-    return Math.max(usableAtMs - now(), RETRY_AFTER_MS);
+    return Math.max(
+      usableAtMs - now(),
+      partGuard.retryAfterMs(),
+      RETRY_AFTER_MS,
+    );
   }
 
   function onDeadline(): void {
--- a/packages/gateway/src/forwardRequest/types.ts
+++ b/packages/gateway/src/forwardRequest/types.ts
@@ -8,6 +8,7 @@
 import type { GatewayBounds, GatewayRuntime } from '../gatewayRuntime/index.ts';
 import type { CallerHead, HttpDialect } from '../httpDialect/index.ts';
 import type { OrderPort } from '../orderPort/index.ts';
+import type { TargetDeaths } from '../targetDeaths/index.ts';
 
 /** A caller's request that passed all checks. */
 export interface ForwardCall {
@@ -37,6 +38,9 @@
   readonly metrics: GatewayMetrics;
   readonly bounds: GatewayBounds;
   readonly dataCentre: string;
+  /** Name of this entry. */
+  readonly entryName: string;
+  readonly targetDeaths: TargetDeaths;
   /** Start of the gateway in monotonic time. */
   readonly startedAtMs: number;
   /** Monotonic time in ms. */
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -24,6 +24,9 @@
   readonly onConfig: (listener: (table: RouteTable) => void) => void;
   /** Registers a listener for requests that this entry sends. */
   readonly onSendStarted: (listener: (flight: InFlightRequest) => void) => void;
+  /** Registers a listener for what peers have to learn at once about parts of
+   * prompts that crash targets. */
+  readonly onPartNews: (listener: () => void) => void;
 }
 
 /** Limits of a deployment. */
@@ -47,6 +50,7 @@
   let table: RouteTable | undefined;
   const configListeners: ((table: RouteTable) => void)[] = [];
   const loadListeners: ((flight: InFlightRequest) => void)[] = [];
+  const newsListeners: (() => void)[] = [];
 
   return {
     state: () => state,
@@ -56,6 +60,11 @@
       step.effects.forEach((effect) => {
         logEffect(log, effect);
       });
+      if (step.effects.some(({ type }) => type === 'partSuspects.news')) {
+        newsListeners.forEach((listener) => {
+          listener();
+        });
+      }
       if (event.type === 'load.started') {
         loadListeners.forEach((listener) => {
           listener(event.flight);
@@ -84,6 +93,9 @@
     onSendStarted(listener) {
       loadListeners.push(listener);
     },
+    onPartNews(listener) {
+      newsListeners.push(listener);
+    },
   };
 }
 
@@ -105,5 +117,22 @@
       return;
     case 'peers.changed':
       log.info('peer.changed', { peer: effect.name, change: effect.change });
+      return;
+    case 'partSuspects.blocked':
+      log.warn('suspect.blocked', {
+        service: effect.block.service,
+        parts: effect.block.parts,
+        level: effect.block.level,
+        holdMs: effect.holdMs,
+        source: effect.source,
+      });
+      return;
+    case 'partSuspects.cleared':
+      log.info('suspect.cleared', {
+        service: effect.block.service,
+        parts: effect.block.parts,
+      });
+      return;
+    case 'partSuspects.news':
   }
 }
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -16,6 +16,7 @@
 } from '../gatewayRuntime/index.ts';
 import type { HttpDialect } from '../httpDialect/index.ts';
 import type { OrderPort } from '../orderPort/index.ts';
+import { createTargetDeaths } from '../targetDeaths/index.ts';
 
 /** Options of {@link startGateway}. */
 export interface StartGatewayOptions {
@@ -107,6 +108,8 @@
       metrics,
       bounds,
       dataCentre: options.dataCentre,
+      entryName: options.name,
+      targetDeaths: createTargetDeaths({ runtime, log, metrics, now }),
       startedAtMs: now(),
       now,
     },
@@ -148,6 +151,7 @@
     const atMs = now();
     runtime.dispatch({ type: 'roster.ticked', atMs });
     runtime.dispatch({ type: 'suspects.ticked', atMs });
+    runtime.dispatch({ type: 'partSuspects.ticked', atMs });
     const targets = [...runtime.state().roster.targets.values()];
     pool.keepOnly(
       new Set(
