Block a part for another service after one death there

A part is blocked for the service whose targets it crashed. A route that moves to another service, or is split over several, would let it crash that one's targets from the start. One death there under parts that are blocked elsewhere now blocks them, at once and without the other evidence; an answer there clears them for that service only. Not blocked before a death there: moving a route to a service that stands the part is what an operator would do.

Weighed: blocks for all services at once, which would undo that remedy.

Test: 'blocks a part for another service after one death there'; it fails without the change at its third step (trial: findSpread left out).

--- a/packages/core/src/forwarding/partSuspects/_lib/test.ts
+++ b/packages/core/src/forwarding/partSuspects/_lib/test.ts
@@ -3,38 +3,12 @@
 import {
   findBlockedParts,
   initialPartSuspects,
-  type PartDeath,
   partNews,
   type PartSuspectsEvent,
   type PartSuspectsState,
   reducePartSuspects,
 } from '../index.ts';
-
-const SERVICE = 's';
-
-const deathOf = (
-  process: string,
-  parts: readonly string[],
-  sentAtMs: number,
-  endedAtMs: number,
-): PartDeath => ({
-  id: `${process}#${parts.join()}@${sentAtMs}`,
-  service: SERVICE,
-  process,
-  parts,
-  sentAtMs,
-  endedAtMs,
-});
-
-const answered = (
-  atMs: number,
-  parts: readonly string[],
-): PartSuspectsEvent => ({
-  type: 'partSuspects.answered',
-  atMs,
-  service: SERVICE,
-  parts,
-});
+import { answered, deathOf, died, SERVICE } from '../test.events.ts';
 
 const arbitraryParts = fc.uniqueArray(fc.constantFrom('a', 'b', 'c', 'd'), {
   minLength: 1,
@@ -81,6 +55,9 @@
   blocks: [...state.blocks].toSorted(([a], [b]) => (a < b ? -1 : 1)),
 });
 
+/** As in the gateway. */
+const TICK_INTERVAL_MS = 200;
+
 /** A request of the simulated callers. */
 interface Arrival {
   readonly entry: number;
@@ -168,11 +145,8 @@
     processes.set(one.target, (processes.get(one.target) ?? 0) + 1);
     [one, ...victims].forEach((victim) => {
       const { process, parts, sentAtMs } = victim;
-      step(victim.entry, {
-        type: 'partSuspects.died',
-        atMs: one.dueMs,
-        death: deathOf(process, parts, sentAtMs, one.dueMs),
-      });
+      const death = deathOf(process, parts, sentAtMs, one.dueMs);
+      step(victim.entry, died(death));
     });
   };
 
@@ -194,12 +168,16 @@
   };
 
   let nowMs = 0;
+  let tickedAtMs = 0;
   return arrivals.map((arrival) => {
     nowMs += arrival.gapMs;
     advance(nowMs);
-    states.forEach((_state, entry) => {
-      step(entry, { type: 'partSuspects.ticked', atMs: nowMs });
-    });
+    if (nowMs - tickedAtMs >= TICK_INTERVAL_MS) {
+      tickedAtMs = nowMs;
+      states.forEach((_state, entry) => {
+        step(entry, { type: 'partSuspects.ticked', atMs: nowMs });
+      });
+    }
     delayMs = arrival.delayMs;
     const { entry, parts, target } = arrival;
     const state = states[entry] ?? initialPartSuspects;
--- a/packages/core/src/forwarding/partSuspects/index.ts
+++ b/packages/core/src/forwarding/partSuspects/index.ts
@@ -7,6 +7,7 @@
 } from './_lib/effectiveParts.ts';
 import { findBlocks } from './_lib/findBlocks.ts';
 import { blockEffects, clearEffects } from './_lib/blockChanges.ts';
+import { findSpread } from './_lib/findSpread.ts';
 import { endMsOf, holdMsOf } from './_lib/holds.ts';
 import { withBlock, withDeath, withSound } from './_lib/merge.ts';
 import { raiseLevels } from './_lib/raiseLevels.ts';
@@ -305,9 +306,13 @@
   const services = new Set(
     [...raised.deaths.values()].map((death) => death.service),
   );
-  const next = [...services]
+  const withFound = [...services]
     .flatMap((service) => findBlocks(raised, service, atMs))
     .reduce((known, block) => withBlock(known, block, true), raised);
+  const next = findSpread(withFound).reduce(
+    (known, block) => withBlock(known, block, true),
+    withFound,
+  );
   const changes = blockEffects(state, next, 'own');
   return {
     state: next,
--- a/packages/core/src/forwarding/partSuspects/test.ts
+++ b/packages/core/src/forwarding/partSuspects/test.ts
@@ -3,7 +3,6 @@
   findBlockedParts,
   initialPartSuspects,
   type PartBlock,
-  type PartDeath,
   partNews,
   partsKey,
   type PartSuspectsEffect,
@@ -12,8 +11,15 @@
   type PartVerdict,
   reducePartSuspects,
 } from './index.ts';
+import {
+  answered,
+  deathOf,
+  died,
+  others,
+  SERVICE,
+  three,
+} from './test.events.ts';
 
-const SERVICE = 's';
 const MINUTE_MS = 60_000;
 
 interface Sum {
@@ -45,43 +51,6 @@
   from?: PartSuspectsState,
 ): PartSuspectsState => apply(events, from).state;
 
-const deathOf = (
-  process: string,
-  parts: readonly string[],
-  sentAtMs: number,
-  endedAtMs = sentAtMs + 50,
-): PartDeath => ({
-  id: `${process}#${parts.join()}@${sentAtMs}`,
-  service: SERVICE,
-  process,
-  parts,
-  sentAtMs,
-  endedAtMs,
-});
-
-const died = (death: PartDeath): PartSuspectsEvent => ({
-  type: 'partSuspects.died',
-  atMs: death.endedAtMs,
-  death,
-});
-
-const answered = (
-  atMs: number,
-  parts: readonly string[] = [],
-): PartSuspectsEvent => ({
-  type: 'partSuspects.answered',
-  atMs,
-  service: SERVICE,
-  parts,
-});
-
-/** Answers to requests without parts, which show that the service works. */
-const others = (atMs: number): readonly PartSuspectsEvent[] => [
-  answered(atMs),
-  answered(atMs),
-  answered(atMs),
-];
-
 const verdict = (
   state: PartSuspectsState,
   parts: readonly string[],
@@ -89,15 +58,6 @@
 ): PartVerdict['type'] | undefined =>
   findBlockedParts(state, { service: SERVICE, parts, nowMs })?.type;
 
-/** Three deaths in sequence under requests with the same parts. */
-const three = (
-  parts: readonly string[],
-  fromMs = 0,
-): readonly PartSuspectsEvent[] =>
-  [0, 100, 200].map((ms) =>
-    died(deathOf(`p${fromMs + ms}`, parts, fromMs + ms)),
-  );
-
 const blockedEffects = (effects: readonly PartSuspectsEffect[]) =>
   effects.filter(({ type }) => type === 'partSuspects.blocked');
 
@@ -234,6 +194,23 @@
     expect(verdict(twoMore, ['other'])).to.equal(undefined);
   });
 
+  // Guards against crashing the targets of each service that a route moves to.
+  it('blocks a part for another service after one death there', () => {
+    const elsewhere = { ...deathOf('q', ['p', 'first'], 300), service: 'new' };
+    const start = [...three(['p']), ...others(260)];
+    const isBlocked = (state: PartSuspectsState) =>
+      findBlockedParts(state, { service: 'new', parts: ['p'], nowMs: 900 }) !==
+      undefined;
+    expect(isBlocked(run(start))).to.equal(false);
+    expect(isBlocked(run([died(elsewhere)]))).to.equal(false);
+    const state = run([...start, died(elsewhere)]);
+    expect(isBlocked(state)).to.equal(true);
+    const sound = { ...answered(400, ['p']), service: 'new' };
+    const cleared = run([sound], state);
+    expect(isBlocked(cleared)).to.equal(false);
+    expect(verdict(cleared, ['p'])).to.equal('refuse');
+  });
+
   it('releases a part as soon as an answer to it begins', () => {
     const blocked = run([...three(['p']), ...others(260)]);
     const { state, effects } = apply([answered(300, ['p'])], blocked);
