--- a/packages/gateway/src/partGuard/index.ts
+++ b/packages/gateway/src/partGuard/index.ts
@@ -7,6 +7,7 @@
   type SendEnd,
   servingPeers,
 } from '@endivegate/core/forwarding';
+import type { GatewayMetrics } from '../createGatewayMetrics/index.ts';
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 
 /** Keeps requests with parts that crash targets from being sent. */
@@ -28,6 +29,14 @@
   readonly sendEnded: (target: RosterTarget, end: SendEnd) => void;
 }
 
+/** Dependencies of {@link createPartGuard}. */
+export interface PartGuardContext extends Pick<
+  ForwardContext,
+  'runtime' | 'targetDeaths' | 'entryName' | 'now'
+> {
+  readonly metrics: Pick<GatewayMetrics, 'partSuspected'>;
+}
+
 /** Callers are not told to come back later than this. */
 const MAX_RETRY_AFTER_MS = 60_000;
 
@@ -46,10 +55,7 @@
  */
 export function createPartGuard(
   call: Pick<ForwardCall, 'attemptId' | 'service' | 'caller'>,
-  context: Pick<
-    ForwardContext,
-    'runtime' | 'metrics' | 'targetDeaths' | 'entryName' | 'now'
-  >,
+  context: PartGuardContext,
 ): PartGuard {
   const { runtime, metrics, now } = context;
   const parts = call.caller.sharedParts;
--- a/packages/gateway/src/partGuard/test.ts
+++ b/packages/gateway/src/partGuard/test.ts
@@ -18,6 +18,7 @@
 
 const HOST = '127.0.0.1';
 const BAD_PART = 'bad0';
+const RESET_PART = 'reset0';
 const ENTRIES = 3;
 const TARGETS = 8;
 
@@ -84,6 +85,11 @@
       received.push(String(request.headers['x-parts']));
       request.resume();
       setTimeout(() => {
+        if (String(request.headers['x-parts']).includes(RESET_PART)) {
+          blockResetPart();
+          request.socket.resetAndDestroy();
+          return;
+        }
         if (String(request.headers['x-parts']).includes(BAD_PART)) {
           crash(index, address);
           return;
@@ -110,6 +116,27 @@
     });
   }
 
+  /** Has all entries hear of a block, as from a peer. */
+  function blockResetPart(): void {
+    gateways.forEach(({ gateway }) => {
+      const atMs = performance.now() + 60_000;
+      const block = {
+        service: 'plain',
+        parts: [RESET_PART],
+        cause: 'p1',
+        level: 0,
+        sinceMs: atMs,
+      };
+      gateway.runtime.dispatch({
+        type: 'partSuspects.heard',
+        atMs,
+        deaths: [],
+        sounds: [],
+        blocks: [block],
+      });
+    });
+  }
+
   function crash(index: number, address: string): void {
     const server = servers.get(index);
     if (server === undefined) return;
@@ -283,4 +310,12 @@
     expect(sound.filter((status) => status === 200)).to.have.length(60);
     expect(sends).to.have.length(60);
   });
+
+  // Guards against telling a caller that a request did not run although it may have.
+  it('refuses a blocked request with 503 only if none of its sends may have run', async () => {
+    const port = gateways[0]?.port ?? 0;
+    expect(await ask(port, RESET_PART)).to.equal(502);
+    expect(await ask(port, RESET_PART)).to.equal(503);
+    expect(received).to.have.length(1);
+  });
 });
