Test that parts are blocked in all cells

Entries of a cell tell their requests to their data centre only; a part that crashes targets has to be known in all. The set-up of 20 entries in two cells is shared with the test of requests.

--- a/packages/gateway/src/createPeerLink/test.ts
+++ b/packages/gateway/src/createPeerLink/test.ts
@@ -186,7 +186,8 @@
     expect(serving()).to.equal(0);
   });
 
-  it('tells requests to its data centre only where data centres form cells', async () => {
+  /** Starts 20 entries in two data centres that form cells. */
+  async function startCells(): Promise<readonly [Entry, ...Entry[]]> {
     const first = await startEntry('e00', 'a', []);
     const names = Array.from({ length: 19 }, (_, n) => `e${n + 10}`);
     const others = await Promise.all(
@@ -204,6 +205,11 @@
       one.runtime.dispatch({ type: 'roster.listed', atMs: 0, targets });
     });
     await until(() => everyone.every((one) => peersOf(one).length === 19));
+    return [first, ...others];
+  }
+
+  it('tells requests to its data centre only where data centres form cells', async () => {
+    const [first, ...others] = await startCells();
     first.runtime.dispatch({
       type: 'load.started',
       flight: { ...flight, targetId: 't2', startedAtMs: performance.now() },
@@ -219,6 +225,13 @@
     expect(inB.map(requestsAt)).to.deep.equal(inB.map(() => 0));
   }).timeout(20_000);
 
+  // Guards against crashing targets of each cell anew.
+  it('tells all entries of all cells of parts that crash targets', async () => {
+    const [first, ...others] = await startCells();
+    blockPart(first, 'p');
+    await until(() => others.every((one) => blocks(one, 'p')));
+  }).timeout(20_000);
+
   const blocks = (entry: Entry, part: string): boolean =>
     findBlockedParts(entry.runtime.state().partSuspects, {
       service: 's',
