--- a/packages/gateway/src/createPeerLink/_lib/peerSelection.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerSelection.ts
@@ -15,6 +15,8 @@
   readonly relays: () => readonly Peer[];
   /** Addresses of this data centre's entries, those with the most cores first. */
   readonly hubCandidates: () => readonly string[];
+  /** Whether this entry is one of those that tell others of its data centre. */
+  readonly isDigestSender: () => boolean;
   /** Whether requests are told to this data centre only; see `formsCells`. */
   readonly isCell: () => boolean;
 }
@@ -32,6 +34,10 @@
 /** Messages are sent to a peer until this long after it was last heard from. */
 const PEER_TIMEOUT_MS = 4000;
 
+/** Entries of a data centre that tell its status to the others, so that the loss
+ * of one leaves no gap. */
+const DIGEST_SENDERS = 2;
+
 /** Creates the selection of peers from the current state of the gateway. */
 export function createPeerSelection(
   options: CreatePeerSelectionOptions,
@@ -76,7 +82,20 @@
       .map((entry) => entry.peerAddress);
   }
 
-  return { knownPeers, localPeers, relays, hubCandidates, isCell };
+  function isDigestSender(): boolean {
+    return hubCandidates()
+      .slice(0, DIGEST_SENDERS)
+      .includes(self().peerAddress);
+  }
+
+  return {
+    knownPeers,
+    localPeers,
+    relays,
+    hubCandidates,
+    isDigestSender,
+    isCell,
+  };
 }
 
 /** Picks a run of items that begins at a random one. */
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -8,8 +8,10 @@
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
 import { createBatch } from './_lib/batch.ts';
 import { createConfigFetcher } from './_lib/configFetcher.ts';
+import { createContacts } from './_lib/contacts.ts';
 import { createConfigServer } from './_lib/configExchange.ts';
 import { describeState } from './_lib/describeState.ts';
+import { digestMessages, NO_NEWS } from './_lib/digestMessages.ts';
 import { createHubSelector } from './_lib/hubSelector.ts';
 import {
   decodePeerMessages,
@@ -18,7 +20,7 @@
   type TargetCodec,
 } from './_lib/peerMessage.ts';
 import { createPartNewsSender } from './_lib/partNewsSender.ts';
-import { createPeerSelection, pickSome } from './_lib/peerSelection.ts';
+import { createPeerSelection } from './_lib/peerSelection.ts';
 import { createTargetCodec } from './_lib/targetCodec.ts';
 
 /** Exchange of state with the other entries. */
@@ -58,30 +60,14 @@
 /** How often addresses without a known entry are contacted. */
 const CONTACT_INTERVAL_MS = 1050;
 
-/** Addresses without a known entry that are contacted at a time: the others are
- * usually heard of through those, and each entry of a large fleet would otherwise
- * contact all of them. */
-const MAX_CONTACTS = 12;
-
 /** How often the status of a data centre's entries is told to the others. Callers
  * are told addresses for a second. */
 const DIGEST_INTERVAL_MS = 1000;
 
-/** Entries of a data centre that tell its status to the others, so that the loss
- * of one leaves no gap. */
-const DIGEST_SENDERS = 2;
-
-/** Entries that one digest tells of. Callers are told few addresses, so the cost of
- * digests need not grow with the fleet. */
-const MAX_DIGEST_ENTRIES = 16;
-
 /** Entries that do not watch the store fetch a newer configuration within this time
  * of each other. */
 const SHARED_FETCH_SPREAD_MS = 100;
 
-/** Maximum number of entry addresses in a datagram. */
-const MAX_SENT_ADDRESSES = 24;
-
 /**
  * How long the hub collects messages; short compared with the decoding time of
  * a short prompt.
@@ -102,14 +88,6 @@
 const TO_HUB = 2;
 const CONTACT = 3;
 
-/** Parts of a message that an entry does not tell when it is only passed on. */
-const NO_NEWS = {
-  flights: undefined,
-  drainingProcesses: [],
-  crashes: [],
-  addresses: [],
-} as const;
-
 /**
  * Opens the link to the other entries. Datagrams carry the state of this entry,
  * its requests in flight and draining targets. An HTTP server lets peers with
@@ -125,14 +103,18 @@
   const { runtime, log, self, now, random = Math.random } = options;
   const own = self();
   const codec: TargetCodec = createTargetCodec(() => runtime.state().roster);
-  const addresses = new Set(options.seedAddresses);
-  addresses.delete(own.peerAddress);
   const socket = createSocket('udp4');
   let heartbeatTimer: NodeJS.Timeout | undefined;
   let sendTimer: NodeJS.Timeout | undefined;
   let bypassHub = false;
-  const { knownPeers, localPeers, relays, hubCandidates, isCell } =
-    createPeerSelection({ runtime, self, now, random });
+  const {
+    knownPeers,
+    localPeers,
+    relays,
+    hubCandidates,
+    isDigestSender,
+    isCell,
+  } = createPeerSelection({ runtime, self, now, random });
   const hubSelector = createHubSelector();
   const batch = createBatch({
     delayMs: HUB_BATCH_DELAY_MS,
@@ -140,12 +122,25 @@
     send: sendToAll,
   });
   let isClosed = false;
+  const contacts = createContacts({
+    ownAddress: own.peerAddress,
+    seedAddresses: options.seedAddresses,
+    knownPeers,
+    random,
+    encode: (told) =>
+      encodePeerMessage({ ...ownMessage(), addresses: told }, codec, now()),
+    contact(message, address) {
+      send(CONTACT, message, address);
+    },
+    answer(message, address) {
+      send(DIRECT, message, address);
+    },
+  });
   const configFetcher = createConfigFetcher({ runtime, log });
   const partNewsSender = createPartNewsSender({
     runtime,
     now,
-    tellsAllBlocks: () =>
-      hubCandidates().slice(0, DIGEST_SENDERS).includes(own.peerAddress),
+    tellsAllBlocks: isDigestSender,
     // In datagrams of their own, as entries of earlier builds cannot read them.
     send(parts, atMs) {
       const message = { ...NO_NEWS, self: self(), parts };
@@ -160,7 +155,7 @@
   });
   socket.on('message', receive);
   const [host = '', port = ''] = own.peerAddress.split(':');
-  socket.bind(Number(port), host, contactAddresses);
+  socket.bind(Number(port), host, contacts.contact);
   const server = createConfigServer(() => runtime.table()?.config);
   server.listen(Number(port), host);
   const digestTimer = setInterval(() => {
@@ -171,7 +166,7 @@
     const atMs = now();
     runtime.dispatch({ type: 'peers.ticked', atMs });
     runtime.dispatch({ type: 'load.ticked', atMs });
-    contactAddresses();
+    contacts.contact();
   }, CONTACT_INTERVAL_MS);
   scheduleHeartbeat();
   runtime.onSendStarted((flight) => {
@@ -239,72 +234,17 @@
    * requests.
    */
   function sendDigest(): void {
-    if (isClosed || !isCell()) return;
-    const senders = hubCandidates().slice(0, DIGEST_SENDERS);
-    if (!senders.includes(own.peerAddress)) return;
-    const { silenceMs } = peerTimes(localPeers().length + 1);
+    if (isClosed || !isCell() || !isDigestSender()) return;
     const atMs = now();
-    const heard = localPeers().filter(
-      (peer) => atMs - peer.heardAtMs < silenceMs,
-    );
-    const passedOn = pickSome(heard, MAX_DIGEST_ENTRIES, random).map(
-      (peer) => ({
-        ...NO_NEWS,
-        self: peer,
-      }),
-    );
     const digest = createBatch({
       delayMs: 0,
       maxBytes: MAX_BATCH_BYTES,
       send: sendToRelays,
     });
-    [{ ...ownMessage(), flights: undefined }, ...passedOn].forEach(
-      (message) => {
-        digest.add(encodePeerMessage(message, codec, atMs));
-      },
-    );
-  }
-
-  /**
-   * Sends the state and the known addresses to addresses without a known entry,
-   * and to the seeds.
-   */
-  function contactAddresses(): void {
-    const peers = knownPeers();
-    const knownAddresses = new Set(peers.map((peer) => peer.peerAddress));
-    const message = encodeContact();
-    const unknown = [...addresses].filter(
-      (address) => !knownAddresses.has(address),
-    );
-    pickSome(unknown, MAX_CONTACTS, random).forEach((address) => {
-      send(CONTACT, message, address);
+    const query = { localPeers: localPeers(), nowMs: atMs, random };
+    digestMessages(ownMessage(), query).forEach((message) => {
+      digest.add(encodePeerMessage(message, codec, atMs));
     });
-    // The seeds pass on addresses; in a large fleet some entries at a time do.
-    if (random() * (peers.length + 1) >= MAX_SHARED_ENTRIES) return;
-    peers
-      .filter((peer) => options.seedAddresses.includes(peer.peerAddress))
-      .forEach((peer) => {
-        send(CONTACT, message, peer.peerAddress);
-      });
-  }
-
-  function encodeContact(): Uint8Array {
-    const known = knownPeers().map((peer) => peer.peerAddress);
-    const message = {
-      ...ownMessage(),
-      addresses: pickSome(known, MAX_SENT_ADDRESSES, random),
-    };
-    return encodePeerMessage(message, codec, now());
-  }
-
-  /** Answers a contact whose sender knows fewer entries than this one. */
-  function answerContact(messages: readonly PeerMessage[]): void {
-    const known = Math.min(knownPeers().length, MAX_SENT_ADDRESSES);
-    messages
-      .filter((message) => message.addresses.length < known)
-      .forEach((message) => {
-        send(DIRECT, encodeContact(), message.self.peerAddress);
-      });
   }
 
   function ownMessage(): PeerMessage {
@@ -336,7 +276,7 @@
       log.warn('peers.unreadable', { bytes: datagram.length });
       return;
     }
-    if (datagram[0] === CONTACT) answerContact(messages);
+    if (datagram[0] === CONTACT) contacts.answer(messages);
     if (datagram[0] === TO_RELAY) relayLocally(bytes, messages);
     if (datagram[0] === TO_HUB) batch.add(Uint8Array.from(bytes));
     applyMessages(messages.filter((one) => one.self.name !== own.name));
@@ -358,10 +298,8 @@
     if (messages.length === 0) return;
     const atMs = now();
     const peers = messages.map((message) => message.self);
-    messages
-      .flatMap((message) => [message.self.peerAddress, ...message.addresses])
-      .filter((address) => address !== own.peerAddress)
-      .forEach((address) => addresses.add(address));
+    contacts.addAddresses(peers.map((peer) => peer.peerAddress));
+    contacts.addAddresses(messages.flatMap((message) => message.addresses));
     runtime.dispatch({ type: 'peers.received', atMs, peers });
     const reports = messages.flatMap(({ self: peer, flights }) =>
       flights === undefined ? [] : [{ peer: peer.name, flights }],
@@ -393,11 +331,7 @@
     fetchConfigFrom(peer) {
       configFetcher.schedule(peer, SHARED_FETCH_SPREAD_MS * random());
     },
-    addAddresses(added) {
-      added
-        .filter((address) => address !== own.peerAddress)
-        .forEach((address) => addresses.add(address));
-    },
+    addAddresses: contacts.addAddresses,
     close() {
       if (isClosed) return;
       isClosed = true;
