--- a/packages/gateway/src/forwardRequest/_lib/openSends.ts
+++ b/packages/gateway/src/forwardRequest/_lib/openSends.ts
@@ -43,6 +43,7 @@
       return { live: sends.size - silent, silent };
     },
     supersede(answered) {
+      if (answered !== undefined && sends.size === 1) return 0;
       const others = [...sends].filter((send) => send !== answered);
       others.forEach((send) => {
         sends.delete(send);
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -11,6 +11,7 @@
 } from '@endivegate/core/forwarding';
 import type { Reply } from '../createReply/index.ts';
 import { endToEndHeaders } from '../httpDialect/index.ts';
+import { createPartGuard } from '../partGuard/index.ts';
 import { planSend, type SendPlan } from '../planSend/index.ts';
 import {
   type BufferedResponse,
@@ -60,6 +61,7 @@
   const waitMs = Math.min(route.timeoutMs, call.caller.deadlineMs ?? Infinity);
   const deadlineAtMs = call.arrivedAtMs + waitMs;
   const fingerprint = fingerprintOf(call);
+  const partGuard = createPartGuard(call, context);
   const excludedIds = new Set<string>();
   let sends = 0;
   let unsent = 0;
@@ -92,6 +94,11 @@
       giveUp('the request crashed several targets');
       return;
     }
+    const blocked = partGuard.refusal();
+    if (blocked !== undefined) {
+      giveUp(blocked);
+      return;
+    }
     const left = timeLeftNow();
     const plan = planNow(excludedIds, left);
     if (plan === undefined) giveUp('no usable target is left');
@@ -179,6 +186,7 @@
   function sendTo(plan: SendPlan): void {
     excludedIds.add(plan.target.id);
     const send = openSends.add(plan);
+    let sentAtMs: number | undefined;
     const handle = runSend(
       {
         call,
@@ -189,14 +197,17 @@
         resumeAfterId: lastEventId,
       },
       {
-        onSent,
+        onSent() {
+          sentAtMs = now();
+          onSent();
+        },
         onEvent: (event, head) => onEvent(send, event, head),
         onSilence: () => {
           takeOver(send);
         },
         onEnd(result) {
           openSends.remove(send);
-          onSendEnd(plan, result);
+          onSendEnd({ plan, sentAtMs }, result);
         },
       },
       context,
@@ -223,6 +234,7 @@
     send.isSilent = false;
     if (!answerBegun) {
       answerBegun = true;
+      partGuard.answerBegan();
       reply.begin(HTTP_OK, responseHeaders(head));
       recordResponseTime();
     }
@@ -232,11 +244,15 @@
     return reply.write(event.bytes);
   }
 
-  function onSendEnd(plan: SendPlan, result: SendResult): void {
+  function onSendEnd(
+    { plan, sentAtMs }: { plan: SendPlan; sentAtMs: number | undefined },
+    result: SendResult,
+  ): void {
     const { end } = result;
     if (end.type === 'notSent') unsent += 1;
     if (end.type !== 'notSent' && end.type !== 'refused') mayHaveRun = true;
     recordOutcome({ plan, result, fingerprint }, context);
+    partGuard.sendEnded({ target: plan.target, sentAtMs }, end);
     const step = decideNext(usableEnd(result), progress());
     if (step.type !== 'deliver') {
       log.info('request.next', {
@@ -286,7 +302,8 @@
         { ...context.bounds.retry, entries, uptimeMs },
       ),
       isCrasher:
-        state.suspects.size > 0 && isCrasher(state.suspects, fingerprint()),
+        partGuard.isBlocked() ||
+        (state.suspects.size > 0 && isCrasher(state.suspects, fingerprint())),
       liveSends: live,
       silentSends: silent,
     };
@@ -364,7 +381,11 @@
   function retryAfterMs(): number {
     const { roster } = runtime.state();
     const usableAtMs = soonestUsableAtMs(roster, service.name) ?? 0;
-    return Math.max(usableAtMs - now(), RETRY_AFTER_MS);
+    return Math.max(
+      usableAtMs - now(),
+      partGuard.retryAfterMs(),
+      RETRY_AFTER_MS,
+    );
   }
 
   function onDeadline(): void {
--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -254,6 +254,8 @@
           onEnd: () => undefined,
         },
         {
+          entryName: 'e1',
+          targetDeaths: { sendBroke: () => undefined },
           runtime,
           pool,
           orders: { reserve: order('reserve'), release: order('release') },
