--- /dev/null
+++ b/packages/gateway/src/forwardRequest/_lib/requestLog.ts
@@ -0,0 +1,105 @@
+import type {
+  Admission,
+  NextStep,
+  SendEnd,
+  TakeoverObstacle,
+} from '@endivegate/core/forwarding';
+import type { SendPlan } from '../../planSend/index.ts';
+import type { ForwardCall, ForwardContext } from '../types.ts';
+import type { TimeLeft } from './timeLeft.ts';
+
+/** What has become of a request so far. */
+export interface RequestCounts {
+  readonly sends: number;
+  readonly unsent: number;
+  readonly events: number;
+  readonly mayHaveRun: boolean;
+  readonly answerBegun: boolean;
+}
+
+/** A refusal before the first send, and its inputs. */
+export interface NotAdmitted {
+  readonly plan: SendPlan;
+  readonly left: TimeLeft;
+  readonly admission: Extract<Admission, { type: 'refuse' }>;
+}
+
+/** A silent target, and the one that takes over, if there is one. */
+export interface Silence {
+  readonly silent: SendPlan;
+  readonly takeover: SendPlan | undefined;
+  readonly obstacle: TakeoverObstacle | undefined;
+}
+
+/** Logs the decisions on one request. */
+export interface RequestLog {
+  readonly notAdmitted: (refusal: NotAdmitted) => void;
+  readonly silent: (silence: Silence) => void;
+  readonly next: (
+    after: SendEnd,
+    step: NextStep,
+    counts: RequestCounts,
+  ) => void;
+  readonly givenUp: (reason: string, tried: ReadonlySet<string>) => void;
+  /** Logs and counts the end of the request for its caller. */
+  readonly ended: (end: string, counts: RequestCounts) => void;
+}
+
+/** Creates the log of a request. */
+export function createRequestLog(
+  call: ForwardCall,
+  { log, metrics, now }: Pick<ForwardContext, 'log' | 'metrics' | 'now'>,
+): RequestLog {
+  const { attemptId: request, route, service } = call;
+  return {
+    notAdmitted({ plan, left, admission }) {
+      log.info('request.notAdmitted', {
+        request,
+        target: plan.target.id,
+        firstEventMs: Math.round(plan.firstEventMs ?? 0),
+        slotWaitMs: Math.round(plan.slotWaitMs),
+        latencyBudgetMs: Math.round(left.latencyBudgetMs),
+        retryAfterMs: Math.round(admission.retryAfterMs),
+      });
+    },
+    silent({ silent, takeover, obstacle }) {
+      log.info('send.silent', {
+        request,
+        target: silent.target.id,
+        takenOverBy: takeover?.target.id,
+        obstacle: takeover === undefined ? (obstacle ?? 'noTarget') : undefined,
+      });
+    },
+    next(after, step, { sends, unsent, mayHaveRun, answerBegun }) {
+      log.info('request.next', {
+        request,
+        after: after.type,
+        step: step.type,
+        sends,
+        unsent,
+        mayHaveRun,
+        answerBegun,
+      });
+    },
+    givenUp(reason, tried) {
+      log.warn('request.givenUp', {
+        request,
+        service: service.name,
+        reason,
+        tried: [...tried],
+      });
+    },
+    ended(end, { sends, events, mayHaveRun }) {
+      metrics.ended({ rule: route.repeat, end });
+      log.info('request.ended', {
+        request,
+        route: route.name,
+        end,
+        elapsedMs: Math.round(now() - call.arrivedAtMs),
+        sends,
+        events,
+        mayHaveRun,
+      });
+    },
+  };
+}
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -2,7 +2,6 @@
   decideAdmission,
   decideNext,
   isCrasher,
-  isRetryAllowed,
   type NextStep,
   type SendEnd,
   type SendProgress,
@@ -10,7 +9,6 @@
   takeoverObstacle,
 } from '@endivegate/core/forwarding';
 import type { Reply } from '../createReply/index.ts';
-import { endToEndHeaders } from '../httpDialect/index.ts';
 import { createPartGuard } from '../partGuard/index.ts';
 import { planSend, type SendPlan } from '../planSend/index.ts';
 import {
@@ -21,19 +19,23 @@
 import type { ResponseHead } from '../sendRequest/index.ts';
 import type { StreamEvent } from '../splitEvents/index.ts';
 import { fingerprintOf } from './_lib/fingerprintOf.ts';
+import { hasRetryBudget } from './_lib/hasRetryBudget.ts';
 import { type TimeLeft, timeLeft } from './_lib/timeLeft.ts';
 import { createOpenSends, type OpenSend } from './_lib/openSends.ts';
+import {
+  beginStream,
+  replyBrokenOff,
+  replyRefused,
+  replyTimedOut,
+  replyWhole,
+} from './_lib/replies.ts';
+import { createRequestLog, type RequestCounts } from './_lib/requestLog.ts';
 import { recordOutcome, recordSilence } from './_lib/recordOutcome.ts';
 import type { ForwardCall, ForwardContext } from './types.ts';
 
 /** Retry-After for refused requests: a few decoding passes of an engine. */
 const RETRY_AFTER_MS = 150;
 
-const HTTP_OK = 200;
-const BAD_GATEWAY = 502;
-const UNAVAILABLE = 503;
-const GATEWAY_TIMEOUT = 504;
-
 /**
  * Forwards a request, retrying at other targets where the route allows it,
  * until it is answered, refused or past its deadline.
@@ -56,12 +58,13 @@
   reply: Reply,
   context: ForwardContext,
 ): void {
-  const { runtime, log, metrics, now } = context;
+  const { runtime, metrics, now } = context;
   const { route, service } = call;
   const waitMs = Math.min(route.timeoutMs, call.caller.deadlineMs ?? Infinity);
   const deadlineAtMs = call.arrivedAtMs + waitMs;
   const fingerprint = fingerprintOf(call);
   const partGuard = createPartGuard(call, context);
+  const requestLog = createRequestLog(call, context);
   const excludedIds = new Set<string>();
   let sends = 0;
   let unsent = 0;
@@ -100,7 +103,7 @@
       return;
     }
     const left = timeLeftNow();
-    const plan = planNow(excludedIds, left);
+    const plan = planNow(left);
     if (plan === undefined) giveUp('no usable target is left');
     else if (!refuseIfLate(plan, left)) sendTo(plan);
   }
@@ -114,15 +117,12 @@
     });
   }
 
-  function planNow(
-    skippedIds: ReadonlySet<string>,
-    left: TimeLeft,
-  ): SendPlan | undefined {
+  function planNow(left: TimeLeft): SendPlan | undefined {
     return planSend(runtime.state(), {
       service,
       route,
       prompt: call.caller.prompt,
-      excludedIds: skippedIds,
+      excludedIds,
       ...left,
       nowMs: now(),
       dataCentre: context.dataCentre,
@@ -136,12 +136,7 @@
     const obstacle = takeoverObstacle(progress());
     const plan = obstacle === undefined ? planTakeover() : undefined;
     if (isFirstNotice || plan !== undefined) {
-      log.info('send.silent', {
-        request: call.attemptId,
-        target: silent.plan.target.id,
-        takenOverBy: plan?.target.id,
-        obstacle: plan === undefined ? (obstacle ?? 'noTarget') : undefined,
-      });
+      requestLog.silent({ silent: silent.plan, takeover: plan, obstacle });
     }
     if (plan === undefined) return;
     recordSilence(silent.plan.target, context);
@@ -150,7 +145,7 @@
 
   /** A stream that has begun is taken over only where a slot is free. */
   function planTakeover(): SendPlan | undefined {
-    const plan = planNow(excludedIds, timeLeftNow());
+    const plan = planNow(timeLeftNow());
     return plan === undefined || (answerBegun && plan.slotWaitMs > 0)
       ? undefined
       : plan;
@@ -166,20 +161,9 @@
     const query = { isShort, firstEventMs, slotWaitMs, ...left };
     const admission = decideAdmission(query);
     if (admission.type === 'send') return false;
-    log.info('request.notAdmitted', {
-      request: call.attemptId,
-      target: plan.target.id,
-      firstEventMs: Math.round(firstEventMs),
-      slotWaitMs: Math.round(slotWaitMs),
-      latencyBudgetMs: Math.round(left.latencyBudgetMs),
-      retryAfterMs: Math.round(admission.retryAfterMs),
-    });
+    requestLog.notAdmitted({ plan, left, admission });
     finish('refused');
-    reply.fail({
-      status: UNAVAILABLE,
-      message: 'all places are taken',
-      retryAfterMs: admission.retryAfterMs,
-    });
+    replyRefused(reply, 'all places are taken', admission.retryAfterMs);
     return true;
   }
 
@@ -235,7 +219,7 @@
     if (!answerBegun) {
       answerBegun = true;
       partGuard.answerBegan();
-      reply.begin(HTTP_OK, responseHeaders(head));
+      beginStream(reply, head);
       recordResponseTime();
     }
     lastEventId = event.id ?? lastEventId;
@@ -255,15 +239,7 @@
     partGuard.sendEnded({ target: plan.target, sentAtMs }, end);
     const step = decideNext(usableEnd(result), progress());
     if (step.type !== 'deliver') {
-      log.info('request.next', {
-        request: call.attemptId,
-        after: end.type,
-        step: step.type,
-        sends,
-        unsent,
-        mayHaveRun,
-        answerBegun,
-      });
+      requestLog.next(end, step, counts());
       if (end.type === 'answered') heldAnswer = result.answer;
     }
     applyStep(step, result.answer);
@@ -282,25 +258,13 @@
   function progress(): SendProgress {
     const state = runtime.state();
     const { live, silent } = openSends.count();
-    const atMs = now();
-    // `peers` includes entries that are gone: they may have used the budget
-    // within its window.
-    const entries = state.peers.size + 1;
-    const uptimeMs = atMs - context.startedAtMs;
     return {
+      ...counts(),
       repeat: route.repeat,
       resumable: route.resumable,
-      sends,
-      unsent,
       maxAttempts: route.maxAttempts,
-      mayHaveRun,
-      answerBegun,
-      timeLeftMs: deadlineAtMs - atMs,
-      budgetLeft: isRetryAllowed(
-        state.budget,
-        { service: service.name, atMs },
-        { ...context.bounds.retry, entries, uptimeMs },
-      ),
+      timeLeftMs: deadlineAtMs - now(),
+      budgetLeft: hasRetryBudget(service.name, context),
       isCrasher:
         partGuard.isBlocked() ||
         (state.suspects.size > 0 && isCrasher(state.suspects, fingerprint())),
@@ -325,11 +289,7 @@
         return;
       case 'refuse':
         finish('refused');
-        reply.fail({
-          status: UNAVAILABLE,
-          message: 'no target took the request',
-          retryAfterMs: retryAfterMs(),
-        });
+        replyRefused(reply, 'no target took the request', retryAfterMs());
         return;
       case 'fail':
         if (heldAnswer !== undefined) {
@@ -337,10 +297,7 @@
           return;
         }
         finish('failed');
-        reply.fail({
-          status: BAD_GATEWAY,
-          message: 'the target broke off; the request may have run',
-        });
+        replyBrokenOff(reply);
         return;
       case 'cutOff':
         finish('cutOff');
@@ -350,28 +307,18 @@
 
   function deliver(response: BufferedResponse | undefined): void {
     openSends.supersede();
+    finish('answered');
     if (response === undefined) {
-      finish('answered');
       reply.end();
       return;
     }
-    finish('answered');
     recordResponseTime();
-    reply.begin(response.head.status, [
-      ...responseHeaders(response.head),
-      ['Content-Length', String(response.body.length)],
-    ]);
-    reply.end(response.body);
+    replyWhole(reply, response);
   }
 
   function giveUp(reason: string): void {
     if (openSends.isAny()) return;
-    log.warn('request.givenUp', {
-      request: call.attemptId,
-      service: service.name,
-      reason,
-      tried: [...excludedIds],
-    });
+    requestLog.givenUp(reason, excludedIds);
     if (answerBegun) applyStep({ type: 'cutOff' }, undefined);
     else applyStep({ type: mayHaveRun ? 'fail' : 'refuse' }, undefined);
   }
@@ -393,11 +340,7 @@
     const mayRun = mayHaveRun || (openSends.isAny() && sends > 0);
     finish('timedOut');
     if (answerBegun) reply.cutOff();
-    else if (mayRun) {
-      reply.fail({ status: GATEWAY_TIMEOUT, message: 'out of time' });
-    } else {
-      reply.fail({ status: UNAVAILABLE, message: 'out of time, not run' });
-    }
+    else replyTimedOut(reply, mayRun);
   }
 
   function onCallerGone(): void {
@@ -417,21 +360,10 @@
     isOver = true;
     openSends.cancelAll();
     clearTimeout(deadlineTimer);
-    metrics.ended({ rule: route.repeat, end });
-    log.info('request.ended', {
-      request: call.attemptId,
-      route: route.name,
-      end,
-      elapsedMs: Math.round(now() - call.arrivedAtMs),
-      sends,
-      events,
-      mayHaveRun,
-    });
+    requestLog.ended(end, counts());
   }
-}
 
-function responseHeaders(
-  head: ResponseHead,
-): readonly (readonly [string, string])[] {
-  return endToEndHeaders(head.rawHeaders, new Set());
+  function counts(): RequestCounts {
+    return { sends, unsent, events, mayHaveRun, answerBegun };
+  }
 }
