Share the set-up of gateways among their tests

Four test files wrote the same options of a gateway and the same list of targets; testGatewayOptions and testTargets now hold them. Assertions are untouched. forwardRequest, startGateway, runSend, partGuard and endless bytes: 103 passing.

--- a/packages/gateway/src/limitFraming/test.ts
+++ b/packages/gateway/src/limitFraming/test.ts
@@ -11,15 +11,13 @@
   ForwardingConfig,
   ForwardingRoute,
 } from '@endivegate/contracts/forwarding';
-import * as E from 'fp-ts/lib/Either.js';
 import { createEventLog, type EventLog } from '../createEventLog/index.ts';
 import {
   createGatewayMetrics,
   type GatewayMetrics,
 } from '../createGatewayMetrics/index.ts';
 import { type Gateway, startGateway } from '../startGateway/index.ts';
-import { testAddress } from '../testAddress/index.ts';
-import { testDialect } from '../testDialect/index.ts';
+import { testGatewayOptions, testTargets } from '../testGateway/index.ts';
 import {
   type EndlessScript,
   type EndlessServer,
@@ -123,8 +121,6 @@
 
   /** Starts a gateway that prefers the first server to the second. */
   async function start(address: string, second?: Server): Promise<void> {
-    const callerAddress = await testAddress();
-    callerPort = Number(callerAddress.split(':')[1]);
     metrics = createGatewayMetrics();
     const ownLines: string[] = [];
     lines = ownLines;
@@ -135,30 +131,9 @@
         done();
       },
     });
-    let clockCalls = 0;
-    gateway = startGateway({
-      name: 'e1',
-      dataCentre: 'a',
-      callerAddress,
-      peerAddress: await testAddress(),
-      seedAddresses: [],
-      bounds: {
-        retry: { ratio: 0.2, windowMs: 10_000, slack: 100 },
-        graceMs: 8000,
-      },
-      dialect: testDialect,
-      orders: {
-        reserve: () => () => Promise.resolve(E.right(undefined)),
-        release: () => () => Promise.resolve(E.right(undefined)),
-      },
-      log,
-      metrics,
-      // The gateway must have run for longer than the retry budget's window.
-      now: () => {
-        clockCalls += 1;
-        return performance.now() + (clockCalls > 1 ? 60_000 : 0);
-      },
-    });
+    const options = await testGatewayOptions({ log, metrics });
+    callerPort = Number(options.callerAddress.split(':')[1]);
+    gateway = startGateway(options);
     const addresses = [
       address,
       ...(second === undefined ? [] : [`${HOST}:${portOf(second)}`]),
@@ -166,15 +141,7 @@
     gateway.runtime.dispatch({
       type: 'roster.listed',
       atMs: 0,
-      targets: addresses.map((one, index) => ({
-        id: `t${index}`,
-        service: 'plain',
-        address: one,
-        dataCentre: index === 0 ? 'a' : 'b',
-        draining: false,
-        slots: 4,
-        bornMs: 0,
-      })),
+      targets: testTargets(addresses),
     });
     gateway.runtime.applyConfig(config, 'test');
   }
--- a/packages/gateway/src/partGuard/test.ts
+++ b/packages/gateway/src/partGuard/test.ts
@@ -9,12 +9,9 @@
   ForwardingConfig,
   ListedTarget,
 } from '@endivegate/contracts/forwarding';
-import * as E from 'fp-ts/lib/Either.js';
-import { createEventLog } from '../createEventLog/index.ts';
-import { createGatewayMetrics } from '../createGatewayMetrics/index.ts';
 import { type Gateway, startGateway } from '../startGateway/index.ts';
 import { testAddress } from '../testAddress/index.ts';
-import { testDialect } from '../testDialect/index.ts';
+import { testGatewayOptions } from '../testGateway/index.ts';
 
 const HOST = '127.0.0.1';
 const BAD_PART = 'bad0';
@@ -152,41 +149,22 @@
   }
 
   async function startEntry(seeds: readonly string[]): Promise<string> {
-    const callerAddress = await testAddress();
-    const peerAddress = await testAddress();
-    const name = `e${gateways.length}`;
-    let calls = 0;
-    const gateway = startGateway({
-      name,
+    const options = await testGatewayOptions({
+      name: `e${gateways.length}`,
       dataCentre: gateways.length === 0 ? 'b' : 'a',
-      callerAddress,
-      peerAddress,
       seedAddresses: seeds,
       bounds: {
         retry: { ratio: 0.2, windowMs: 10_000, slack: 1000 },
         graceMs: 8000,
       },
-      dialect: testDialect,
-      orders: {
-        reserve: () => () => Promise.resolve(E.right(undefined)),
-        release: () => () => Promise.resolve(E.right(undefined)),
-      },
-      log: createEventLog({
-        entryId: name,
-        write: (_text, done) => {
-          done();
-        },
-      }),
-      metrics: createGatewayMetrics(),
-      // The gateway must have run for longer than the retry budget's window.
-      now: () => {
-        calls += 1;
-        return performance.now() + (calls > 1 ? 60_000 : 0);
-      },
     });
+    const gateway = startGateway(options);
     gateway.runtime.applyConfig(config, 'test');
-    gateways.push({ gateway, port: Number(callerAddress.split(':')[1]) });
-    return peerAddress;
+    gateways.push({
+      gateway,
+      port: Number(options.callerAddress.split(':')[1]),
+    });
+    return options.peerAddress;
   }
 
   beforeEach(async () => {
--- a/packages/gateway/src/startGateway/test.ts
+++ b/packages/gateway/src/startGateway/test.ts
@@ -11,13 +11,8 @@
 import type {
   ForwardingConfig,
   ForwardingRoute,
-  ListedTarget,
 } from '@endivegate/contracts/forwarding';
-import * as E from 'fp-ts/lib/Either.js';
-import { createEventLog } from '../createEventLog/index.ts';
-import { createGatewayMetrics } from '../createGatewayMetrics/index.ts';
-import { testDialect } from '../testDialect/index.ts';
-import { testAddress } from '../testAddress/index.ts';
+import { testGatewayOptions, testTargets } from '../testGateway/index.ts';
 import { type Gateway, startGateway } from './index.ts';
 
 const HOST = '127.0.0.1';
@@ -146,42 +141,12 @@
         ),
       ),
     );
-    const callerAddress = await testAddress();
-    callerPort = Number(callerAddress.split(':')[1]);
-    gateway = startGateway({
-      name: 'e1',
-      dataCentre: 'a',
-      callerAddress,
-      peerAddress: await testAddress(),
-      seedAddresses: [],
-      bounds: {
-        retry: { ratio: 0.2, windowMs: 10_000, slack: 100 },
-        graceMs: 8000,
-      },
-      dialect: testDialect,
-      orders: {
-        reserve: () => () => Promise.resolve(E.right(undefined)),
-        release: () => () => Promise.resolve(E.right(undefined)),
-      },
-      log: createEventLog({
-        entryId: 'e1',
-        write: (_text, done) => {
-          done();
-        },
-      }),
-      metrics: createGatewayMetrics(),
-      // The gateway must have run for longer than the retry budget's window.
-      now: createLateClock(),
-    });
-    const targets = servers.map((server, index): ListedTarget => ({
-      id: `t${index}`,
-      service: 'plain',
-      address: `${HOST}:${portOf(server)}`,
-      dataCentre: index === 0 ? 'a' : 'b',
-      draining: false,
-      slots: 4,
-      bornMs: 0,
-    }));
+    const options = await testGatewayOptions({ now: createLateClock() });
+    callerPort = Number(options.callerAddress.split(':')[1]);
+    gateway = startGateway(options);
+    const targets = testTargets(
+      servers.map((server) => `${HOST}:${portOf(server)}`),
+    );
     gateway.runtime.dispatch({ type: 'roster.listed', atMs: 0, targets });
   }
 
--- a/packages/gateway/src/testGateway/index.ts
+++ b/packages/gateway/src/testGateway/index.ts
@@ -10,11 +10,16 @@
 import type {
   ForwardingConfig,
   ForwardingRoute,
+  ListedTarget,
 } from '@endivegate/contracts/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import { createEventLog } from '../createEventLog/index.ts';
 import { createGatewayMetrics } from '../createGatewayMetrics/index.ts';
-import { type Gateway, startGateway } from '../startGateway/index.ts';
+import {
+  type Gateway,
+  startGateway,
+  type StartGatewayOptions,
+} from '../startGateway/index.ts';
 import { testAddress } from '../testAddress/index.ts';
 import { testDialect } from '../testDialect/index.ts';
 
@@ -96,6 +101,69 @@
   };
 }
 
+/**
+ * Returns options of a gateway without peers that logs nothing. Its clock has run
+ * for longer than the window of the retry budget.
+ *
+ * @param options - Differences.
+ * @returns The options, with unused addresses.
+ */
+export async function testGatewayOptions(
+  options: Partial<StartGatewayOptions> = {},
+): Promise<StartGatewayOptions> {
+  let clockReads = 0;
+  return {
+    name: 'e1',
+    dataCentre: 'a',
+    callerAddress: await testAddress(),
+    peerAddress: await testAddress(),
+    seedAddresses: [],
+    bounds: {
+      retry: { ratio: 0.2, windowMs: 10_000, slack: 100 },
+      graceMs: 8000,
+    },
+    dialect: testDialect,
+    orders: {
+      reserve: () => () => Promise.resolve(E.right(undefined)),
+      release: () => () => Promise.resolve(E.right(undefined)),
+    },
+    log: createEventLog({
+      entryId: options.name ?? 'e1',
+      write: (_text, done) => {
+        done();
+      },
+    }),
+    metrics: createGatewayMetrics(),
+    // The first reading is the start time.
+    now: () => {
+      clockReads += 1;
+      return performance.now() + (clockReads > 1 ? UPTIME_MS : 0);
+    },
+    ...options,
+  };
+}
+
+/**
+ * Lists targets `t0`, `t1` and so on of the service `plain`; a gateway in data
+ * centre `a` prefers `t0`.
+ *
+ * @param addresses - IP and port of each.
+ * @returns The targets.
+ */
+export function testTargets(
+  addresses: readonly string[],
+): readonly ListedTarget[] {
+  return addresses.map((address, index) => ({
+    id: `t${index}`,
+    service: 'plain',
+    address,
+    dataCentre: index === 0 ? 'a' : 'b',
+    draining: false,
+    slots: 4,
+    bornMs: 0,
+  }));
+}
+
 /**
  * Adds the headers by which the test dialect recognizes the answer of a target
  * that ran the request.
@@ -129,24 +197,7 @@
       ),
     ),
   );
-  const callerAddress = await testAddress();
-  const callerPort = Number(callerAddress.split(':')[1]);
-  let clockReads = 0;
-  const gateway = startGateway({
-    name: 'e1',
-    dataCentre: 'a',
-    callerAddress,
-    peerAddress: await testAddress(),
-    seedAddresses: [],
-    bounds: {
-      retry: { ratio: 0.2, windowMs: 10_000, slack: 100 },
-      graceMs: 8000,
-    },
-    dialect: testDialect,
-    orders: {
-      reserve: () => () => Promise.resolve(E.right(undefined)),
-      release: () => () => Promise.resolve(E.right(undefined)),
-    },
+  const started = await testGatewayOptions({
     log: createEventLog({
       entryId: 'e1',
       write: (text, done) => {
@@ -154,24 +205,13 @@
         done();
       },
     }),
-    metrics: createGatewayMetrics(),
-    now: () => {
-      clockReads += 1;
-      return performance.now() + (clockReads > 1 ? UPTIME_MS : 0);
-    },
   });
+  const callerPort = Number(started.callerAddress.split(':')[1]);
+  const gateway = startGateway(started);
   gateway.runtime.dispatch({
     type: 'roster.listed',
     atMs: 0,
-    targets: servers.map((server, index) => ({
-      id: `t${index}`,
-      service: 'plain',
-      address: `${HOST}:${portOf(server)}`,
-      dataCentre: index === 0 ? 'a' : 'b',
-      draining: false,
-      slots: 4,
-      bornMs: 0,
-    })),
+    targets: testTargets(servers.map((server) => `${HOST}:${portOf(server)}`)),
   });
   gateway.runtime.applyConfig(testConfig(options.route), 'test');
 
