Name reports on parts as what they are

'news', 'heard' and 'told' were figures of speech in the identifiers and comments of partSuspects and its messages: partReport, PartReport, reportReceived, reportDue, partReportSender.

--- a/packages/core/src/forwarding/partSuspects/_lib/blockChanges.ts
+++ b/packages/core/src/forwarding/partSuspects/_lib/blockChanges.ts
@@ -50,7 +50,7 @@
   );
 }
 
-/** A block as peers are told of it. */
+/** A block as it is reported to peers. */
 export function tellable(block: PartBlock): PartBlock {
   const { service, parts, cause, level, sinceMs } = block;
   return { service, parts, cause, level, sinceMs };
--- a/packages/core/src/forwarding/partSuspects/_lib/findBlocks.ts
+++ b/packages/core/src/forwarding/partSuspects/_lib/findBlocks.ts
@@ -24,7 +24,7 @@
 /** Answers count until this long after the last death. */
 const ANSWERS_AFTER_DEATH_MS = 10_000;
 
-/** A death counts once the entries whose requests ran there too have told so: one of
+/** A death counts once the entries whose requests ran there too have reported it: one of
  * those may be to blame. */
 const SETTLE_MS = 300;
 
--- a/packages/core/src/forwarding/partSuspects/_lib/test.ts
+++ b/packages/core/src/forwarding/partSuspects/_lib/test.ts
@@ -3,7 +3,7 @@
 import {
   findBlockedParts,
   initialPartSuspects,
-  partNews,
+  partReport,
   type PartSuspectsEvent,
   type PartSuspectsState,
   reducePartSuspects,
@@ -15,7 +15,7 @@
   maxLength: 3,
 });
 
-const arbitraryNews = fc.record({
+const arbitraryReport = fc.record({
   deaths: fc.array(
     fc
       .tuple(
@@ -103,26 +103,32 @@
       event,
     );
     states[entry] = state;
-    if (effects.every(({ type }) => type !== 'partSuspects.news')) return;
+    if (effects.every(({ type }) => type !== 'partSuspects.reportDue')) return;
     const sentAtMs = event.atMs;
-    const news = partNews(state, { nowMs: sentAtMs, tellsAllBlocks: false });
-    if (news === undefined) return;
+    const report = partReport(state, {
+      nowMs: sentAtMs,
+      includeAllBlocks: false,
+    });
+    if (report === undefined) return;
     // Receivers know ages only, so what they hear seems later by the delay.
     const dueMs = sentAtMs + delayMs;
     const shifted = {
-      deaths: news.deaths.map((death) => ({
+      deaths: report.deaths.map((death) => ({
         ...death,
         sentAtMs: death.sentAtMs + delayMs,
         endedAtMs: death.endedAtMs + delayMs,
       })),
-      sounds: news.sounds.map((one) => ({ ...one, atMs: one.atMs + delayMs })),
-      blocks: news.blocks.map((one) => ({
+      sounds: report.sounds.map((one) => ({
+        ...one,
+        atMs: one.atMs + delayMs,
+      })),
+      blocks: report.blocks.map((one) => ({
         ...one,
         sinceMs: one.sinceMs + delayMs,
       })),
     };
     const eventAt = (atMs: number): PartSuspectsEvent => ({
-      type: 'partSuspects.heard',
+      type: 'partSuspects.reportReceived',
       atMs,
       ...shifted,
     });
@@ -233,24 +239,26 @@
   );
 
 describe('partSuspects over many requests', () => {
-  it('comes to the same records for any order and repetition of the same news', () => {
+  it('comes to the same records for any order and repetition of the same report', () => {
     fc.assert(
       fc.property(
-        fc.array(arbitraryNews, { minLength: 1, maxLength: 5 }).chain((news) =>
-          fc.tuple(
-            fc.shuffledSubarray(news, { minLength: news.length }),
-            fc
-              .tuple(
-                fc.shuffledSubarray(news, { minLength: news.length }),
-                fc.shuffledSubarray(news),
-              )
-              .map((lists) => lists.flat()),
+        fc
+          .array(arbitraryReport, { minLength: 1, maxLength: 5 })
+          .chain((report) =>
+            fc.tuple(
+              fc.shuffledSubarray(report, { minLength: report.length }),
+              fc
+                .tuple(
+                  fc.shuffledSubarray(report, { minLength: report.length }),
+                  fc.shuffledSubarray(report),
+                )
+                .map((lists) => lists.flat()),
+            ),
           ),
-        ),
         (orders) => {
-          const [one, other] = orders.map((news) => {
-            const heard = news.map((rows): PartSuspectsEvent => ({
-              type: 'partSuspects.heard',
+          const [one, other] = orders.map((report) => {
+            const received = report.map((rows): PartSuspectsEvent => ({
+              type: 'partSuspects.reportReceived',
               atMs: 1200,
               ...rows,
             }));
@@ -259,7 +267,7 @@
               type: 'partSuspects.ticked',
               atMs: 1600,
             };
-            const state = [...heard, ...others, settled].reduce(
+            const state = [...received, ...others, settled].reduce(
               (known, event) => reducePartSuspects(known, event).state,
               initialPartSuspects,
             );
--- a/packages/core/src/forwarding/partSuspects/index.ts
+++ b/packages/core/src/forwarding/partSuspects/index.ts
@@ -15,7 +15,7 @@
 import {
   type PartBlock,
   partKey,
-  type PartNews,
+  type PartReport,
   partsKey,
   type PartSuspectsEffect,
   type PartSuspectsEvent,
@@ -33,11 +33,11 @@
 /** Answers kept for each service. */
 const MAX_ANSWERS = 16;
 
-/** Records of this entry are told for this long, as datagrams may be lost. */
-const NEWS_MS = 3500;
+/** Records of this entry are reported for this long, as datagrams may be lost. */
+const REPORTED_MS = 3500;
 
 /** Rows of each kind in a message to peers. */
-const MAX_NEWS_ROWS = 8;
+const MAX_REPORT_ROWS = 8;
 
 /** State before the first death. */
 export const initialPartSuspects: PartSuspectsState = {
@@ -71,12 +71,12 @@
       const step = establish(known, event.atMs);
       return {
         state: step.state,
-        effects: [{ type: 'partSuspects.news' }, ...step.effects],
+        effects: [{ type: 'partSuspects.reportDue' }, ...step.effects],
       };
     }
     case 'partSuspects.answered':
       return recordAnswer(state, event);
-    case 'partSuspects.heard':
+    case 'partSuspects.reportReceived':
       return mergeNews(state, event);
     case 'partSuspects.tried':
       return {
@@ -172,14 +172,14 @@
  * @returns Facts of this entry, the newest ones first; undefined if there are none.
  *
  * @example
- * partNews(state, { nowMs, tellsAllBlocks: false });
+ * partReport(state, { nowMs, includeAllBlocks: false });
  */
-export function partNews(
+export function partReport(
   state: PartSuspectsState,
-  options: { readonly nowMs: number; readonly tellsAllBlocks: boolean },
-): PartNews | undefined {
+  options: { readonly nowMs: number; readonly includeAllBlocks: boolean },
+): PartReport | undefined {
   if (!hasRecords(state)) return undefined;
-  const sinceMs = options.nowMs - NEWS_MS;
+  const sinceMs = options.nowMs - REPORTED_MS;
   const deaths = newest(
     [...state.deaths.values()].filter(
       (death) => death.isOwn && death.endedAtMs > sinceMs,
@@ -197,7 +197,7 @@
   const blocks = newest(
     openBlocks(state).filter(
       (block) =>
-        options.tellsAllBlocks || (block.isOwn && block.sinceMs > sinceMs),
+        options.includeAllBlocks || (block.isOwn && block.sinceMs > sinceMs),
     ),
     (block) => block.sinceMs,
   );
@@ -207,7 +207,7 @@
 }
 
 function newest<T>(rows: readonly T[], atMs: (row: T) => number): readonly T[] {
-  return rows.toSorted((a, b) => atMs(b) - atMs(a)).slice(0, MAX_NEWS_ROWS);
+  return rows.toSorted((a, b) => atMs(b) - atMs(a)).slice(0, MAX_REPORT_ROWS);
 }
 
 function tick(state: PartSuspectsState, atMs: number): PartStep {
@@ -266,17 +266,17 @@
   const answeredState = { ...state, answers, sounds };
   const step = establish(answeredState, atMs);
   const cleared = clearEffects(state, answeredState);
-  const news: readonly PartSuspectsEffect[] =
-    accused.length === 0 ? [] : [{ type: 'partSuspects.news' }];
+  const report: readonly PartSuspectsEffect[] =
+    accused.length === 0 ? [] : [{ type: 'partSuspects.reportDue' }];
   return {
     state: step.state,
-    effects: [...news, ...cleared, ...step.effects],
+    effects: [...report, ...cleared, ...step.effects],
   };
 }
 
 function mergeNews(
   state: PartSuspectsState,
-  event: Extract<PartSuspectsEvent, { type: 'partSuspects.heard' }>,
+  event: Extract<PartSuspectsEvent, { type: 'partSuspects.reportReceived' }>,
 ): PartStep {
   const withDeaths = event.deaths.reduce(
     (known, death) => withDeath(known, { ...death, isOwn: false }),
@@ -317,6 +317,8 @@
   return {
     state: next,
     effects:
-      changes.length === 0 ? [] : [{ type: 'partSuspects.news' }, ...changes],
+      changes.length === 0
+        ? []
+        : [{ type: 'partSuspects.reportDue' }, ...changes],
   };
 }
--- a/packages/core/src/forwarding/partSuspects/test.ts
+++ b/packages/core/src/forwarding/partSuspects/test.ts
@@ -3,7 +3,7 @@
   findBlockedParts,
   initialPartSuspects,
   type PartBlock,
-  partNews,
+  partReport,
   partsKey,
   type PartSuspectsEffect,
   type PartSuspectsEvent,
@@ -174,7 +174,7 @@
     expect(verdict(state, ['first'])).to.equal(undefined);
   });
 
-  it('blocks parts that always came together only together, until they are told apart', () => {
+  it('blocks parts that always came together only together, until they can be distinguished', () => {
     const state = run([...three(['first', 'bad']), ...others(260)]);
     expect(verdict(state, ['first', 'bad'])).to.equal('refuse');
     expect(verdict(state, ['first'])).to.equal(undefined);
@@ -216,7 +216,7 @@
     const { state, effects } = apply([answered(300, ['p'])], blocked);
     expect(verdict(state, ['p'])).to.equal(undefined);
     expect(effects.map(({ type }) => type)).to.deep.equal([
-      'partSuspects.news',
+      'partSuspects.reportDue',
       'partSuspects.cleared',
     ]);
   });
@@ -256,8 +256,8 @@
     });
     const few = run([...deaths, tick(1000)]);
     expect(few.deaths.size).to.equal(256);
-    const news = partNews(few, { nowMs: 1000, tellsAllBlocks: true });
-    expect(news?.deaths).to.have.length(8);
+    const report = partReport(few, { nowMs: 1000, includeAllBlocks: true });
+    expect(report?.deaths).to.have.length(8);
     const none = run([tick(1000 + 20 * MINUTE_MS)], few);
     expect(none).to.deep.equal(initialPartSuspects);
   });
@@ -275,14 +275,14 @@
       level: 0,
       sinceMs: 0,
     };
-    const heard: PartSuspectsEvent = {
-      type: 'partSuspects.heard',
+    const received: PartSuspectsEvent = {
+      type: 'partSuspects.reportReceived',
       atMs: 0,
       deaths: [deathOf('p1', ['p'], 0)],
       sounds: [{ service: SERVICE, part: 'q', atMs: 0 }],
       blocks: [block],
     };
-    const { state, effects } = apply([heard]);
+    const { state, effects } = apply([received]);
     expect(effects).to.deep.equal([
       {
         type: 'partSuspects.blocked',
@@ -291,32 +291,34 @@
         holdMs: 10 * MINUTE_MS,
       },
     ]);
-    expect(partNews(state, { nowMs: 100, tellsAllBlocks: false })).to.equal(
+    expect(partReport(state, { nowMs: 100, includeAllBlocks: false })).to.equal(
       undefined,
     );
-    const all = partNews(state, { nowMs: 100_000, tellsAllBlocks: true });
+    const all = partReport(state, { nowMs: 100_000, includeAllBlocks: true });
     expect(all?.deaths).to.deep.equal([]);
     expect(all?.blocks).to.have.length(1);
     const own = run([...three(['p']), ...others(260)]);
-    const told = partNews(own, { nowMs: 1000, tellsAllBlocks: false });
-    expect([told?.deaths.length, told?.blocks.length]).to.deep.equal([3, 1]);
-    const later = partNews(own, { nowMs: 10_000, tellsAllBlocks: false });
+    const reported = partReport(own, { nowMs: 1000, includeAllBlocks: false });
+    expect([reported?.deaths.length, reported?.blocks.length]).to.deep.equal([
+      3, 1,
+    ]);
+    const later = partReport(own, { nowMs: 10_000, includeAllBlocks: false });
     expect(later).to.equal(undefined);
   });
 
   it('does not take up a block again that an answer has cleared', () => {
     const block = { service: SERVICE, parts: ['p'], cause: 'p1', level: 0 };
-    const heard = (atMs: number): PartSuspectsEvent => ({
-      type: 'partSuspects.heard',
+    const received = (atMs: number): PartSuspectsEvent => ({
+      type: 'partSuspects.reportReceived',
       atMs,
       deaths: [],
       sounds: [],
       blocks: [{ ...block, sinceMs: atMs }],
     });
     const { state, effects } = apply([
-      heard(0),
+      received(0),
       answered(10, ['p']),
-      heard(20),
+      received(20),
     ]);
     expect(verdict(state, ['p'])).to.equal(undefined);
     expect(blockedEffects(effects)).to.have.length(1);
--- a/packages/core/src/forwarding/partSuspects/types.ts
+++ b/packages/core/src/forwarding/partSuspects/types.ts
@@ -67,7 +67,7 @@
 }
 
 /** What an entry tells its peers. */
-export interface PartNews {
+export interface PartReport {
   readonly deaths: readonly PartDeath[];
   readonly sounds: readonly PartSound[];
   readonly blocks: readonly PartBlock[];
@@ -88,7 +88,10 @@
       readonly service: string;
       readonly parts: readonly string[];
     }
-  | ({ readonly type: 'partSuspects.heard'; readonly atMs: number } & PartNews)
+  | ({
+      readonly type: 'partSuspects.reportReceived';
+      readonly atMs: number;
+    } & PartReport)
   /** This entry sends a request with blocked parts to learn whether they still
    * crash targets. */
   | {
@@ -102,7 +105,7 @@
 /** Changes to log, and to tell peers at once. */
 export type PartSuspectsEffect =
   /** This entry knows something that its peers have to learn now. */
-  | { readonly type: 'partSuspects.news' }
+  | { readonly type: 'partSuspects.reportDue' }
   | {
       readonly type: 'partSuspects.blocked';
       readonly block: PartBlock;
--- a/packages/gateway/src/createPeerLink/_lib/partNewsSender.ts
+++ b/packages/gateway/src/createPeerLink/_lib/partReportSender.ts
@@ -1,19 +1,19 @@
-import { partNews, type PartNews } from '@endivegate/core/forwarding';
+import { partReport, type PartReport } from '@endivegate/core/forwarding';
 import type { GatewayRuntime } from '../../gatewayRuntime/index.ts';
 
 /** Tells peers of parts that crash targets. */
-export interface PartNewsSender {
+export interface PartReportSender {
   /** Sends what there is to tell; called once per interval. */
   readonly sendNow: () => void;
   readonly close: () => void;
 }
 
-/** Options of {@link createPartNewsSender}. */
-export interface CreatePartNewsSenderOptions {
+/** Options of {@link createPartReportSender}. */
+export interface CreatePartReportSenderOptions {
   readonly runtime: GatewayRuntime;
   /** Whether this entry tells blocks of others too, for entries that start later. */
-  readonly tellsAllBlocks: () => boolean;
-  readonly send: (news: PartNews, nowMs: number) => void;
+  readonly includeAllBlocks: () => boolean;
+  readonly send: (report: PartReport, nowMs: number) => void;
   /** Monotonic time in ms. */
   readonly now: () => number;
 }
@@ -21,13 +21,13 @@
 /** Collects what a death reveals: each request that ran there reports it. */
 const SEND_DELAY_MS = 4;
 
-/** Shortest time between two sends that news cause. */
+/** Shortest time between two reports that changes cause. */
 const MIN_INTERVAL_MS = 40;
 
 /** Creates the sender. It sends at once when the gateway learns something new. */
-export function createPartNewsSender(
-  options: CreatePartNewsSenderOptions,
-): PartNewsSender {
+export function createPartReportSender(
+  options: CreatePartReportSenderOptions,
+): PartReportSender {
   const { runtime, now } = options;
   let delayTimer: NodeJS.Timeout | undefined;
   let intervalTimer: NodeJS.Timeout | undefined;
@@ -38,11 +38,11 @@
     if (isClosed) return;
     isDue = false;
     const nowMs = now();
-    const news = partNews(runtime.state().partSuspects, {
+    const report = partReport(runtime.state().partSuspects, {
       nowMs,
-      tellsAllBlocks: options.tellsAllBlocks(),
+      includeAllBlocks: options.includeAllBlocks(),
     });
-    if (news !== undefined) options.send(news, nowMs);
+    if (report !== undefined) options.send(report, nowMs);
   }
 
   function schedule(): void {
@@ -55,7 +55,7 @@
     }, MIN_INTERVAL_MS);
   }
 
-  runtime.onPartNews(() => {
+  runtime.onPartReport(() => {
     if (!isClosed) schedule();
   });
 
--- a/packages/gateway/src/createPeerLink/_lib/partRows.ts
+++ b/packages/gateway/src/createPeerLink/_lib/partRows.ts
@@ -1,4 +1,4 @@
-import type { PartNews } from '@endivegate/core/forwarding';
+import type { PartReport } from '@endivegate/core/forwarding';
 import { z } from 'zod';
 
 /** Rows that a message may have more than this one does are left out. */
@@ -33,28 +33,28 @@
 type Rows = z.infer<typeof rowsSchema>;
 
 /**
- * Encodes news of parts with ages, so that clocks need not be synchronised.
+ * Encodes reports on parts with ages, so that clocks need not be synchronised.
  *
- * @param news - The news, most important rows first.
+ * @param report - The report, most important rows first.
  * @param nowMs - Monotonic time of the sender.
  * @returns Rows of at most 1,000 bytes: blocks first, then what clears parts, then
  * deaths.
  */
-export function encodePartRows(news: PartNews, nowMs: number): Rows {
+export function encodePartRows(report: PartReport, nowMs: number): Rows {
   const ageOf = (atMs: number): number => Math.max(Math.round(nowMs - atMs), 0);
-  const blocks = news.blocks.map((one): Rows[2][number] => [
+  const blocks = report.blocks.map((one): Rows[2][number] => [
     one.service,
     [...one.parts],
     one.cause,
     one.level,
     ageOf(one.sinceMs),
   ]);
-  const sounds = news.sounds.map((one): Rows[1][number] => [
+  const sounds = report.sounds.map((one): Rows[1][number] => [
     one.service,
     one.part,
     ageOf(one.atMs),
   ]);
-  const deaths = news.deaths.map((one): Rows[0][number] => [
+  const deaths = report.deaths.map((one): Rows[0][number] => [
     one.id,
     one.service,
     one.process,
@@ -70,16 +70,16 @@
 }
 
 /**
- * Decodes news of parts.
+ * Decodes reports on parts.
  *
  * @param rows - The sixth element of a message; undefined if it has none.
  * @param nowMs - Monotonic time of the receiver.
- * @returns The news, or undefined if there is none or it cannot be read.
+ * @returns The report, or undefined if there is none or it cannot be read.
  */
 export function decodePartRows(
   rows: unknown,
   nowMs: number,
-): PartNews | undefined {
+): PartReport | undefined {
   const parsed = rowsSchema.safeParse(rows);
   if (!parsed.success) return undefined;
   const [deaths, sounds, blocks] = parsed.data;
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -1,7 +1,7 @@
 import { decodeMulti, encode } from '@msgpack/msgpack';
 import type {
   InFlightRequest,
-  PartNews,
+  PartReport,
   PeerStatus,
   TargetProcess,
 } from '@endivegate/core/forwarding';
@@ -22,8 +22,8 @@
   }[];
   /** Peer addresses of other entries. */
   readonly addresses: readonly string[];
-  /** Parts of prompts that crash targets; undefined if there is no news. */
-  readonly parts?: PartNews | undefined;
+  /** Parts of prompts that crash targets; undefined if there is nothing to report. */
+  readonly parts?: PartReport | undefined;
 }
 
 /** Maps target ids to the hashes that stand for them in messages. */
--- a/packages/gateway/src/createPeerLink/_lib/test.ts
+++ b/packages/gateway/src/createPeerLink/_lib/test.ts
@@ -93,7 +93,7 @@
   });
 });
 
-describe('news of parts', () => {
+describe('reports on parts', () => {
   const parts: PeerMessage['parts'] = {
     deaths: [
       {
@@ -113,7 +113,7 @@
   const rowOf = (bytes: Uint8Array) => decode(bytes) as unknown[];
 
   // Guards against entries of earlier builds not hearing of this one.
-  it('leaves messages without news as they were', () => {
+  it('leaves messages without a report as they were', () => {
     expect(rowOf(encodePeerMessage(message, codec, 0))).to.have.length(5);
   });
 
@@ -131,7 +131,7 @@
     });
   });
 
-  it('reads messages with more elements, or with news that it cannot read', () => {
+  it('reads messages with more elements, or with a report that it cannot read', () => {
     const row = rowOf(encodePeerMessage({ ...message, parts }, codec, 1000));
     const longer = decodeOne(encode([...row, 'later', 7]), codec, 1000);
     expect(longer?.parts?.sounds).to.deep.equal(parts.sounds);
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -19,7 +19,7 @@
   type PeerMessage,
   type TargetCodec,
 } from './_lib/peerMessage.ts';
-import { createPartNewsSender } from './_lib/partNewsSender.ts';
+import { createPartReportSender } from './_lib/partReportSender.ts';
 import { createPeerSelection } from './_lib/peerSelection.ts';
 import { createTargetCodec } from './_lib/targetCodec.ts';
 
@@ -137,10 +137,10 @@
     },
   });
   const configFetcher = createConfigFetcher({ runtime, log });
-  const partNewsSender = createPartNewsSender({
+  const partReportSender = createPartReportSender({
     runtime,
     now,
-    tellsAllBlocks: isDigestSender,
+    includeAllBlocks: isDigestSender,
     // In datagrams of their own, as entries of earlier builds cannot read them.
     send(parts, atMs) {
       const message = { ...NO_NEWS, self: self(), parts };
@@ -160,7 +160,7 @@
   server.listen(Number(port), host);
   const digestTimer = setInterval(() => {
     sendDigest();
-    partNewsSender.sendNow();
+    partReportSender.sendNow();
   }, DIGEST_INTERVAL_MS);
   const contactTimer = setInterval(() => {
     const atMs = now();
@@ -320,7 +320,7 @@
       });
     messages.forEach(({ parts }) => {
       if (parts === undefined) return;
-      runtime.dispatch({ type: 'partSuspects.heard', atMs, ...parts });
+      runtime.dispatch({ type: 'partSuspects.reportReceived', atMs, ...parts });
     });
     const newest = peers.find(configFetcher.isNewer);
     if (newest !== undefined) configFetcher.schedule(newest);
@@ -340,7 +340,7 @@
       clearTimeout(heartbeatTimer);
       batch.close();
       clearTimeout(sendTimer);
-      partNewsSender.close();
+      partReportSender.close();
       socket.close();
       server.close();
     },
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -26,7 +26,7 @@
   readonly onSendStarted: (listener: (flight: InFlightRequest) => void) => void;
   /** Registers a listener for what peers have to learn at once about parts of
    * prompts that crash targets. */
-  readonly onPartNews: (listener: () => void) => void;
+  readonly onPartReport: (listener: () => void) => void;
 }
 
 /** Limits of a deployment. */
@@ -60,7 +60,7 @@
       step.effects.forEach((effect) => {
         logEffect(log, effect);
       });
-      if (step.effects.some(({ type }) => type === 'partSuspects.news')) {
+      if (step.effects.some(({ type }) => type === 'partSuspects.reportDue')) {
         newsListeners.forEach((listener) => {
           listener();
         });
@@ -93,7 +93,7 @@
     onSendStarted(listener) {
       loadListeners.push(listener);
     },
-    onPartNews(listener) {
+    onPartReport(listener) {
       newsListeners.push(listener);
     },
   };
@@ -133,6 +133,6 @@
         parts: effect.block.parts,
       });
       return;
-    case 'partSuspects.news':
+    case 'partSuspects.reportDue':
   }
 }
--- a/packages/gateway/src/partGuard/_lib/test.ts
+++ b/packages/gateway/src/partGuard/_lib/test.ts
@@ -80,7 +80,7 @@
     const block = (parts: readonly string[]) => {
       entries.forEach(({ runtime }) => {
         runtime.dispatch({
-          type: 'partSuspects.heard',
+          type: 'partSuspects.reportReceived',
           atMs: clock.nowMs,
           deaths: [],
           sounds: [],
--- a/packages/gateway/src/partGuard/test.ts
+++ b/packages/gateway/src/partGuard/test.ts
@@ -125,7 +125,7 @@
         sinceMs: atMs,
       };
       gateway.runtime.dispatch({
-        type: 'partSuspects.heard',
+        type: 'partSuspects.reportReceived',
         atMs,
         deaths: [],
         sounds: [],
