Read and log the limits that targets name

A target in need names in its answers how many requests a second it takes from all entries together.

Adds the limit to the head of a target's response, a slice that records it for each process of a target, the log line target.limit and a label of the announcement counter. A response ends a limit only if it is signed and its request was sent after the limit was named. No decision uses the limit yet.

--- a/packages/core/src/forwarding/gatewayReduce/index.ts
+++ b/packages/core/src/forwarding/gatewayReduce/index.ts
@@ -31,6 +31,13 @@
   type PeersState,
   reducePeers,
 } from '../peerList/index.ts';
+import {
+  initialTargetLimits,
+  reduceTargetLimits,
+  type TargetLimitsEffect,
+  type TargetLimitsEvent,
+  type TargetLimitsState,
+} from '../targetLimits/index.ts';
 import {
   initialRoster,
   reduceRoster,
@@ -48,6 +55,7 @@
   readonly budget: BudgetState;
   readonly suspects: SuspectsState;
   readonly partSuspects: PartSuspectsState;
+  readonly targetLimits: TargetLimitsState;
 }
 
 /** Every event that changes the state of a gateway. */
@@ -57,10 +65,12 @@
   | PeersEvent
   | BudgetEvent
   | SuspectsEvent
-  | PartSuspectsEvent;
+  | PartSuspectsEvent
+  | TargetLimitsEvent;
 
 /** State changes to log. */
-export type GatewayEffect = RosterEffect | PeersEffect | PartSuspectsEffect;
+export type GatewayEffect =
+  RosterEffect | PeersEffect | PartSuspectsEffect | TargetLimitsEffect;
 
 /** State of a gateway before its first event. */
 export const initialGatewayState: GatewayState = {
@@ -70,6 +80,7 @@
   budget: initialBudget,
   suspects: initialSuspects,
   partSuspects: initialPartSuspects,
+  targetLimits: initialTargetLimits,
 };
 
 /**
@@ -90,4 +101,5 @@
     budget: { initial: initialBudget, reduce: reduceBudget },
     suspects: { initial: initialSuspects, reduce: reduceSuspects },
     partSuspects: { initial: initialPartSuspects, reduce: reducePartSuspects },
+    targetLimits: { initial: initialTargetLimits, reduce: reduceTargetLimits },
   });
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -17,4 +17,5 @@
 export * from './routeTable/index.ts';
 export * from './sampleEntries/index.ts';
 export * from './storeWatchers/index.ts';
+export * from './targetLimits/index.ts';
 export * from './targetRoster/index.ts';
--- a/packages/gateway/src/createGatewayMetrics/index.ts
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -20,8 +20,8 @@
   }) => void;
   /** Records the observed minus the predicted time to first event. */
   readonly observePredictionError: (errorMs: number) => void;
-  /** Counts a response in which a target said that it is leaving or asked for a
-   * pause. */
+  /** Counts a response in which a target said that it is leaving, asked for a
+   * pause or named a limit. */
   readonly targetAnnounced: (labels: { announcement: string }) => void;
   /** Counts a target's death under a request with parts, and a request refused for
    * a part that crashes targets. */
@@ -95,7 +95,7 @@
   });
   const announcements = new Counter({
     name: 'endivegate_target_announcements_total',
-    help: 'Responses in which a target announced its leaving or asked for a pause.',
+    help: 'Responses in which a target announced its leaving, asked for a pause or named a limit.',
     labelNames: ['announcement'],
     registers,
   });
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -115,6 +115,14 @@
         requestedMs: Math.round(effect.requestedMs),
       });
       return;
+    case 'targetLimits.changed':
+      log.info('target.limit', {
+        target: effect.id,
+        requestsPerS: effect.requestsPerS,
+        beforePerS: effect.beforePerS,
+        reason: effect.reason,
+      });
+      return;
     case 'peers.changed':
       log.info('peer.changed', { peer: effect.name, change: effect.change });
       return;
--- a/packages/gateway/src/httpDialect/index.ts
+++ b/packages/gateway/src/httpDialect/index.ts
@@ -56,8 +56,16 @@
   readonly isLeaving: boolean;
   /** Pause that the target asks this entry for when it refuses a request. */
   readonly pause: RequestedPause;
+  /** Requests per second that the target takes from all entries together. */
+  readonly limit: NamedLimit;
 }
 
+/** A limit on requests that a target names, as written in its response. */
+export type NamedLimit =
+  | { readonly type: 'none' }
+  | { readonly type: 'named'; readonly requestsPerS: number }
+  | { readonly type: 'unreadable'; readonly text: string };
+
 /** A pause that a target asks for, as written in its response. */
 export type RequestedPause =
   | { readonly type: 'none' }
@@ -83,6 +91,27 @@
     : { type: 'unreadable', text };
 }
 
+/**
+ * Reads a limit in requests per second, a decimal number. Of several header lines,
+ * which Node joins with commas, the lowest limit applies.
+ *
+ * @param text - Value of the header; undefined if the response has none.
+ * @returns The limit.
+ *
+ * @example
+ * readLimit('2.5'); // { type: 'named', requestsPerS: 2.5 }
+ */
+export function readLimit(text: string | undefined): NamedLimit {
+  if (text === undefined) return { type: 'none' };
+  const values = text
+    .split(',')
+    .filter((value) => /^\s*\d+(\.\d+)?\s*$/.test(value))
+    .map(Number);
+  return values.length > 0
+    ? { type: 'named', requestsPerS: Math.min(...values) }
+    : { type: 'unreadable', text };
+}
+
 /** Longest list of part ids that is read: the first ones are shared by most. */
 const MAX_SHARED_PARTS = 12;
 
--- a/packages/gateway/src/httpDialect/test.ts
+++ b/packages/gateway/src/httpDialect/test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { endToEndHeaders, readSharedParts } from './index.ts';
+import { endToEndHeaders, readLimit, readSharedParts } from './index.ts';
 
 describe('passedHeaders', () => {
   it('removes hop-by-hop headers, those listed in Connection and withheld ones', () => {
@@ -40,3 +40,24 @@
     );
   });
 });
+
+describe('readLimit', () => {
+  it('reads a decimal number, the lowest of several lines', () => {
+    expect(readLimit(undefined)).to.deep.equal({ type: 'none' });
+    expect(readLimit('2.5')).to.deep.equal({
+      type: 'named',
+      requestsPerS: 2.5,
+    });
+    expect(readLimit('0')).to.deep.equal({ type: 'named', requestsPerS: 0 });
+    expect(readLimit('10, 4')).to.deep.equal({
+      type: 'named',
+      requestsPerS: 4,
+    });
+  });
+
+  it('reports a value that is no decimal number', () => {
+    ['', '-1', '1e9', 'many', 'NaN', 'Infinity'].forEach((text) => {
+      expect(readLimit(text)).to.deep.equal({ type: 'unreadable', text });
+    });
+  });
+});
--- a/packages/gateway/src/runSend/_lib/recordAnnouncements.ts
+++ b/packages/gateway/src/runSend/_lib/recordAnnouncements.ts
@@ -6,14 +6,16 @@
 export interface TargetAnnouncement {
   readonly target: TargetProcess;
   readonly head: TargetHead;
+  /** When the request was sent. */
+  readonly sentAtMs: number;
 }
 
 /**
- * Applies what a target says about itself in a response: that it is leaving, or
- * that it wants a pause.
+ * Applies what a target says about itself in a response: that it is leaving, that
+ * it wants a pause, or how many requests it takes.
  */
 export function recordAnnouncements(
-  { target, head }: TargetAnnouncement,
+  { target, head, sentAtMs }: TargetAnnouncement,
   context: Pick<ForwardContext, 'runtime' | 'log' | 'metrics' | 'now'>,
 ): void {
   const { runtime, log, metrics } = context;
@@ -23,6 +25,7 @@
     metrics.targetAnnounced({ announcement: 'leaving' });
     runtime.dispatch({ type: 'roster.leavingAnnounced', atMs, id, bornMs });
   }
+  recordLimit({ target, head, sentAtMs }, context);
   switch (head.pause.type) {
     case 'none':
       return;
@@ -42,3 +45,33 @@
       log.warn('target.pauseUnreadable', { target: id, text: head.pause.text });
   }
 }
+
+/**
+ * Records the limit that a target names. Only a response that the target signed
+ * ends a limit, as others may not come from the program that names it.
+ */
+function recordLimit(
+  { target, head, sentAtMs }: TargetAnnouncement,
+  context: Pick<ForwardContext, 'runtime' | 'log' | 'metrics' | 'now'>,
+): void {
+  const { runtime, log, metrics } = context;
+  const { id, bornMs } = target;
+  const { limit } = head;
+  if (limit.type === 'unreadable') {
+    log.warn('target.limitUnreadable', { target: id, text: limit.text });
+    return;
+  }
+  const isNamed = limit.type === 'named';
+  if (isNamed) metrics.targetAnnounced({ announcement: 'limit' });
+  else if (!head.isSigned || !runtime.state().targetLimits.has(id)) return;
+  runtime.dispatch({
+    type: 'targetLimits.responded',
+    report: {
+      id,
+      bornMs,
+      requestsPerS: isNamed ? limit.requestsPerS : undefined,
+      atMs: context.now(),
+    },
+    sentAtMs,
+  });
+}
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -104,6 +104,7 @@
   function send(held: MemoryReservation | undefined): void {
     stallDetector.reset();
     const reservations = held === undefined ? [] : plan.reservations;
+    const sentAtMs = now();
     const started = sendRequest(
       {
         address: target.address,
@@ -121,7 +122,7 @@
       {
         onSent: handlers.onSent,
         onTargetHead: (targetHead) => {
-          recordAnnouncements({ target, head: targetHead }, context);
+          recordAnnouncements({ target, head: targetHead, sentAtMs }, context);
         },
         onHead,
         onBody,
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -152,6 +152,7 @@
     runtime.dispatch({ type: 'roster.ticked', atMs });
     runtime.dispatch({ type: 'suspects.ticked', atMs });
     runtime.dispatch({ type: 'partSuspects.ticked', atMs });
+    runtime.dispatch({ type: 'targetLimits.ticked', atMs });
     const targets = [...runtime.state().roster.targets.values()];
     pool.keepOnly(
       new Set(
--- a/packages/gateway/src/testDialect/index.ts
+++ b/packages/gateway/src/testDialect/index.ts
@@ -2,6 +2,7 @@
   headerNumber,
   headerText,
   type HttpDialect,
+  readLimit,
   readRetryAfter,
   readSharedParts,
 } from '../httpDialect/index.ts';
@@ -42,5 +43,6 @@
       status === 503
         ? readRetryAfter(headers['retry-after'])
         : { type: 'none' },
+    limit: readLimit(headerText(headers, 'x-limit')),
   }),
 };
