Failing test: a target gets more requests than the limit that it names

Eight entries over loopback in front of five targets, of which one names a limit of 1 a second: it gets 41 requests in 4 s, 3 s after it first named the limit; 11 are allowed.

--- /dev/null
+++ b/packages/gateway/src/testFleet/index.ts
@@ -0,0 +1,146 @@
+import {
+  createServer,
+  type IncomingMessage,
+  request as httpRequest,
+  type RequestListener,
+} from 'node:http';
+import type { ForwardingRoute } from '@endivegate/contracts/forwarding';
+import { type Gateway, startGateway } from '../startGateway/index.ts';
+import { testAddress } from '../testAddress/index.ts';
+import {
+  testConfig,
+  testGatewayOptions,
+  testTargets,
+} from '../testGateway/index.ts';
+
+const HOST = '127.0.0.1';
+const POLL_INTERVAL_MS = 10;
+
+/** Entries that know each other, in front of the same stand-in targets. */
+export interface TestFleet {
+  readonly entries: readonly TestFleetEntry[];
+  /** Requests a path at an entry; resolves with the status, or 0 if the
+   * connection broke. */
+  readonly ask: (entry: number, path?: string) => Promise<number>;
+  readonly stop: () => void;
+}
+
+/** An entry of a {@link TestFleet}. */
+export interface TestFleetEntry {
+  readonly gateway: Gateway;
+  readonly callerPort: number;
+}
+
+/** Options of {@link startTestFleet}. */
+export interface StartTestFleetOptions {
+  /** Entries, spread over three data centres. */
+  readonly entries: number;
+  readonly targets: readonly RequestListener[];
+  /** Differences from a resumable stream route. */
+  readonly route?: Partial<ForwardingRoute>;
+}
+
+const DATA_CENTRES = ['a', 'b', 'c'];
+
+/**
+ * Starts entries and targets over loopback, and waits until the entries know each
+ * other.
+ *
+ * @param options - Number of entries, targets and route.
+ * @returns The fleet.
+ *
+ * @example
+ * const fleet = await startTestFleet({ entries: 8, targets: [answer, answer] });
+ */
+export async function startTestFleet(
+  options: StartTestFleetOptions,
+): Promise<TestFleet> {
+  const servers = options.targets.map((behave) =>
+    createServer((request, response) => {
+      request.resume().on('end', () => {
+        behave(request, response);
+      });
+    }),
+  );
+  const addresses = await Promise.all(
+    servers.map(async (server) => {
+      const address = await testAddress();
+      server.listen(Number(address.split(':')[1]), HOST);
+      return address;
+    }),
+  );
+  const targets = testTargets(addresses).map((target, index) => ({
+    ...target,
+    dataCentre: DATA_CENTRES[index % DATA_CENTRES.length] ?? '',
+  }));
+  const seed = await testAddress();
+  const startEntry = async (index: number): Promise<TestFleetEntry> => {
+    const started = await testGatewayOptions({
+      name: `e${index}`,
+      dataCentre: DATA_CENTRES[index % DATA_CENTRES.length] ?? '',
+      seedAddresses: [seed],
+      ...(index === 0 ? { peerAddress: seed } : {}),
+    });
+    const gateway = startGateway(started);
+    gateway.runtime.dispatch({ type: 'roster.listed', atMs: 0, targets });
+    gateway.runtime.applyConfig(testConfig(options.route), 'test');
+    return { gateway, callerPort: Number(started.callerAddress.split(':')[1]) };
+  };
+  const entries = await Promise.all(
+    Array.from({ length: options.entries }, (_, index) => startEntry(index)),
+  );
+  const isLinked = (): boolean =>
+    entries.every(
+      ({ gateway }) =>
+        gateway.runtime.state().peers.size === entries.length - 1,
+    );
+  while (!isLinked()) await settle(POLL_INTERVAL_MS);
+  let requests = 0;
+  return {
+    entries,
+    ask(index, path = '/') {
+      requests += 1;
+      return ask(entries[index]?.callerPort ?? 0, path, `a${requests}`);
+    },
+    stop() {
+      entries.forEach(({ gateway }) => {
+        gateway.stop();
+      });
+      servers.forEach((server) => {
+        server.closeAllConnections();
+        server.close();
+      });
+    },
+  };
+}
+
+/** Resolves after a time. */
+export function settle(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
+
+function ask(port: number, path: string, requestId: string): Promise<number> {
+  return new Promise((resolve) => {
+    const request = httpRequest(
+      {
+        host: HOST,
+        port,
+        path,
+        agent: false,
+        headers: { host: 'api.example', 'x-request': requestId },
+      },
+      (response: IncomingMessage) => {
+        response.resume();
+        response.on('close', () => {
+          resolve(response.complete ? (response.statusCode ?? 0) : 0);
+        });
+      },
+    );
+    request.on('error', () => {
+      resolve(0);
+    });
+    request.end();
+  });
+}
