Keep the limit that a target names, over all entries together

Cause: nothing read the limit (hypothesis 1). The class is a bound that belongs to all senders together.

core/forwarding/targetLimits divides a limit among few entries by rendezvous hashing; each paces its share from an empty bucket. Reports of limits and of their ends travel with those on parts of prompts, at once, each second and to each new process. Targets without a permit here are no choice for sends, takeovers, parts of prompts or orders; when none is left, the request is refused at once with the mean time until the next permit.

Simulated with a fake clock for 1 to 72 entries, limits from 0 to 60 a second and stops in turn: no window of 4 s above the bound, and above 0.7 of the limit used.

--- a/packages/core/src/forwarding/targetLimits/test.ts
+++ b/packages/core/src/forwarding/targetLimits/test.ts
@@ -1,6 +1,13 @@
 import { expect } from 'chai';
+import type { ListedTarget } from '@endivegate/contracts/forwarding';
+import { initialPeers, reducePeers } from '../peerList/index.ts';
+import { initialRoster, reduceRoster } from '../targetRoster/index.ts';
 import {
+  hasPermit,
   initialTargetLimits,
+  limitReports,
+  limitShares,
+  permitIntervalMs,
   reduceTargetLimits,
   type TargetLimitsState,
 } from './index.ts';
@@ -35,7 +42,11 @@
   it('forgets a limit that no response confirms', () => {
     const named = respond(initialTargetLimits, 2, 1000);
     const tick = (atMs: number) =>
-      reduceTargetLimits(named, { type: 'targetLimits.ticked', atMs });
+      reduceTargetLimits(named, {
+        type: 'targetLimits.ticked',
+        atMs,
+        shares: new Map(),
+      });
     expect(tick(10_999).state).to.equal(named);
     expect(tick(11_000).state.size).to.equal(0);
     expect(tick(11_000).effects).to.deep.equal([
@@ -49,3 +60,182 @@
     ]);
   });
 });
+
+const TICK_MS = 200;
+const DEMAND_INTERVAL_MS = 5;
+const WINDOW_MS = 4000;
+
+/** What a target may get in 4 s, as the users' rule says. */
+const mostInWindow = (limitPerS: number) =>
+  1.5 * limitPerS * (WINDOW_MS / 1000) + 5;
+
+const DATA_CENTRES = ['a', 'b', 'c'];
+
+const listed: ListedTarget = {
+  id: 't',
+  service: 's',
+  address: '10.0.0.1:80',
+  dataCentre: 'a',
+  draining: false,
+  slots: 8,
+  bornMs: 1,
+};
+
+const { state: roster } = reduceRoster(initialRoster, {
+  type: 'roster.listed',
+  atMs: 0,
+  targets: [listed],
+});
+
+interface SimulatedFleet {
+  readonly entries: number;
+  readonly limitPerS: number;
+  readonly forMs: number;
+  /** Entries that are down at a time, as the others know it. */
+  readonly isDown?: (entry: number, atMs: number) => boolean;
+}
+
+/**
+ * Lets every entry send to the target as often as it may, and tells all entries of
+ * each response at once. Returns the times of the requests.
+ */
+function simulate(fleet: SimulatedFleet): readonly number[] {
+  const { entries, limitPerS, forMs, isDown = () => false } = fleet;
+  const names = Array.from({ length: entries }, (_, index) => `e${index}`);
+  let states = names.map(() => respond(initialTargetLimits, limitPerS, 0));
+  const sentAtMs: number[] = [];
+  Array.from({ length: forMs / DEMAND_INTERVAL_MS }, (_, step) => {
+    const nowMs = step * DEMAND_INTERVAL_MS;
+    if (nowMs % TICK_MS === 0) states = states.map(tick);
+    names.forEach((_name, index) => {
+      send(index);
+    });
+
+    function tick(state: TargetLimitsState, own: number): TargetLimitsState {
+      if (isDown(own, nowMs))
+        return respond(initialTargetLimits, limitPerS, nowMs);
+      const peers = reducePeers(initialPeers, {
+        type: 'peers.received',
+        atMs: nowMs,
+        peers: names
+          .filter((_, index) => index !== own && !isDown(index, nowMs))
+          .map((name, index) => ({
+            name,
+            peerAddress: '',
+            callerAddress: '',
+            dataCentre: DATA_CENTRES[index % DATA_CENTRES.length] ?? '',
+            startedAtUnixMs: 0,
+            isReady: true,
+            isLeaving: false,
+            configVersion: 1,
+            weight: 1,
+          })),
+      }).state;
+      const shares = limitShares(state, {
+        roster,
+        peers,
+        nowMs,
+        name: `e${own}`,
+        dataCentre: DATA_CENTRES[own % DATA_CENTRES.length] ?? '',
+        isServing: true,
+      });
+      const event = {
+        type: 'targetLimits.ticked',
+        atMs: nowMs,
+        shares,
+      } as const;
+      return reduceTargetLimits(state, event).state;
+    }
+
+    function send(index: number): void {
+      const state = states[index] ?? initialTargetLimits;
+      if (isDown(index, nowMs) || !hasPermit(state, listed, nowMs)) return;
+      sentAtMs.push(nowMs);
+      const event = { type: 'targetLimits.sent', id: 't', calls: 1 } as const;
+      states[index] = reduceTargetLimits(state, {
+        ...event,
+        atMs: nowMs,
+      }).state;
+      states = states.map((one) => respond(one, limitPerS, nowMs));
+    }
+  });
+  return sentAtMs;
+}
+
+function busiestWindow(sentAtMs: readonly number[]): number {
+  const counts = sentAtMs.map(
+    (fromMs) =>
+      sentAtMs.filter((ms) => ms >= fromMs && ms < fromMs + WINDOW_MS).length,
+  );
+  return Math.max(0, ...counts);
+}
+
+describe('limitShares', () => {
+  const limits = [0, 0.3, 1, 2.5, 10, 60];
+
+  // Guards against senders that each keep a limit which is meant for all together.
+  [1, 2, 8, 72].forEach((entries) => {
+    it(`keeps limits of ${entries} entries together, and uses them`, () => {
+      limits.forEach((limitPerS) => {
+        const sent = simulate({ entries, limitPerS, forMs: 16_000 });
+        expect(busiestWindow(sent)).to.be.at.most(mostInWindow(limitPerS));
+        if (limitPerS < 1) return;
+        expect(sent.length / 16).to.be.above(0.7 * limitPerS);
+      });
+    });
+  });
+
+  // Guards against a restart that adds the requests of a new sender to those that the
+  // stopped one has sent.
+  it('keeps limits while entries stop and start again one after the other', () => {
+    limits.forEach((limitPerS) => {
+      const isDown = (entry: number, atMs: number) =>
+        Math.floor(atMs / 1000) % 8 === entry;
+      const sent = simulate({ entries: 8, limitPerS, forMs: 24_000, isDown });
+      expect(busiestWindow(sent)).to.be.at.most(mostInWindow(limitPerS));
+    });
+  });
+
+  it('tries a target with a limit of 0 again', () => {
+    const sent = simulate({ entries: 8, limitPerS: 0, forMs: 60_000 });
+    expect(sent.length).to.be.within(2, 8);
+  });
+
+  it('gives an entry that takes no callers no share', () => {
+    const state = respond(initialTargetLimits, 5, 0);
+    const fleet = { roster, peers: initialPeers, nowMs: 0, name: 'e0' };
+    const shares = limitShares(state, {
+      ...fleet,
+      dataCentre: 'a',
+      isServing: false,
+    });
+    expect(shares.size).to.equal(0);
+  });
+});
+
+describe('limitReports', () => {
+  it('merges reports of peers by their age', () => {
+    const named = respond(initialTargetLimits, 2, 1000);
+    const receive = (requestsPerS: number | undefined, atMs: number) =>
+      reduceTargetLimits(named, {
+        type: 'targetLimits.received',
+        reports: [{ id: 't', bornMs: 1, requestsPerS, atMs }],
+      }).state;
+    const all = { includeReceived: true };
+    const own = { includeReceived: false };
+    expect(limitReports(receive(3, 900), own)[0]?.requestsPerS).to.equal(2);
+    expect(limitReports(receive(3, 1100), own)).to.deep.equal([]);
+    expect(limitReports(receive(3, 1100), all)[0]?.requestsPerS).to.equal(3);
+    const ended = receive(undefined, 1100);
+    expect(hasPermit(named, listed, 1200)).to.equal(false);
+    expect(hasPermit(ended, listed, 1200)).to.equal(true);
+  });
+});
+
+describe('permitIntervalMs', () => {
+  it('is the mean time between requests of all targets together', () => {
+    const state = respond(initialTargetLimits, 4, 0);
+    expect(permitIntervalMs(state, [listed])).to.equal(250);
+    expect(permitIntervalMs(initialTargetLimits, [listed])).to.equal(Infinity);
+  });
+});
--- a/packages/core/src/forwarding/targetLimits/types.ts
+++ b/packages/core/src/forwarding/targetLimits/types.ts
@@ -10,10 +10,22 @@
   readonly atMs: number;
 }
 
-/** The newest report on a process. */
+/** Part of a target's limit that one entry may use. */
+export interface LimitShare {
+  readonly requestsPerS: number;
+  /** Most permits that it may have at a time. */
+  readonly burst: number;
+}
+
+/** The newest report on a process, and what this entry may send to it. */
 export interface TargetLimit extends LimitReport {
   /** Whether this entry received the response itself. */
   readonly isOwn: boolean;
+  readonly share: LimitShare;
+  /** Requests that this entry might send at `permitsAtMs`; below 0 after it sent
+   * more than that. */
+  readonly permits: number;
+  readonly permitsAtMs: number;
 }
 
 /** Newest report by target id. */
@@ -28,7 +40,25 @@
       /** When the request was sent. */
       readonly sentAtMs: number;
     }
-  | { readonly type: 'targetLimits.ticked'; readonly atMs: number };
+  /** A peer reported limits; times are from the receiver's clock. */
+  | {
+      readonly type: 'targetLimits.received';
+      readonly reports: readonly LimitReport[];
+    }
+  /** This entry sends requests or orders to a target. */
+  | {
+      readonly type: 'targetLimits.sent';
+      readonly atMs: number;
+      readonly id: string;
+      readonly calls: number;
+    }
+  /** Time has passed. */
+  | {
+      readonly type: 'targetLimits.ticked';
+      readonly atMs: number;
+      /** This entry's shares; see `limitShares`. */
+      readonly shares: ReadonlyMap<string, LimitShare>;
+    };
 
 /** A change of a limit to log. */
 export interface TargetLimitsEffect {
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -1,11 +1,13 @@
 import { decodeMulti, encode } from '@msgpack/msgpack';
 import type {
   InFlightRequest,
+  LimitReport,
   PartReport,
   PeerStatus,
   TargetProcess,
 } from '@endivegate/core/forwarding';
 import { z } from 'zod';
+import { decodeLimitRows, encodeLimitRows } from './limitRows.ts';
 import { decodePartRows, encodePartRows } from './partRows.ts';
 
 /** Message with the complete state that an entry shares with its peers. */
@@ -24,6 +26,8 @@
   readonly addresses: readonly string[];
   /** Parts of prompts that crash targets; undefined if there is nothing to report. */
   readonly parts?: PartReport | undefined;
+  /** Limits that targets name; undefined if there is nothing to report. */
+  readonly limits?: readonly LimitReport[] | undefined;
 }
 
 /** Maps target ids to the hashes that stand for them in messages. */
@@ -109,9 +113,7 @@
     message.drainingProcesses.map((one) => [one.id, one.bornMs]),
     message.crashes.map((one) => [one.fingerprint, one.targetId]),
     [...message.addresses],
-    ...(message.parts === undefined
-      ? []
-      : [encodePartRows(message.parts, nowMs)]),
+    ...encodeReports(message, nowMs),
   ];
   return encode(body);
 }
@@ -141,8 +143,10 @@
   codec: TargetCodec,
   nowMs: number,
 ): PeerMessage {
-  const [self, flights, draining, crashes, addresses, partRows] = row;
+  const [self, flights, draining, crashes, addresses, partRows, limitRows] =
+    row;
   const parts = decodePartRows(partRows, nowMs);
+  const limits = decodeLimitRows(limitRows, nowMs);
   return {
     self: {
       name: self[0],
@@ -163,9 +167,20 @@
     })),
     addresses,
     ...(parts === undefined ? {} : { parts }),
+    ...(limits === undefined ? {} : { limits }),
   };
 }
 
+/** Encodes the elements that entries of earlier builds do not read. */
+function encodeReports(
+  { parts, limits }: PeerMessage,
+  nowMs: number,
+): readonly unknown[] {
+  const partRows = parts === undefined ? null : encodePartRows(parts, nowMs);
+  if (limits !== undefined) return [partRows, encodeLimitRows(limits, nowMs)];
+  return partRows === null ? [] : [partRows];
+}
+
 function encodeFlight(
   flight: InFlightRequest,
   codec: TargetCodec,
--- /dev/null
+++ b/packages/gateway/src/createPeerLink/_lib/reportSender.ts
@@ -0,0 +1,98 @@
+import {
+  limitReports,
+  type LimitReport,
+  partReport,
+  type PartReport,
+} from '@endivegate/core/forwarding';
+import type { GatewayRuntime } from '../../gatewayRuntime/index.ts';
+
+/** What an entry reports to its peers besides its own state. */
+export interface Reports {
+  readonly parts?: PartReport;
+  readonly limits?: readonly LimitReport[];
+}
+
+/** Reports to peers parts that crash targets, and limits that targets name. */
+export interface ReportSender {
+  /** Sends what there is to tell; called once per interval. */
+  readonly sendNow: () => void;
+  /** Sends soon, together with what follows within a few ms. */
+  readonly schedule: () => void;
+  readonly close: () => void;
+}
+
+/** Options of {@link createReportSender}. */
+export interface CreateReportSenderOptions {
+  readonly runtime: GatewayRuntime;
+  /** Whether this entry reports what it received too, for entries that start later. */
+  readonly includeReceived: () => boolean;
+  readonly send: (reports: Reports, nowMs: number) => void;
+  /** Monotonic time in ms. */
+  readonly now: () => number;
+}
+
+/** Collects what a death reveals: each request that ran there reports it. */
+const SEND_DELAY_MS = 4;
+
+/** Shortest time between two reports that changes cause. */
+const MIN_INTERVAL_MS = 40;
+
+/** Limits in one datagram. */
+const MAX_LIMIT_ROWS = 20;
+
+/** Creates the sender. It sends at once when the gateway learns something new. */
+export function createReportSender(
+  options: CreateReportSenderOptions,
+): ReportSender {
+  const { runtime, now } = options;
+  let delayTimer: NodeJS.Timeout | undefined;
+  let intervalTimer: NodeJS.Timeout | undefined;
+  let isDue = false;
+  let isClosed = false;
+
+  function sendNow(): void {
+    if (isClosed) return;
+    isDue = false;
+    const nowMs = now();
+    const includeReceived = options.includeReceived();
+    const { partSuspects, targetLimits } = runtime.state();
+    const parts = partReport(partSuspects, {
+      nowMs,
+      includeAllBlocks: includeReceived,
+    });
+    if (parts !== undefined) options.send({ parts }, nowMs);
+    const limits = limitReports(targetLimits, { includeReceived });
+    chunksOf(limits, MAX_LIMIT_ROWS).forEach((rows) => {
+      options.send({ limits: rows }, nowMs);
+    });
+  }
+
+  function schedule(): void {
+    if (isClosed) return;
+    isDue = true;
+    if (intervalTimer !== undefined) return;
+    delayTimer = setTimeout(sendNow, SEND_DELAY_MS);
+    intervalTimer = setTimeout(() => {
+      intervalTimer = undefined;
+      if (isDue) schedule();
+    }, MIN_INTERVAL_MS);
+  }
+
+  runtime.onReportDue(schedule);
+
+  return {
+    sendNow,
+    schedule,
+    close() {
+      isClosed = true;
+      clearTimeout(delayTimer);
+      clearTimeout(intervalTimer);
+    },
+  };
+}
+
+function chunksOf<T>(items: readonly T[], size: number): readonly T[][] {
+  return Array.from({ length: Math.ceil(items.length / size) }, (_, index) =>
+    items.slice(index * size, (index + 1) * size),
+  );
+}
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -19,7 +19,7 @@
   type PeerMessage,
   type TargetCodec,
 } from './_lib/peerMessage.ts';
-import { createPartReportSender } from './_lib/partReportSender.ts';
+import { createReportSender } from './_lib/reportSender.ts';
 import { createPeerSelection } from './_lib/peerSelection.ts';
 import { createTargetCodec } from './_lib/targetCodec.ts';
 
@@ -137,13 +137,13 @@
     },
   });
   const configFetcher = createConfigFetcher({ runtime, log });
-  const partReportSender = createPartReportSender({
+  const reportSender = createReportSender({
     runtime,
     now,
-    includeAllBlocks: isDigestSender,
+    includeReceived: isDigestSender,
     // In datagrams of their own, as entries of earlier builds cannot read them.
-    send(parts, atMs) {
-      const message = { ...NO_NEWS, self: self(), parts };
+    send(reports, atMs) {
+      const message = { ...NO_NEWS, self: self(), ...reports };
       const bytes = encodePeerMessage(message, codec, atMs);
       sendToLocal(bytes);
       sendToRelays(bytes);
@@ -160,7 +160,7 @@
   server.listen(Number(port), host);
   const digestTimer = setInterval(() => {
     sendDigest();
-    partReportSender.sendNow();
+    reportSender.sendNow();
   }, DIGEST_INTERVAL_MS);
   const contactTimer = setInterval(() => {
     const atMs = now();
@@ -300,7 +300,9 @@
     const peers = messages.map((message) => message.self);
     contacts.addAddresses(peers.map((peer) => peer.peerAddress));
     contacts.addAddresses(messages.flatMap((message) => message.addresses));
+    const isAnyNew = peers.some(isNewProcess);
     runtime.dispatch({ type: 'peers.received', atMs, peers });
+    if (isAnyNew) reportSender.schedule();
     const reports = messages.flatMap(({ self: peer, flights }) =>
       flights === undefined ? [] : [{ peer: peer.name, flights }],
     );
@@ -322,10 +324,19 @@
       if (parts === undefined) return;
       runtime.dispatch({ type: 'partSuspects.reportReceived', atMs, ...parts });
     });
+    const limits = messages.flatMap((message) => message.limits ?? []);
+    if (limits.length > 0) {
+      runtime.dispatch({ type: 'targetLimits.received', reports: limits });
+    }
     const newest = peers.find(configFetcher.isNewer);
     if (newest !== undefined) configFetcher.schedule(newest);
   }
 
+  function isNewProcess({ name, startedAtUnixMs }: PeerStatus): boolean {
+    const known = runtime.state().peers.get(name);
+    return known?.startedAtUnixMs !== startedAtUnixMs;
+  }
+
   return {
     broadcast,
     fetchConfigFrom(peer) {
@@ -340,7 +351,7 @@
       clearTimeout(heartbeatTimer);
       batch.close();
       clearTimeout(sendTimer);
-      partReportSender.close();
+      reportSender.close();
       socket.close();
       server.close();
     },
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -5,7 +5,7 @@
   type NextStep,
   type SendEnd,
   type SendProgress,
-  soonestUsableAtMs,
+  soonestAvailableAtMs,
   takeoverObstacle,
 } from '@endivegate/core/forwarding';
 import type { Reply } from '../createReply/index.ts';
@@ -324,12 +324,14 @@
   }
 
   /** Delay after which a target may take the request: when all asked for a
-   * pause, the end of the shortest one. */
+   * pause, the end of the shortest one; when all are at their limits, the time until
+   * one may get the next request. */
   function retryAfterMs(): number {
-    const { roster } = runtime.state();
-    const usableAtMs = soonestUsableAtMs(roster, service.name) ?? 0;
+    const nowMs = now();
+    const availableAtMs =
+      soonestAvailableAtMs(runtime.state(), service.name, nowMs) ?? 0;
     return Math.max(
-      usableAtMs - now(),
+      availableAtMs - nowMs,
       partGuard.retryAfterMs(),
       RETRY_AFTER_MS,
     );
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -24,9 +24,9 @@
   readonly onConfig: (listener: (table: RouteTable) => void) => void;
   /** Registers a listener for requests that this entry sends. */
   readonly onSendStarted: (listener: (flight: InFlightRequest) => void) => void;
-  /** Registers a listener for what peers have to learn at once about parts of
-   * prompts that crash targets. */
-  readonly onPartReport: (listener: () => void) => void;
+  /** Registers a listener for what peers have to learn at once: parts of prompts
+   * that crash targets, and limits of targets. */
+  readonly onReportDue: (listener: () => void) => void;
 }
 
 /** Limits of a deployment. */
@@ -60,7 +60,7 @@
       step.effects.forEach((effect) => {
         logEffect(log, effect);
       });
-      if (step.effects.some(({ type }) => type === 'partSuspects.reportDue')) {
+      if (step.effects.some(isReportDue)) {
         newsListeners.forEach((listener) => {
           listener();
         });
@@ -93,12 +93,19 @@
     onSendStarted(listener) {
       loadListeners.push(listener);
     },
-    onPartReport(listener) {
+    onReportDue(listener) {
       newsListeners.push(listener);
     },
   };
 }
 
+function isReportDue(effect: GatewayEffect): boolean {
+  return (
+    effect.type === 'partSuspects.reportDue' ||
+    (effect.type === 'targetLimits.changed' && effect.reason === 'response')
+  );
+}
+
 function logEffect(log: EventLog, effect: GatewayEffect): void {
   switch (effect.type) {
     case 'roster.changed':
--- a/packages/gateway/src/httpDialect/index.ts
+++ b/packages/gateway/src/httpDialect/index.ts
@@ -91,6 +91,9 @@
     : { type: 'unreadable', text };
 }
 
+/** A higher limit restricts no fleet. */
+const MAX_LIMIT_PER_S = 1_000_000;
+
 /**
  * Reads a limit in requests per second, a decimal number. Of several header lines,
  * which Node joins with commas, the lowest limit applies.
@@ -108,7 +111,10 @@
     .filter((value) => /^\s*\d+(\.\d+)?\s*$/.test(value))
     .map(Number);
   return values.length > 0
-    ? { type: 'named', requestsPerS: Math.min(...values) }
+    ? {
+        type: 'named',
+        requestsPerS: Math.min(...values, MAX_LIMIT_PER_S),
+      }
     : { type: 'unreadable', text };
 }
 
--- a/packages/gateway/src/httpDialect/test.ts
+++ b/packages/gateway/src/httpDialect/test.ts
@@ -55,7 +55,9 @@
     });
   });
 
-  it('reports a value that is no decimal number', () => {
+  it('bounds a value, and reports one that is no decimal number', () => {
+    const many = readLimit('9'.repeat(400));
+    expect(many).to.deep.equal({ type: 'named', requestsPerS: 1_000_000 });
     ['', '-1', '1e9', 'many', 'NaN', 'Infinity'].forEach((text) => {
       expect(readLimit(text)).to.deep.equal({ type: 'unreadable', text });
     });
--- a/packages/gateway/src/planSend/index.ts
+++ b/packages/gateway/src/planSend/index.ts
@@ -4,6 +4,7 @@
 } from '@endivegate/contracts/forwarding';
 import {
   allLoads,
+  availableTargets,
   cellTargets,
   formsCells,
   type GatewayState,
@@ -11,7 +12,6 @@
   pickTarget,
   planPrompt,
   type RosterTarget,
-  usableTargets,
   valueOfPrompt,
 } from '@endivegate/core/forwarding';
 import type { DeclaredPrompt } from '../httpDialect/index.ts';
@@ -78,7 +78,7 @@
   query: SendQuery,
 ): SendPlan | undefined {
   const { service, prompt, nowMs } = query;
-  const usable = usableTargets(state.roster, service.name, nowMs).filter(
+  const usable = availableTargets(state, service.name, nowMs).filter(
     (target) => !query.excludedIds.has(target.id),
   );
   const loads = allLoads(state.load, nowMs);
--- a/packages/gateway/src/runSend/_lib/sendStart.ts
+++ b/packages/gateway/src/runSend/_lib/sendStart.ts
@@ -2,6 +2,9 @@
 import type { ForwardContext } from '../../forwardRequest/types.ts';
 import type { SendRun } from '../types.ts';
 
+/** Memory is reserved and released. */
+const ORDERS_PER_RESERVATION = 2;
+
 /** Logs the target of a send and the inputs of that decision. */
 export function logSend(run: SendRun, context: ForwardContext): void {
   const { call, plan } = run;
@@ -22,6 +25,23 @@
   });
 }
 
+/** Counts a send, and the orders that it needs, towards the limits that targets
+ * name. */
+export function countTowardsLimits(
+  { plan }: SendRun,
+  { runtime, now }: Pick<ForwardContext, 'runtime' | 'now'>,
+): void {
+  if (runtime.state().targetLimits.size === 0) return;
+  const atMs = now();
+  const count = (id: string, calls: number): void => {
+    runtime.dispatch({ type: 'targetLimits.sent', atMs, id, calls });
+  };
+  count(plan.target.id, 1);
+  plan.reservations.forEach(({ target }) => {
+    count(target.id, ORDERS_PER_RESERVATION);
+  });
+}
+
 /** Adds a send to the gateway's requests in flight. */
 export function trackInFlight(
   run: SendRun,
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -22,7 +22,11 @@
 import { reportOversized } from './_lib/reportOversized.ts';
 import { recordAnnouncements } from './_lib/recordAnnouncements.ts';
 import { createEventTimes } from './_lib/eventTimes.ts';
-import { logSend, trackInFlight } from './_lib/sendStart.ts';
+import {
+  countTowardsLimits,
+  logSend,
+  trackInFlight,
+} from './_lib/sendStart.ts';
 import { listHelpers, sendHeaders } from './_lib/sendHeaders.ts';
 import { createStallDetector } from './_lib/stallDetector.ts';
 import { remainingSilenceMs } from './_lib/remainingSilenceMs.ts';
@@ -78,6 +82,7 @@
   });
 
   logSend(run, context);
+  countTowardsLimits(run, context);
   trackInFlight(run, { flightId, startedAtMs }, context);
   if (plan.reservations.length === 0) send(undefined);
   else {
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -1,5 +1,6 @@
 import type { Server } from 'node:http';
 import {
+  limitShares,
   sampleEntries,
   servingPeers,
   type PeerStatus,
@@ -152,7 +153,17 @@
     runtime.dispatch({ type: 'roster.ticked', atMs });
     runtime.dispatch({ type: 'suspects.ticked', atMs });
     runtime.dispatch({ type: 'partSuspects.ticked', atMs });
-    runtime.dispatch({ type: 'targetLimits.ticked', atMs });
+    runtime.dispatch({
+      type: 'targetLimits.ticked',
+      atMs,
+      shares: limitShares(runtime.state().targetLimits, {
+        ...runtime.state(),
+        nowMs: atMs,
+        name: options.name,
+        dataCentre: options.dataCentre,
+        isServing: isReady(),
+      }),
+    });
     const targets = [...runtime.state().roster.targets.values()];
     pool.keepOnly(
       new Set(
--- a/packages/gateway/src/testFleet/index.ts
+++ b/packages/gateway/src/testFleet/index.ts
@@ -19,12 +19,18 @@
 /** Entries that know each other, in front of the same stand-in targets. */
 export interface TestFleet {
   readonly entries: readonly TestFleetEntry[];
-  /** Requests a path at an entry; resolves with the status, or 0 if the
-   * connection broke. */
-  readonly ask: (entry: number, path?: string) => Promise<number>;
+  /** Requests a path at an entry. */
+  readonly ask: (entry: number, path?: string) => Promise<TestFleetAnswer>;
   readonly stop: () => void;
 }
 
+/** Response of an entry. */
+export interface TestFleetAnswer {
+  /** 0 if the connection broke before the response was complete. */
+  readonly status: number;
+  readonly retryAfterS: number | undefined;
+}
+
 /** An entry of a {@link TestFleet}. */
 export interface TestFleetEntry {
   readonly gateway: Gateway;
@@ -121,8 +127,13 @@
   });
 }
 
-function ask(port: number, path: string, requestId: string): Promise<number> {
+function ask(
+  port: number,
+  path: string,
+  requestId: string,
+): Promise<TestFleetAnswer> {
   return new Promise((resolve) => {
+    const broken = { status: 0, retryAfterS: undefined };
     const request = httpRequest(
       {
         host: HOST,
@@ -132,14 +143,18 @@
         headers: { host: 'api.example', 'x-request': requestId },
       },
       (response: IncomingMessage) => {
+        const retryAfter = response.headers['retry-after'];
         response.resume();
         response.on('close', () => {
-          resolve(response.complete ? (response.statusCode ?? 0) : 0);
+          const { complete, statusCode = 0 } = response;
+          const retryAfterS =
+            retryAfter === undefined ? undefined : Number(retryAfter);
+          resolve(complete ? { status: statusCode, retryAfterS } : broken);
         });
       },
     );
     request.on('error', () => {
-      resolve(0);
+      resolve(broken);
     });
     request.end();
   });
--- a/packages/gateway/src/testFleet/test.ts
+++ b/packages/gateway/src/testFleet/test.ts
@@ -1,7 +1,12 @@
 import { expect } from 'chai';
 import type { RequestListener } from 'node:http';
 import { sign } from '../testGateway/index.ts';
-import { settle, startTestFleet, type TestFleet } from './index.ts';
+import {
+  settle,
+  startTestFleet,
+  type TestFleet,
+  type TestFleetAnswer,
+} from './index.ts';
 
 const ENTRIES = 8;
 const LIMIT_PER_S = 1;
@@ -15,6 +20,18 @@
 
 const REQUEST_INTERVAL_MS = 20;
 
+const answer: RequestListener = (request, response) => {
+  sign(request, response);
+  response.end('fine');
+};
+
+const answerWithLimit =
+  (requestsPerS: number): RequestListener =>
+  (request, response) => {
+    response.setHeader('x-limit', String(requestsPerS));
+    answer(request, response);
+  };
+
 describe('a fleet of entries', () => {
   let fleet: TestFleet | undefined;
 
@@ -23,29 +40,37 @@
     fleet = undefined;
   });
 
+  // Guards against holding a request that no target may take until its deadline.
+  it('refuses at once, with the time until the next permit, when all targets are at their limits', async () => {
+    fleet = await startTestFleet({
+      entries: 1,
+      targets: [answerWithLimit(0.5), answerWithLimit(0.5)],
+      route: { repeat: 'idempotent' },
+    });
+    const first = [await fleet.ask(0), await fleet.ask(0)];
+    const refused = await fleet.ask(0);
+    expect(first.map(({ status }) => status)).to.deep.equal([200, 200]);
+    expect(refused).to.deep.equal({ status: 503, retryAfterS: 1 });
+  });
+
   // Guards against eight entries that each send to a target in need as if it had named
   // no limit, or as if the limit were theirs alone.
   it('sends a target no more requests than the limit that it names', async () => {
     const limitedAtMs: number[] = [];
-    const answer: RequestListener = (request, response) => {
-      sign(request, response);
-      response.end('fine');
-    };
-    const answerWithLimit: RequestListener = (request, response) => {
+    const limited: RequestListener = (request, response) => {
       limitedAtMs.push(performance.now());
-      response.setHeader('x-limit', String(LIMIT_PER_S));
-      answer(request, response);
+      answerWithLimit(LIMIT_PER_S)(request, response);
     };
     fleet = await startTestFleet({
       entries: ENTRIES,
-      targets: [answerWithLimit, answer, answer, answer, answer],
+      targets: [limited, answer, answer, answer, answer],
       route: { repeat: 'idempotent' },
     });
     const startedAtMs = performance.now();
     const endsAtMs = startedAtMs + KNOWN_AFTER_MS + WINDOW_MS + 1000;
-    const statuses: Promise<number>[] = [];
+    const answers: Promise<TestFleetAnswer>[] = [];
     while (performance.now() < endsAtMs) {
-      statuses.push(fleet.ask(statuses.length % ENTRIES));
+      answers.push(fleet.ask(answers.length % ENTRIES));
       await settle(REQUEST_INTERVAL_MS);
     }
     const [firstAtMs = 0] = limitedAtMs;
@@ -57,6 +82,7 @@
       ),
     );
     expect(most).to.be.at.most(MAX_IN_WINDOW);
-    expect(new Set(await Promise.all(statuses))).to.deep.equal(new Set([200]));
+    const statuses = (await Promise.all(answers)).map(({ status }) => status);
+    expect(new Set(statuses)).to.deep.equal(new Set([200]));
   });
 });
