Log when an entry loses its paths to all targets

core/forwarding/targetReach counts failures of distinct targets since the last new connection; two within 4 s start a round of probes to three other targets, of several data centres and services. If none connects, the entry is cut off until two rounds in a row get through. Logged as entry.reach. No decision uses it yet.

--- a/packages/core/src/forwarding/gatewayReduce/index.ts
+++ b/packages/core/src/forwarding/gatewayReduce/index.ts
@@ -31,6 +31,13 @@
   type PeersState,
   reducePeers,
 } from '../peerList/index.ts';
+import {
+  initialReach,
+  type ReachEffect,
+  type ReachEvent,
+  type ReachState,
+  reduceReach,
+} from '../targetReach/index.ts';
 import {
   initialTargetLimits,
   reduceTargetLimits,
@@ -56,6 +63,7 @@
   readonly suspects: SuspectsState;
   readonly partSuspects: PartSuspectsState;
   readonly targetLimits: TargetLimitsState;
+  readonly targetReach: ReachState;
 }
 
 /** Every event that changes the state of a gateway. */
@@ -66,11 +74,16 @@
   | BudgetEvent
   | SuspectsEvent
   | PartSuspectsEvent
-  | TargetLimitsEvent;
+  | TargetLimitsEvent
+  | ReachEvent;
 
 /** State changes to log. */
 export type GatewayEffect =
-  RosterEffect | PeersEffect | PartSuspectsEffect | TargetLimitsEffect;
+  | RosterEffect
+  | PeersEffect
+  | PartSuspectsEffect
+  | TargetLimitsEffect
+  | ReachEffect;
 
 /** State of a gateway before its first event. */
 export const initialGatewayState: GatewayState = {
@@ -81,6 +94,7 @@
   suspects: initialSuspects,
   partSuspects: initialPartSuspects,
   targetLimits: initialTargetLimits,
+  targetReach: initialReach,
 };
 
 /**
@@ -102,4 +116,5 @@
     suspects: { initial: initialSuspects, reduce: reduceSuspects },
     partSuspects: { initial: initialPartSuspects, reduce: reducePartSuspects },
     targetLimits: { initial: initialTargetLimits, reduce: reduceTargetLimits },
+    targetReach: { initial: initialReach, reduce: reduceReach },
   });
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -19,4 +19,5 @@
 export * from './sampleEntries/index.ts';
 export * from './storeWatchers/index.ts';
 export * from './targetLimits/index.ts';
+export * from './targetReach/index.ts';
 export * from './targetRoster/index.ts';
--- a/packages/gateway/src/createConnectionPool/index.ts
+++ b/packages/gateway/src/createConnectionPool/index.ts
@@ -45,7 +45,7 @@
   /** Timeout of a connection attempt; {@link CONNECT_TIMEOUT_MS} by default. */
   readonly connectTimeoutMs?: number;
   /** Called for each new connection. */
-  readonly onConnect?: () => void;
+  readonly onConnect?: (address: string) => void;
 }
 
 /**
@@ -119,7 +119,7 @@
         return () => undefined;
       }
       return open(query.address, { connectTimeoutMs }, (result) => {
-        if (!('type' in result)) onConnect?.();
+        if (!('type' in result)) onConnect?.(query.address);
         done(result);
       });
     },
--- a/packages/gateway/src/createPeerLink/_lib/reportSender.ts
+++ b/packages/gateway/src/createPeerLink/_lib/reportSender.ts
@@ -1,4 +1,5 @@
 import {
+  type GatewayEffect,
   limitReports,
   type LimitReport,
   partReport,
@@ -78,7 +79,9 @@
     }, MIN_INTERVAL_MS);
   }
 
-  runtime.onReportDue(schedule);
+  runtime.onEffect((effect) => {
+    if (isReportDue(effect)) schedule();
+  });
 
   return {
     sendNow,
@@ -91,6 +94,14 @@
   };
 }
 
+/** Whether peers have to learn of a change at once. */
+function isReportDue(effect: GatewayEffect): boolean {
+  return (
+    effect.type === 'partSuspects.reportDue' ||
+    (effect.type === 'targetLimits.changed' && effect.reason === 'response')
+  );
+}
+
 function chunksOf<T>(items: readonly T[], size: number): readonly T[][] {
   return Array.from({ length: Math.ceil(items.length / size) }, (_, index) =>
     items.slice(index * size, (index + 1) * size),
--- a/packages/gateway/src/forwardRequest/_lib/recordOutcome.ts
+++ b/packages/gateway/src/forwardRequest/_lib/recordOutcome.ts
@@ -72,6 +72,9 @@
     cause: FailureCause,
   ): void {
     dispatch({ type: 'roster.failed', atMs, id: targetId, reason, cause });
+    if (cause === 'broken') {
+      dispatch({ type: 'targetReach.failed', atMs, id: targetId });
+    }
   }
 }
 
@@ -84,11 +87,14 @@
   target: SendPlan['target'],
   context: ForwardContext,
 ): void {
+  const { id } = target;
+  const atMs = context.now();
   context.pool.discard(target.address);
+  context.runtime.dispatch({ type: 'targetReach.failed', atMs, id });
   context.runtime.dispatch({
     type: 'roster.failed',
-    atMs: context.now(),
-    id: target.id,
+    atMs,
+    id,
     reason: 'stalled',
     cause: 'slow',
   });
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -24,9 +24,8 @@
   readonly onConfig: (listener: (table: RouteTable) => void) => void;
   /** Registers a listener for requests that this entry sends. */
   readonly onSendStarted: (listener: (flight: InFlightRequest) => void) => void;
-  /** Registers a listener for what peers have to learn at once: parts of prompts
-   * that crash targets, and limits of targets. */
-  readonly onReportDue: (listener: () => void) => void;
+  /** Registers a listener for the effects of events. */
+  readonly onEffect: (listener: (effect: GatewayEffect) => void) => void;
 }
 
 /** Limits of a deployment. */
@@ -50,7 +49,7 @@
   let table: RouteTable | undefined;
   const configListeners: ((table: RouteTable) => void)[] = [];
   const loadListeners: ((flight: InFlightRequest) => void)[] = [];
-  const newsListeners: (() => void)[] = [];
+  const effectListeners: ((effect: GatewayEffect) => void)[] = [];
 
   return {
     state: () => state,
@@ -60,11 +59,11 @@
       step.effects.forEach((effect) => {
         logEffect(log, effect);
       });
-      if (step.effects.some(isReportDue)) {
-        newsListeners.forEach((listener) => {
-          listener();
+      step.effects.forEach((effect) => {
+        effectListeners.forEach((listener) => {
+          listener(effect);
         });
-      }
+      });
       if (event.type === 'load.started') {
         loadListeners.forEach((listener) => {
           listener(event.flight);
@@ -93,19 +92,12 @@
     onSendStarted(listener) {
       loadListeners.push(listener);
     },
-    onReportDue(listener) {
-      newsListeners.push(listener);
+    onEffect(listener) {
+      effectListeners.push(listener);
     },
   };
 }
 
-function isReportDue(effect: GatewayEffect): boolean {
-  return (
-    effect.type === 'partSuspects.reportDue' ||
-    (effect.type === 'targetLimits.changed' && effect.reason === 'response')
-  );
-}
-
 function logEffect(log: EventLog, effect: GatewayEffect): void {
   switch (effect.type) {
     case 'roster.changed':
@@ -148,6 +140,13 @@
         parts: effect.block.parts,
       });
       return;
+    case 'targetReach.changed':
+      log.warn('entry.reach', {
+        phase: effect.phase,
+        failedTargets: effect.failedTargets,
+      });
+      return;
     case 'partSuspects.reportDue':
+    case 'targetReach.probeDue':
   }
 }
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -17,6 +17,7 @@
 } from '../gatewayRuntime/index.ts';
 import type { HttpDialect } from '../httpDialect/index.ts';
 import type { OrderPort } from '../orderPort/index.ts';
+import { startReachProbe } from '../reachProbe/index.ts';
 import { createTargetDeaths } from '../targetDeaths/index.ts';
 
 /** Options of {@link startGateway}. */
@@ -96,7 +97,13 @@
   const unixNow = options.unixNow ?? Date.now;
   const startedAtUnixMs = unixNow();
   const runtime = createGatewayRuntime(log);
-  const pool = createConnectionPool({ onConnect: metrics.connected });
+  const pool = createConnectionPool({
+    onConnect() {
+      metrics.connected();
+      runtime.dispatch({ type: 'targetReach.connected' });
+    },
+  });
+  const reachProbe = startReachProbe({ runtime });
   let isLeaving = false;
 
   const callerServer = createCallerServer(
@@ -210,6 +217,7 @@
     callerServer.closeIdle();
     peers.close();
     pool.close();
+    reachProbe.close();
   }
 
   return { runtime, peers, isReady, callerAddresses, leave, stop };
