Failing tests: callers of entries that are cut off from all targets

Five of eight entries over loopback lose their paths to four targets: new connections refused or hanging, or open ones reset too. Paths are cut by a connect function that startGateway now takes.

--- a/packages/gateway/src/createConnectionPool/index.ts
+++ b/packages/gateway/src/createConnectionPool/index.ts
@@ -1,4 +1,7 @@
-import { connect, type Socket } from 'node:net';
+import { connect, type Socket, type TcpNetConnectOpts } from 'node:net';
+
+/** Opens a connection. */
+export type Connect = (options: TcpNetConnectOpts) => Socket;
 
 /** An open connection to a target. */
 export interface PooledConnection {
@@ -44,6 +47,8 @@
 export interface CreateConnectionPoolOptions {
   /** Timeout of a connection attempt; {@link CONNECT_TIMEOUT_MS} by default. */
   readonly connectTimeoutMs?: number;
+  /** Opens connections; `connect` of `node:net` by default. */
+  readonly connectSocket?: Connect;
   /** Called for each new connection. */
   readonly onConnect?: (address: string) => void;
 }
@@ -84,7 +89,11 @@
 export function createConnectionPool(
   options: CreateConnectionPoolOptions = {},
 ): ConnectionPool {
-  const { connectTimeoutMs = CONNECT_TIMEOUT_MS, onConnect } = options;
+  const {
+    connectTimeoutMs = CONNECT_TIMEOUT_MS,
+    connectSocket = connect,
+    onConnect,
+  } = options;
   const idleByAddress = new Map<string, IdleConnection[]>();
 
   function takeIdle(address: string): Socket | undefined {
@@ -118,10 +127,14 @@
         done({ socket: idle, isReused: true });
         return () => undefined;
       }
-      return open(query.address, { connectTimeoutMs }, (result) => {
-        if (!('type' in result)) onConnect?.(query.address);
-        done(result);
-      });
+      return open(
+        query.address,
+        { connectTimeoutMs, connectSocket },
+        (result) => {
+          if (!('type' in result)) onConnect?.(query.address);
+          done(result);
+        },
+      );
     },
     release(address, socket, idleMs) {
       const idle = idleByAddress.get(address) ?? [];
@@ -161,11 +174,14 @@
 
 function open(
   address: string,
-  options: { readonly connectTimeoutMs: number },
+  options: {
+    readonly connectTimeoutMs: number;
+    readonly connectSocket: Connect;
+  },
   done: (result: PooledConnection | ConnectFailure) => void,
 ): () => void {
   const [host = '', port = ''] = address.split(':');
-  const socket = connect({
+  const socket = options.connectSocket({
     host,
     port: Number(port),
     noDelay: true,
--- a/packages/gateway/src/probeAddress/index.ts
+++ b/packages/gateway/src/probeAddress/index.ts
@@ -1,4 +1,5 @@
 import { connect } from 'node:net';
+import type { Connect } from '../createConnectionPool/index.ts';
 
 /**
  * What a new connection found: a process that accepts, none that listens, or no
@@ -14,6 +15,7 @@
  *
  * @param address - IP and port.
  * @param done - Called once with the result.
+ * @param connectSocket - Opens the connection.
  *
  * @example
  * probeAddress('10.2.64.3:8080', (result) => log.info('probe', { result }));
@@ -21,9 +23,10 @@
 export function probeAddress(
   address: string,
   done: (result: ProbeResult) => void,
+  connectSocket: Connect = connect,
 ): void {
   const [host = '', port = ''] = address.split(':');
-  const socket = connect({ host, port: Number(port) });
+  const socket = connectSocket({ host, port: Number(port) });
   let isOver = false;
   const finish = (result: ProbeResult): void => {
     if (isOver) return;
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -5,7 +5,11 @@
   servingPeers,
   type PeerStatus,
 } from '@endivegate/core/forwarding';
-import { createConnectionPool } from '../createConnectionPool/index.ts';
+import {
+  type Connect,
+  createConnectionPool,
+} from '../createConnectionPool/index.ts';
+import { probeAddress } from '../probeAddress/index.ts';
 import type { EventLog } from '../createEventLog/index.ts';
 import { createCallerServer } from '../createCallerServer/index.ts';
 import type { GatewayMetrics } from '../createGatewayMetrics/index.ts';
@@ -36,6 +40,8 @@
   readonly orders: OrderPort;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
+  /** Opens connections to targets; `connect` of `node:net` by default. */
+  readonly connectTarget?: Connect;
   /** Monotonic time in ms. */
   readonly now?: () => number;
   readonly unixNow?: () => number;
@@ -97,13 +103,18 @@
   const unixNow = options.unixNow ?? Date.now;
   const startedAtUnixMs = unixNow();
   const runtime = createGatewayRuntime(log);
+  const { connectTarget } = options;
+  const probe: typeof probeAddress = (address, done) => {
+    probeAddress(address, done, connectTarget);
+  };
   const pool = createConnectionPool({
+    ...(connectTarget === undefined ? {} : { connectSocket: connectTarget }),
     onConnect() {
       metrics.connected();
       runtime.dispatch({ type: 'targetReach.connected' });
     },
   });
-  const reachProbe = startReachProbe({ runtime });
+  const reachProbe = startReachProbe({ runtime, probe });
   let isLeaving = false;
 
   const callerServer = createCallerServer(
@@ -117,7 +128,7 @@
       bounds,
       dataCentre: options.dataCentre,
       entryName: options.name,
-      targetDeaths: createTargetDeaths({ runtime, log, metrics, now }),
+      targetDeaths: createTargetDeaths({ runtime, log, metrics, now, probe }),
       startedAtMs: now(),
       now,
     },
--- a/packages/gateway/src/testFleet/index.ts
+++ b/packages/gateway/src/testFleet/index.ts
@@ -4,6 +4,7 @@
   request as httpRequest,
   type RequestListener,
 } from 'node:http';
+import { connect, Socket } from 'node:net';
 import type { ForwardingRoute } from '@endivegate/contracts/forwarding';
 import { type Gateway, startGateway } from '../startGateway/index.ts';
 import { testAddress } from '../testAddress/index.ts';
@@ -35,8 +36,17 @@
 export interface TestFleetEntry {
   readonly gateway: Gateway;
   readonly callerPort: number;
+  /** Cuts the entry off from all targets, or restores its paths. */
+  readonly setPath: (path: TargetPath) => void;
 }
 
+/**
+ * State of an entry's path to all targets: `refusing` refuses new connections and
+ * keeps open ones, `resetting` resets those too, `hanging` resets them and leaves new
+ * ones without an answer.
+ */
+export type TargetPath = 'open' | 'refusing' | 'resetting' | 'hanging';
+
 /** Options of {@link startTestFleet}. */
 export interface StartTestFleetOptions {
   /** Entries, spread over three data centres. */
@@ -80,17 +90,36 @@
     dataCentre: DATA_CENTRES[index % DATA_CENTRES.length] ?? '',
   }));
   const seed = await testAddress();
+  const closedPort = Number((await testAddress()).split(':')[1]);
   const startEntry = async (index: number): Promise<TestFleetEntry> => {
+    let path: TargetPath = 'open';
+    const sockets = new Set<Socket>();
     const started = await testGatewayOptions({
       name: `e${index}`,
       dataCentre: DATA_CENTRES[index % DATA_CENTRES.length] ?? '',
       seedAddresses: [seed],
       ...(index === 0 ? { peerAddress: seed } : {}),
+      connectTarget(target) {
+        if (path === 'hanging') return new Socket();
+        const port = path === 'open' ? target.port : closedPort;
+        const socket = connect({ ...target, port });
+        sockets.add(socket);
+        return socket.once('close', () => sockets.delete(socket));
+      },
     });
     const gateway = startGateway(started);
     gateway.runtime.dispatch({ type: 'roster.listed', atMs: 0, targets });
     gateway.runtime.applyConfig(testConfig(options.route), 'test');
-    return { gateway, callerPort: Number(started.callerAddress.split(':')[1]) };
+    return {
+      gateway,
+      callerPort: Number(started.callerAddress.split(':')[1]),
+      setPath(next) {
+        path = next;
+        if (next === 'resetting' || next === 'hanging') {
+          sockets.forEach((socket) => socket.resetAndDestroy());
+        }
+      },
+    };
   };
   const entries = await Promise.all(
     Array.from({ length: options.entries }, (_, index) => startEntry(index)),
--- a/packages/gateway/src/testFleet/test.ts
+++ b/packages/gateway/src/testFleet/test.ts
@@ -1,9 +1,11 @@
 import { expect } from 'chai';
 import type { RequestListener } from 'node:http';
+import type { RepeatRule } from '@endivegate/contracts/forwarding';
 import { sign } from '../testGateway/index.ts';
 import {
   settle,
   startTestFleet,
+  type TargetPath,
   type TestFleet,
   type TestFleetAnswer,
 } from './index.ts';
@@ -20,11 +22,22 @@
 
 const REQUEST_INTERVAL_MS = 20;
 
+const CUT_ENTRIES = 5;
+
+/** From this long after a cut began, callers of cut entries are served as well. */
+const COVERED_AFTER_MS = 3000;
+const COVERED_FOR_MS = 2000;
+
 const answer: RequestListener = (request, response) => {
   sign(request, response);
   response.end('fine');
 };
 
+const answerStream: RequestListener = (request, response) => {
+  sign(request, response);
+  response.end('id: 1\ndata: fine\n\n');
+};
+
 const answerWithLimit =
   (requestsPerS: number): RequestListener =>
   (request, response) => {
@@ -85,4 +98,59 @@
     const statuses = (await Promise.all(answers)).map(({ status }) => status);
     expect(new Set(statuses)).to.deep.equal(new Set([200]));
   });
+
+  // Guards against callers of an entry that lost its paths to all targets, who go on
+  // sending to it while the other entries could serve them.
+  (
+    [
+      ['refusing', 'atMostOnce'],
+      ['hanging', 'atMostOnce'],
+      ['refusing', 'stream'],
+      ['resetting', 'stream'],
+    ] as const satisfies readonly (readonly [TargetPath, RepeatRule])[]
+  ).forEach(([path, repeat]) => {
+    it(`serves callers of entries that are cut off from all targets: ${path}, ${repeat}`, async () => {
+      const cutFleet = await startTestFleet({
+        entries: ENTRIES,
+        targets: [answerStream, answerStream, answerStream, answerStream],
+        route: { repeat },
+      });
+      fleet = cutFleet;
+      const play = async (forMs: number): Promise<Played> => {
+        const cut: Promise<TestFleetAnswer>[] = [];
+        const others: Promise<TestFleetAnswer>[] = [];
+        const endsAtMs = performance.now() + forMs;
+        for (let entry = 0; performance.now() < endsAtMs; entry += 1) {
+          const index = entry % ENTRIES;
+          (index < CUT_ENTRIES ? cut : others).push(cutFleet.ask(index));
+          await settle(REQUEST_INTERVAL_MS);
+        }
+        return {
+          cut: await Promise.all(cut),
+          others: await Promise.all(others),
+        };
+      };
+      await play(500);
+      cutFleet.entries.slice(0, CUT_ENTRIES).forEach((entry) => {
+        entry.setPath(path);
+      });
+      await play(COVERED_AFTER_MS);
+      const { cut, others } = await play(COVERED_FOR_MS);
+      const failures = cut.length - served(cut);
+      expect(failures).to.be.at.most(10 + cut.length / 50);
+      expect(served(cut) / cut.length).to.be.at.least(
+        ((served(others) / others.length) * 2) / 3,
+      );
+    });
+  });
 });
+
+/** Answers of entries that were cut off, and of the others. */
+interface Played {
+  readonly cut: readonly TestFleetAnswer[];
+  readonly others: readonly TestFleetAnswer[];
+}
+
+function served(answers: readonly TestFleetAnswer[]): number {
+  return answers.filter(({ status }) => status === 200).length;
+}
