Relay requests to peers while an entry reaches no targets

Cause: such an entry took the loss of its own path for many failed targets, tried four of them for each request (up to 1.6 s), and stayed in the addresses that callers are told; callers keep those for seconds in any case. Ruled out: targets that are down (the other entries exchange requests with the same ones). The class is a sender that blames its receivers for its own partition.

An entry that is cut off (targetReach) says so to its peers, is left out of address answers and of shares of limits, and relays requests over HTTP to a peer that reaches targets: one hop, with the caller's key and attempt id, the age, the time and the attempts that are left. Peers check the request as any other; the retry budget counts it once. A peer's own 503 is passed on as not run; a break after the request was sent counts as may have run. Without such a peer a request is refused after one connection that failed instead of four.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -11,6 +11,7 @@
 export * from './partSuspects/index.ts';
 export * from './peerList/index.ts';
 export * from './peerTimes/index.ts';
+export * from './pickRelay/index.ts';
 export * from './pickTarget/index.ts';
 export * from './planPrompt/index.ts';
 export * from './ranksFirst/index.ts';
--- a/packages/core/src/forwarding/peerList/index.ts
+++ b/packages/core/src/forwarding/peerList/index.ts
@@ -17,6 +17,8 @@
   readonly configVersion: number;
   /** Capacity relative to other entries. */
   readonly weight: number;
+  /** Whether it has lost its paths to all targets. */
+  readonly isCutOff?: boolean;
 }
 
 /** A peer and the time of its last message. */
@@ -112,6 +114,23 @@
   );
 }
 
+/**
+ * Lists the peers that accept callers and reach targets.
+ *
+ * @param state - Current peers.
+ * @param nowMs - Current monotonic time.
+ * @returns Serving peers that have not lost their paths to all targets.
+ *
+ * @example
+ * reachingPeers(state, performance.now());
+ */
+export function reachingPeers(
+  state: PeersState,
+  nowMs: number,
+): readonly Peer[] {
+  return servingPeers(state, nowMs).filter((peer) => peer.isCutOff !== true);
+}
+
 function silenceMsOf(state: PeersState): number {
   return peerTimes(state.size + 1).silenceMs;
 }
--- a/packages/core/src/forwarding/targetLimits/_lib/shares.ts
+++ b/packages/core/src/forwarding/targetLimits/_lib/shares.ts
@@ -1,5 +1,5 @@
 import { formsCells } from '../../engineCell/index.ts';
-import { type PeersState, servingPeers } from '../../peerList/index.ts';
+import { type PeersState, reachingPeers } from '../../peerList/index.ts';
 import type { RosterState } from '../../targetRoster/index.ts';
 import { scoreRendezvous } from '../../../scoreRendezvous/index.ts';
 import type { LimitShare, TargetLimitsState } from '../types.ts';
@@ -13,7 +13,7 @@
   /** Name of this entry. */
   readonly name: string;
   readonly dataCentre: string;
-  /** Whether this entry takes callers' requests. */
+  /** Whether this entry takes callers' requests and reaches targets. */
   readonly isServing: boolean;
 }
 
@@ -42,7 +42,7 @@
 ): ReadonlyMap<string, LimitShare> {
   const { roster, name, dataCentre, isServing } = fleet;
   if (limits.size === 0 || !isServing) return new Map();
-  const others = servingPeers(fleet.peers, fleet.nowMs);
+  const others = reachingPeers(fleet.peers, fleet.nowMs);
   const isCell = formsCells(fleet);
   const shares = [...limits.keys()].flatMap((id) => {
     const target = roster.targets.get(id);
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -1,6 +1,7 @@
 import {
   createServer,
   type IncomingMessage,
+  type RequestListener,
   type Server,
   type ServerResponse,
 } from 'node:http';
@@ -23,10 +24,17 @@
 import { forwardRequest } from '../forwardRequest/index.ts';
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 import type { CallerHead } from '../httpDialect/index.ts';
+import {
+  readRelay,
+  type RelayHead,
+  withoutRelayHeaders,
+} from '../relayDialect/index.ts';
 
 /** HTTP server for callers. */
 export interface CallerServer {
   readonly server: Server;
+  /** Serves a request that a peer relays. */
+  readonly serveRelayed: RequestListener;
   /** Number of requests in progress. */
   readonly openRequests: () => number;
   /** Closes connections without a request in progress. */
@@ -66,7 +74,7 @@
 const HEAD_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
 /** Above any configured limit, so that the configured limits apply first. */
-const MAX_PARSED_HEADER_BYTES = 64 * 1024;
+export const MAX_PARSED_HEADER_BYTES = 64 * 1024;
 
 /** How often Node's HTTP server checks for header timeouts. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
@@ -104,7 +112,9 @@
       requestTimeout: 0,
       noDelay: true,
     },
-    handleRequest,
+    (request, response) => {
+      handleRequest(request, response, undefined);
+    },
   );
   server.on('connection', (socket) => {
     sockets.add(socket);
@@ -126,6 +136,7 @@
   function handleRequest(
     request: IncomingMessage,
     response: ServerResponse,
+    relay: RelayHead | undefined,
   ): void {
     const { socket } = request;
     openRequests += 1;
@@ -153,10 +164,10 @@
     const checked = checkRequest(request, {
       table,
       caller,
-      random: Math.random(),
+      isRelayed: relay !== undefined,
     });
     if (checked.type === 'rejected') reject(request, reply, checked.failure);
-    else accept(request, reply, { table, caller, checked });
+    else accept(request, reply, { table, caller, checked, relay });
   }
 
   function reject(
@@ -183,10 +194,11 @@
       readonly table: RouteTable;
       readonly caller: CallerHead;
       readonly checked: Extract<CheckResult, { type: 'accepted' }>;
+      readonly relay: RelayHead | undefined;
     },
   ): void {
-    const { table, caller, checked } = accepted;
-    const arrivedAtMs = context.now();
+    const { table, caller, checked, relay } = accepted;
+    const arrivedAtMs = context.now() - (relay?.ageMs ?? 0);
     const { maxBodyBytes } = table.config.limits;
     readBody(request, maxBodyBytes, (body) => {
       if (body === undefined) {
@@ -209,13 +221,17 @@
       }
       const call: ForwardCall = {
         attemptId: caller.attemptId ?? '',
-        route: checked.route,
+        route:
+          relay === undefined
+            ? checked.route
+            : withAttempts(checked.route, relay),
+        isRelayed: relay !== undefined,
         service,
         workspace: checked.workspace,
         priority: checked.priority,
         method: request.method ?? 'GET',
         path: request.url ?? '/',
-        rawHeaders: request.rawHeaders,
+        rawHeaders: withoutRelayHeaders(request.rawHeaders),
         caller,
         body,
         arrivedAtMs,
@@ -224,8 +240,23 @@
     });
   }
 
+  function serveRelayed(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const relay = readRelay(request.headers);
+    context.metrics.relayed({ side: 'received' });
+    log.info('request.relayed', {
+      request: String(request.headers[context.dialect.attemptIdHeader] ?? ''),
+      ageMs: relay?.ageMs,
+      attempts: relay?.attempts,
+    });
+    handleRequest(request, response, relay);
+  }
+
   return {
     server,
+    serveRelayed,
     openRequests: () => openRequests,
     closeIdle() {
       [...sockets]
@@ -240,7 +271,8 @@
 interface CheckQuery {
   readonly table: RouteTable;
   readonly caller: CallerHead;
-  readonly random: number;
+  /** Whether a peer has checked the sizes. */
+  readonly isRelayed: boolean;
 }
 
 function checkRequest(
@@ -249,7 +281,7 @@
 ): CheckResult {
   const { table, caller } = query;
   const { limits } = table.config;
-  const oversize = checkSizes(request, limits);
+  const oversize = query.isRelayed ? undefined : checkSizes(request, limits);
   if (oversize !== undefined) return rejected(oversize);
   const route = matchRoute(
     table,
@@ -279,6 +311,14 @@
   };
 }
 
+/** Limits the targets of a relayed request to those that the relaying entry leaves. */
+function withAttempts(
+  route: ForwardingRoute,
+  { attempts }: RelayHead,
+): ForwardingRoute {
+  return { ...route, maxAttempts: Math.min(route.maxAttempts, attempts) };
+}
+
 function checkSizes(
   request: IncomingMessage,
   limits: CallerLimits,
--- a/packages/gateway/src/createGatewayMetrics/index.ts
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -23,6 +23,8 @@
   /** Counts a response in which a target said that it is leaving, asked for a
    * pause or named a limit. */
   readonly targetAnnounced: (labels: { announcement: string }) => void;
+  /** Counts a request that this entry relays to a peer, or serves for one. */
+  readonly relayed: (labels: { side: 'sent' | 'received' }) => void;
   /** Counts a target's death under a request with parts, and a request refused for
    * a part that crashes targets. */
   readonly partSuspected: (labels: { event: 'death' | 'refused' }) => void;
@@ -105,6 +107,12 @@
     labelNames: ['event'],
     registers,
   });
+  const relayed = new Counter({
+    name: 'endivegate_relayed_requests_total',
+    help: 'Requests relayed to peers while targets cannot be reached, and served for peers.',
+    labelNames: ['side'],
+    registers,
+  });
   const era = new Gauge({
     name: 'endivegate_store_era',
     help: 'Era of the store; it rises when the store is restored from a copy.',
@@ -141,6 +149,9 @@
     targetAnnounced: (labels) => {
       announcements.inc(labels);
     },
+    relayed: (labels) => {
+      relayed.inc(labels);
+    },
     partSuspected: (labels) => {
       partSuspects.inc(labels);
     },
--- a/packages/gateway/src/createPeerLink/_lib/configExchange.ts
+++ b/packages/gateway/src/createPeerLink/_lib/configExchange.ts
@@ -1,28 +1,16 @@
-import type { Server } from 'node:http';
 import {
   type ForwardingConfig,
   forwardingConfigSchema,
 } from '@endivegate/contracts/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
-import { fetchJson, serveJson } from '../../exchangeJson/index.ts';
+import { fetchJson } from '../../exchangeJson/index.ts';
 
-const CONFIG_PATH = '/config';
+/** Path of the configuration at a peer. */
+export const CONFIG_PATH = '/config';
 
 /** Allows for many round trips and the transfer of a large configuration. */
 const FETCH_TIMEOUT_MS = 1500;
 
-/**
- * Creates the server from which peers fetch the active configuration.
- *
- * @param current - Returns the active configuration, or undefined without one.
- * @returns The server, not yet listening.
- */
-export function createConfigServer(
-  current: () => ForwardingConfig | undefined,
-): Server {
-  return serveJson(CONFIG_PATH, current);
-}
-
 /**
  * Fetches the configuration of a peer.
  *
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -143,8 +143,8 @@
   codec: TargetCodec,
   nowMs: number,
 ): PeerMessage {
-  const [self, flights, draining, crashes, addresses, partRows, limitRows] =
-    row;
+  const [self, flights, draining, crashes, addresses, ...reports] = row;
+  const [partRows, limitRows, isCutOff] = reports;
   const parts = decodePartRows(partRows, nowMs);
   const limits = decodeLimitRows(limitRows, nowMs);
   return {
@@ -158,6 +158,7 @@
       isLeaving: self[6],
       configVersion: self[7],
       weight: self[8],
+      ...(isCutOff === true ? { isCutOff } : {}),
     },
     flights: flights?.flatMap((row) => decodeFlight(row, codec, nowMs)),
     drainingProcesses: draining.map(([id, bornMs]) => ({ id, bornMs })),
@@ -171,14 +172,19 @@
   };
 }
 
-/** Encodes the elements that entries of earlier builds do not read. */
+/** Encodes the elements that entries of earlier builds do not read; those at the end
+ * are left out if they say nothing. */
 function encodeReports(
-  { parts, limits }: PeerMessage,
+  { self, parts, limits }: PeerMessage,
   nowMs: number,
 ): readonly unknown[] {
-  const partRows = parts === undefined ? null : encodePartRows(parts, nowMs);
-  if (limits !== undefined) return [partRows, encodeLimitRows(limits, nowMs)];
-  return partRows === null ? [] : [partRows];
+  const reports = [
+    parts === undefined ? null : encodePartRows(parts, nowMs),
+    limits === undefined ? null : encodeLimitRows(limits, nowMs),
+    self.isCutOff === true ? true : null,
+  ];
+  const last = reports.findLastIndex((report) => report !== null);
+  return reports.slice(0, last + 1);
 }
 
 function encodeFlight(
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -1,4 +1,5 @@
 import { createSocket, type RemoteInfo } from 'node:dgram';
+import type { RequestListener } from 'node:http';
 import {
   MAX_SHARED_ENTRIES,
   type PeerStatus,
@@ -9,7 +10,7 @@
 import { createBatch } from './_lib/batch.ts';
 import { createConfigFetcher } from './_lib/configFetcher.ts';
 import { createContacts } from './_lib/contacts.ts';
-import { createConfigServer } from './_lib/configExchange.ts';
+import { createPeerServer } from './_lib/peerServer.ts';
 import { describeState } from './_lib/describeState.ts';
 import { digestMessages, NO_NEWS } from './_lib/digestMessages.ts';
 import { createHubSelector } from './_lib/hubSelector.ts';
@@ -45,6 +46,8 @@
   readonly self: () => PeerStatus;
   /** Initial addresses of other entries; some may be stale. */
   readonly seedAddresses: readonly string[];
+  /** Serves requests that peers relay. */
+  readonly serveRelayed: RequestListener;
   /** Monotonic time in ms. */
   readonly now: () => number;
   /** Uniform in [0, 1); used to choose relays. */
@@ -91,7 +94,7 @@
 /**
  * Opens the link to the other entries. Datagrams carry the state of this entry,
  * its requests in flight and draining targets. An HTTP server lets peers with
- * an older configuration fetch the newer one.
+ * an older configuration fetch the newer one, and relay requests.
  *
  * @param options - State, addresses and clock.
  * @returns The link.
@@ -156,7 +159,10 @@
   socket.on('message', receive);
   const [host = '', port = ''] = own.peerAddress.split(':');
   socket.bind(Number(port), host, contacts.contact);
-  const server = createConfigServer(() => runtime.table()?.config);
+  const server = createPeerServer({
+    currentConfig: () => runtime.table()?.config,
+    serveRelayed: options.serveRelayed,
+  });
   server.listen(Number(port), host);
   const digestTimer = setInterval(() => {
     sendDigest();
@@ -214,7 +220,8 @@
 
   function sendToAll(messages: Uint8Array): void {
     sendToLocal(messages);
-    if (!isCell() || self().isLeaving) sendToRelays(messages);
+    const { isLeaving, isCutOff = false } = self();
+    if (!isCell() || isLeaving || isCutOff) sendToRelays(messages);
   }
 
   function sendToLocal(messages: Uint8Array): void {
--- a/packages/gateway/src/createPeerLink/test.ts
+++ b/packages/gateway/src/createPeerLink/test.ts
@@ -84,6 +84,7 @@
     const runtime = createGatewayRuntime(log);
     runtime.dispatch({ type: 'roster.listed', atMs: 0, targets: [target] });
     const link = createPeerLink({
+      serveRelayed: () => undefined,
       runtime,
       log,
       seedAddresses,
--- a/packages/gateway/src/exchangeJson/index.ts
+++ b/packages/gateway/src/exchangeJson/index.ts
@@ -1,4 +1,9 @@
-import { createServer, request as httpRequest, type Server } from 'node:http';
+import {
+  createServer,
+  request as httpRequest,
+  type RequestListener,
+  type Server,
+} from 'node:http';
 import { collectBytes } from '@endivegate/core/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import { limitFraming, MAX_HEAD_BYTES } from '../limitFraming/index.ts';
@@ -34,7 +39,24 @@
  * serveJson('/config', () => config).listen(7340);
  */
 export function serveJson(path: string, current: () => unknown): Server {
-  return createServer((request, response) => {
+  return createServer(answerJson(path, current));
+}
+
+/**
+ * Creates the listener of such a server.
+ *
+ * @param path - Path of the value.
+ * @param current - Returns the value, or undefined while there is none.
+ * @returns The listener.
+ *
+ * @example
+ * createServer(answerJson('/config', () => config));
+ */
+export function answerJson(
+  path: string,
+  current: () => unknown,
+): RequestListener {
+  return (request, response) => {
     const value = current();
     if (request.url !== path || value === undefined) {
       response.writeHead(NOT_FOUND, { connection: 'close' }).end();
@@ -42,7 +64,7 @@
     }
     response.writeHead(HTTP_OK, { connection: 'close' });
     response.end(JSON.stringify(value));
-  });
+  };
 }
 
 /**
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -10,7 +10,7 @@
 } from '@endivegate/core/forwarding';
 import type { Reply } from '../createReply/index.ts';
 import { createPartGuard } from '../partGuard/index.ts';
-import { planSend, type SendPlan } from '../planSend/index.ts';
+import { planRelay, planSend, type SendPlan } from '../planSend/index.ts';
 import {
   type BufferedResponse,
   runSend,
@@ -84,11 +84,13 @@
   );
   reply.onDisconnect(onCallerGone);
   reply.onDrain(openSends.resumeAll);
-  runtime.dispatch({
-    type: 'budget.requested',
-    atMs: now(),
-    service: service.name,
-  });
+  if (!call.isRelayed) {
+    runtime.dispatch({
+      type: 'budget.requested',
+      atMs: now(),
+      service: service.name,
+    });
+  }
   sendOnce();
 
   function sendOnce(): void {
@@ -117,7 +119,21 @@
     });
   }
 
+  /** Plans a send to a target, or to a peer while this entry reaches no targets. If
+   * there is none either, connections that are still open are tried, once. */
   function planNow(left: TimeLeft): SendPlan | undefined {
+    const { phase } = runtime.state().targetReach;
+    if (phase !== 'cutOff' || call.isRelayed) return planToTarget(left);
+    const relay = planRelay(runtime.state(), {
+      nowMs: now(),
+      dataCentre: context.dataCentre,
+      configVersion: runtime.table()?.config.version ?? 0,
+      excludedNames: excludedIds,
+    });
+    return relay ?? (unsent === 0 ? planToTarget(left) : undefined);
+  }
+
+  function planToTarget(left: TimeLeft): SendPlan | undefined {
     return planSend(runtime.state(), {
       service,
       route,
@@ -176,7 +192,7 @@
         call,
         plan,
         number: sends + unsent + 1,
-        isLast: sends + 1 >= route.maxAttempts,
+        attemptsLeft: route.maxAttempts - sends,
         deadlineAtMs,
         resumeAfterId: lastEventId,
       },
@@ -235,8 +251,12 @@
     const { end } = result;
     if (end.type === 'notSent') unsent += 1;
     if (end.type !== 'notSent' && end.type !== 'refused') mayHaveRun = true;
-    recordOutcome({ plan, result, fingerprint }, context);
-    partGuard.sendEnded({ target: plan.target, sentAtMs }, end);
+    if (plan.isRelay) {
+      if (refuseAsPeer(result)) return;
+    } else {
+      recordOutcome({ plan, result, fingerprint }, context);
+      partGuard.sendEnded({ target: plan.target, sentAtMs }, end);
+    }
     const step = decideNext(usableEnd(result), progress());
     if (step.type !== 'deliver') {
       requestLog.next(end, step, counts());
@@ -245,6 +265,20 @@
     applyStep(step, result.answer);
   }
 
+  /** Passes on a peer's refusal, which no other entry would decide otherwise. Returns
+   * whether it did. */
+  function refuseAsPeer({ end, target }: SendResult): boolean {
+    const isRefusal = end.type === 'refused' && !mayHaveRun && !answerBegun;
+    if (!isRefusal || openSends.isAny()) return false;
+    finish('refused');
+    const delayMs =
+      target?.pause.type === 'requested'
+        ? target.pause.pauseMs
+        : RETRY_AFTER_MS;
+    replyRefused(reply, 'refused by the entry that it was relayed to', delayMs);
+    return true;
+  }
+
   /**
    * A response that is not a stream cannot follow stream events which the caller
    * has received.
--- a/packages/gateway/src/forwardRequest/types.ts
+++ b/packages/gateway/src/forwardRequest/types.ts
@@ -26,12 +26,17 @@
   readonly caller: CallerHead;
   readonly body: Buffer;
   readonly arrivedAtMs: number;
+  /** Whether a peer relayed it, so that it is not relayed again. */
+  readonly isRelayed: boolean;
 }
 
 /** Dependencies of forwarding. */
 export interface ForwardContext {
   readonly runtime: GatewayRuntime;
+  /** Connections to targets. */
   readonly pool: ConnectionPool;
+  /** Connections to peers, for relayed requests. */
+  readonly peerPool: ConnectionPool;
   readonly orders: OrderPort;
   readonly dialect: HttpDialect;
   readonly log: EventLog;
--- a/packages/gateway/src/httpDialect/index.ts
+++ b/packages/gateway/src/httpDialect/index.ts
@@ -162,6 +162,8 @@
   readonly withheldHeaders: ReadonlySet<string>;
   /** Lower-case name of the header with the attempt id. */
   readonly attemptIdHeader: string;
+  /** Lower-case name of the header with the time that a caller waits, in ms. */
+  readonly deadlineHeader: string;
 }
 
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
--- a/packages/gateway/src/partGuard/index.ts
+++ b/packages/gateway/src/partGuard/index.ts
@@ -3,11 +3,11 @@
   hasRecords,
   type PartVerdict,
   ranksFirst,
-  type RosterTarget,
   type SendEnd,
   servingPeers,
 } from '@endivegate/core/forwarding';
 import type { GatewayMetrics } from '../createGatewayMetrics/index.ts';
+import type { SendDestination } from '../planSend/index.ts';
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 
 /** Keeps requests with parts that crash targets from being sent. */
@@ -29,7 +29,7 @@
 
 /** A send that has ended. */
 export interface EndedSend {
-  readonly target: RosterTarget;
+  readonly target: SendDestination;
   /** Monotonic time at which its first byte left; undefined if none did. */
   readonly sentAtMs: number | undefined;
 }
--- a/packages/gateway/src/planSend/index.ts
+++ b/packages/gateway/src/planSend/index.ts
@@ -9,6 +9,8 @@
   formsCells,
   type GatewayState,
   type PlannedReservation,
+  type RelayQuery,
+  pickRelay,
   pickTarget,
   planPrompt,
   type RosterTarget,
@@ -31,9 +33,14 @@
   readonly dataCentre: string;
 }
 
+/** Where a request is sent: a target, or a peer. */
+export type SendDestination = Pick<RosterTarget, 'id' | 'address' | 'bornMs'>;
+
 /** The chosen target and helpers of a send, and its expected costs. */
 export interface SendPlan {
-  readonly target: RosterTarget;
+  readonly target: SendDestination;
+  /** Whether `target` is a peer that serves the request in place of this entry. */
+  readonly isRelay: boolean;
   /** Engines that prefill parts of the prompt besides `target`. */
   readonly helpers: readonly RosterTarget[];
   /** Expected prefill time of each part. */
@@ -106,15 +113,38 @@
     ? undefined
     : {
         ...plan,
+        isRelay: false,
         contextTokens: plan.memoryTokens,
         value: valueOfPrompt(prompt.promptTokens),
       };
 }
 
+/**
+ * Plans to relay a request to a peer, while this entry reaches no targets.
+ *
+ * @param state - State of the gateway.
+ * @param query - Where and when, and the peers that were tried.
+ * @returns The plan, or undefined if no peer reaches targets.
+ *
+ * @example
+ * planRelay(runtime.state(), query)?.target.address;
+ */
+export function planRelay(
+  state: GatewayState,
+  query: Omit<RelayQuery, 'peers' | 'load'>,
+): SendPlan | undefined {
+  const peer = pickRelay({ ...state, ...query });
+  if (peer === undefined) return undefined;
+  const { name, peerAddress, startedAtUnixMs } = peer;
+  const target = { id: name, address: peerAddress, bornMs: startedAtUnixMs };
+  return { ...plainPlan(target), isRelay: true };
+}
+
 /** Plans a plain call, which has no prompt and needs no helpers or memory. */
-function plainPlan(target: RosterTarget): SendPlan {
+function plainPlan(target: SendDestination): SendPlan {
   return {
     target,
+    isRelay: false,
     helpers: [],
     partPrefillMs: 0,
     firstEventMs: undefined,
--- a/packages/gateway/src/runSend/_lib/sendHeaders.ts
+++ b/packages/gateway/src/runSend/_lib/sendHeaders.ts
@@ -4,6 +4,7 @@
   endToEndHeaders,
 } from '../../httpDialect/index.ts';
 import type { SendPlan } from '../../planSend/index.ts';
+import { writeRelay } from '../../relayDialect/index.ts';
 import type { SendRun } from '../types.ts';
 import { enginePriorityOf } from './enginePriorityOf.ts';
 
@@ -43,16 +44,32 @@
   context: ForwardContext,
 ): readonly (readonly [string, string])[] {
   const { call } = run;
+  const { dialect, now } = context;
   const hasBody = call.body.length > 0 || call.method === 'POST';
-  const remainingMs = Math.floor(run.deadlineAtMs - context.now());
+  const remainingMs = Math.floor(run.deadlineAtMs - now());
+  const deadlineMs = Math.max(remainingMs, MIN_DEADLINE_MS);
+  const lastEventId = run.resumeAfterId?.toString() ?? call.caller.lastEventId;
+  const bodyHeaders = hasBody
+    ? [['Content-Length', String(call.body.length)] as const]
+    : [];
+  if (run.plan.isRelay) {
+    const relayed = {
+      rawHeaders: call.rawHeaders,
+      deadlineMs,
+      lastEventId,
+      ageMs: now() - call.arrivedAtMs,
+      attempts: run.attemptsLeft,
+    };
+    return [...writeRelay(relayed, dialect), ...bodyHeaders];
+  }
   return [
-    ...endToEndHeaders(call.rawHeaders, context.dialect.withheldHeaders),
-    ...(hasBody ? [['Content-Length', String(call.body.length)] as const] : []),
-    ...context.dialect.writeSend({
+    ...endToEndHeaders(call.rawHeaders, dialect.withheldHeaders),
+    ...bodyHeaders,
+    ...dialect.writeSend({
       targetId: run.plan.target.id,
-      deadlineMs: Math.max(remainingMs, MIN_DEADLINE_MS),
+      deadlineMs,
       workspace: call.workspace,
-      lastEventId: run.resumeAfterId?.toString() ?? call.caller.lastEventId,
+      lastEventId,
       enginePriority: enginePriorityOf(call),
       helpers,
     }),
--- a/packages/gateway/src/runSend/_lib/sendStart.ts
+++ b/packages/gateway/src/runSend/_lib/sendStart.ts
@@ -11,6 +11,7 @@
   context.log.info('request.sent', {
     request: call.attemptId,
     target: plan.target.id,
+    relayed: plan.isRelay ? true : undefined,
     service: call.service.name,
     helpers: plan.helpers.map((helper) => helper.id),
     seats: plan.reservations.length,
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -12,6 +12,7 @@
   type MemoryReservation,
   reserveMemory,
 } from '../reserveMemory/index.ts';
+import { relayDialect } from '../relayDialect/index.ts';
 import {
   type ResponseHead,
   type RunningSend,
@@ -84,6 +85,7 @@
   logSend(run, context);
   countTowardsLimits(run, context);
   trackInFlight(run, { flightId, startedAtMs }, context);
+  if (plan.isRelay) context.metrics.relayed({ side: 'sent' });
   if (plan.reservations.length === 0) send(undefined);
   else {
     releaseMemory = reserveMemory(
@@ -127,13 +129,14 @@
       {
         onSent: handlers.onSent,
         onTargetHead: (targetHead) => {
+          if (plan.isRelay) return;
           recordAnnouncements({ target, head: targetHead, sentAtMs }, context);
         },
         onHead,
         onBody,
         onEnd: finish,
       },
-      context,
+      plan.isRelay ? relayContext(context) : context,
     );
     if (!isOver) sending = started;
   }
@@ -212,7 +215,8 @@
     return remainingSilenceMs({
       route: call.route,
       plan,
-      isLast: run.isLast,
+      // A peer takes over from silent targets itself.
+      isLast: run.attemptsLeft <= 1 || plan.isRelay,
       hasFirstEvent: eventTimes.eventCount() > 0,
       timeLeftMs: run.deadlineAtMs - startedAtMs,
       backlogMs,
@@ -302,6 +306,14 @@
   };
 }
 
+/** Connections to peers, and the meaning of their responses. */
+function relayContext({
+  peerPool,
+  dialect,
+}: ForwardContext): Pick<ForwardContext, 'pool' | 'dialect'> {
+  return { pool: peerPool, dialect: relayDialect(dialect) };
+}
+
 /**
  * Reports a stream as broken if it ended within an event or without any event.
  */
--- a/packages/gateway/src/runSend/types.ts
+++ b/packages/gateway/src/runSend/types.ts
@@ -11,8 +11,8 @@
   readonly plan: SendPlan;
   /** Number of this send, starting at 1. */
   readonly number: number;
-  /** Whether this is the last send that the route allows. */
-  readonly isLast: boolean;
+  /** Sends that the route still allows, including this one. */
+  readonly attemptsLeft: number;
   readonly deadlineAtMs: number;
   /**
    * Id of the last event delivered to the caller; set when a stream is resumed.
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -58,7 +58,8 @@
   readonly isReady: () => boolean;
   /**
    * Addresses of ready entries to name to one caller, sampled by capacity; not
-   * empty while this entry is ready.
+   * empty while this entry is ready. Entries that reach no targets are left out
+   * unless there are no others.
    */
   readonly callerAddresses: () => readonly string[];
   /**
@@ -115,12 +116,14 @@
     },
   });
   const reachProbe = startReachProbe({ runtime, probe });
+  const peerPool = createConnectionPool();
   let isLeaving = false;
 
   const callerServer = createCallerServer(
     {
       runtime,
       pool,
+      peerPool,
       orders: options.orders,
       dialect,
       log,
@@ -140,9 +143,13 @@
     log,
     self,
     seedAddresses: options.seedAddresses,
+    serveRelayed: callerServer.serveRelayed,
     now,
   });
   const ticker = setInterval(tick, TICK_INTERVAL_MS);
+  runtime.onEffect(({ type }) => {
+    if (type === 'targetReach.changed') peers.broadcast();
+  });
 
   function self(): PeerStatus {
     return {
@@ -155,6 +162,7 @@
       isLeaving,
       configVersion: runtime.table()?.config.version ?? 0,
       weight: options.weight ?? 1,
+      ...(isCutOff() ? { isCutOff: true } : {}),
     };
   }
 
@@ -166,6 +174,10 @@
     );
   }
 
+  function isCutOff(): boolean {
+    return runtime.state().targetReach.phase === 'cutOff';
+  }
+
   function tick(): void {
     const atMs = now();
     runtime.dispatch({ type: 'roster.ticked', atMs });
@@ -179,7 +191,7 @@
         nowMs: atMs,
         name: options.name,
         dataCentre: options.dataCentre,
-        isServing: isReady(),
+        isServing: isReady() && !isCutOff(),
       }),
     });
     const targets = [...runtime.state().roster.targets.values()];
@@ -198,7 +210,10 @@
     const serving: readonly PeerStatus[] = isReady()
       ? [self(), ...others]
       : others;
-    return sampleEntries(serving).map((entry) => entry.callerAddress);
+    const reaching = serving.filter((entry) => entry.isCutOff !== true);
+    return sampleEntries(reaching.length > 0 ? reaching : serving).map(
+      (entry) => entry.callerAddress,
+    );
   }
 
   function leave(done: () => void): void {
@@ -228,6 +243,7 @@
     callerServer.closeIdle();
     peers.close();
     pool.close();
+    peerPool.close();
     reachProbe.close();
   }
 
--- a/packages/gateway/src/targetDeaths/index.ts
+++ b/packages/gateway/src/targetDeaths/index.ts
@@ -1,19 +1,16 @@
-import {
-  type PartDeath,
-  processKey,
-  type RosterTarget,
-} from '@endivegate/core/forwarding';
+import { type PartDeath, processKey } from '@endivegate/core/forwarding';
 import { xxHash32 } from 'js-xxhash';
 import type { EventLog } from '../createEventLog/index.ts';
 import type { GatewayMetrics } from '../createGatewayMetrics/index.ts';
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
+import type { SendDestination } from '../planSend/index.ts';
 import { probeAddress, type ProbeResult } from '../probeAddress/index.ts';
 
 /** A send whose connection broke before its answer began. */
 export interface BrokenSend {
   readonly attemptId: string;
   readonly service: string;
-  readonly target: RosterTarget;
+  readonly target: SendDestination;
   readonly parts: readonly string[];
   readonly sentAtMs: number;
   readonly endedAtMs: number;
@@ -69,7 +66,7 @@
     else startProbe(target, 1);
   }
 
-  function startProbe(target: RosterTarget, number: number): void {
+  function startProbe(target: SendDestination, number: number): void {
     const process = processKey(target);
     probe(target.address, (result) => {
       if (result === 'accepted' && number < MAX_PROBES && !isReplaced(target)) {
@@ -82,7 +79,7 @@
     });
   }
 
-  function isDeath(target: RosterTarget, result: ProbeResult): boolean {
+  function isDeath(target: SendDestination, result: ProbeResult): boolean {
     return result === 'refused' || isReplaced(target);
   }
 
@@ -92,7 +89,7 @@
     );
   }
 
-  function isReplaced(target: RosterTarget): boolean {
+  function isReplaced(target: SendDestination): boolean {
     const listed = runtime.state().roster.targets.get(target.id);
     return listed !== undefined && listed.bornMs !== target.bornMs;
   }
--- a/packages/gateway/src/testDialect/index.ts
+++ b/packages/gateway/src/testDialect/index.ts
@@ -10,6 +10,7 @@
 /** HTTP dialect for tests, with header names that no deployment uses. */
 export const testDialect: HttpDialect = {
   attemptIdHeader: 'x-request',
+  deadlineHeader: 'x-deadline-ms',
   withheldHeaders: new Set(['authorization', 'x-deadline-ms', 'last-event-id']),
   readCaller: (headers) => ({
     attemptId: headerText(headers, 'x-request'),
