--- a/packages/gateway/src/testFleet/test.ts
+++ b/packages/gateway/src/testFleet/test.ts
@@ -1,6 +1,9 @@
 import { expect } from 'chai';
-import type { RequestListener } from 'node:http';
-import type { RepeatRule } from '@endivegate/contracts/forwarding';
+import { request as httpRequest, type RequestListener } from 'node:http';
+import type {
+  ForwardingRoute,
+  RepeatRule,
+} from '@endivegate/contracts/forwarding';
 import { sign } from '../testGateway/index.ts';
 import {
   settle,
@@ -66,6 +69,98 @@
     expect(refused).to.deep.equal({ status: 503, retryAfterS: 1 });
   });
 
+  /** Starts three entries and waits until the first one knows that it is cut off. */
+  async function startCutFleet(
+    target: RequestListener,
+    route: Partial<ForwardingRoute>,
+  ): Promise<TestFleet> {
+    const started = await startTestFleet({
+      entries: 3,
+      targets: [target, target, target, target],
+      route,
+    });
+    fleet = started;
+    await cutOff(started, 0);
+    return started;
+  }
+
+  async function cutOff(started: TestFleet, index: number): Promise<void> {
+    const entry = started.entries[index];
+    entry?.setPath('resetting');
+    const phase = () => entry?.gateway.runtime.state().targetReach.phase;
+    while (phase() !== 'cutOff') {
+      await started.ask(index);
+      await settle(REQUEST_INTERVAL_MS);
+    }
+  }
+
+  // Guards against a relayed call that runs twice, or is said not to have run.
+  it('says that a relayed call which may run once may have run', async () => {
+    const ran: unknown[] = [];
+    const breakOff: RequestListener = (request) => {
+      ran.push(request.headers['x-request']);
+      request.socket.resetAndDestroy();
+    };
+    const { ask } = await startCutFleet(breakOff, { repeat: 'atMostOnce' });
+    ran.length = 0;
+    expect((await ask(0)).status).to.equal(502);
+    expect(ran).to.have.length(1);
+  });
+
+  // Guards against work that goes on at a target after the caller of a relayed
+  // request has left.
+  it('cancels a relayed request when its caller disconnects', async () => {
+    let onCancelled = (): void => undefined;
+    const cancelled = new Promise<void>((resolve) => {
+      onCancelled = resolve;
+    });
+    let isHeld = false;
+    const hold: RequestListener = (request, response) => {
+      if (!isHeld) {
+        answer(request, response);
+        return;
+      }
+      response.on('close', onCancelled);
+      caller.destroy();
+    };
+    const { entries } = await startCutFleet(hold, { repeat: 'atMostOnce' });
+    isHeld = true;
+    const caller = httpRequest({
+      port: entries[0]?.callerPort,
+      headers: { host: 'api.example', 'x-request': 'held' },
+    });
+    caller.on('error', () => undefined);
+    caller.end();
+    await cancelled;
+  });
+
+  // Guards against requests that go round between entries of which none reaches a target.
+  it('refuses requests when no entry reaches a target', async () => {
+    const started = await startCutFleet(answer, { repeat: 'atMostOnce' });
+    await cutOff(started, 1);
+    await cutOff(started, 2);
+    const statuses = await Promise.all(
+      [0, 1, 2].map(async (index) => (await started.ask(index)).status),
+    );
+    expect(statuses).to.deep.equal([503, 503, 503]);
+  });
+
+  // Guards against an entry that goes on relaying after the cut.
+  it('serves requests itself, and is named to callers, after the cut', async () => {
+    const { entries, ask } = await startCutFleet(answer, {
+      repeat: 'atMostOnce',
+    });
+    const [entry, peer] = entries;
+    const addresses = () =>
+      [entry, peer].map((one) => one?.gateway.callerAddresses().length);
+    while (addresses().some((count) => count !== 2)) await settle(10);
+    entry?.setPath('open');
+    while (addresses().some((count) => count !== 3)) await settle(10);
+    expect((await ask(0)).status).to.equal(200);
+    const { targetReach } = entry?.gateway.runtime.state() ?? {};
+    expect(targetReach?.phase).to.equal('reaching');
+  });
+
   // Guards against eight entries that each send to a target in need as if it had named
   // no limit, or as if the limit were theirs alone.
   it('sends a target no more requests than the limit that it names', async () => {
