Take no refused connection for a crash while an entry reaches no targets

A cut that resets connections and refuses new ones looked like a death of every target with an open send: deaths were recorded against the parts of the prompts that ran there, and told to all entries, which would block sound parts. While targetReach is in doubt, the check for a death probes once more and records none if the doubt remains.

--- a/packages/gateway/src/targetDeaths/index.ts
+++ b/packages/gateway/src/targetDeaths/index.ts
@@ -39,7 +39,8 @@
 /**
  * Creates the check for dead targets. A target whose connection broke is dead if
  * a new connection is refused, or if it is listed as another process by then. A
- * target that accepts is alive, and one that does not answer may be cut off. A
+ * target that accepts is alive, and one that does not answer may be cut off, as may
+ * this entry if others fail too. A
  * target that was leaving, or is no longer listed, has ended as planned.
  *
  * @param options - State, log and clock of the gateway.
@@ -69,7 +70,8 @@
   function startProbe(target: SendDestination, number: number): void {
     const process = processKey(target);
     probe(target.address, (result) => {
-      if (result === 'accepted' && number < MAX_PROBES && !isReplaced(target)) {
+      const isInDoubt = result === 'accepted' || !reachesTargets();
+      if (isInDoubt && number < MAX_PROBES && !isReplaced(target)) {
         setTimeout(() => {
           startProbe(target, number + 1);
         }, REPROBE_DELAY_MS);
@@ -80,7 +82,13 @@
   }
 
   function isDeath(target: SendDestination, result: ProbeResult): boolean {
-    return result === 'refused' || isReplaced(target);
+    return (result === 'refused' && reachesTargets()) || isReplaced(target);
+  }
+
+  /** While this entry has lost its paths to all targets, or may have, a refused
+   * connection says nothing about a single one. */
+  function reachesTargets(): boolean {
+    return runtime.state().targetReach.phase === 'reaching';
   }
 
   function isKnownDead(process: string): boolean {
--- a/packages/gateway/src/targetDeaths/test.ts
+++ b/packages/gateway/src/targetDeaths/test.ts
@@ -85,6 +85,33 @@
     expect(probes).to.have.length(2);
   });
 
+  // Guards against an entry that lost its paths to all targets and takes each for a
+  // target that a part of a prompt has crashed.
+  it('records none while this entry reaches no targets', async () => {
+    const { runtime, deaths, probes, broken, recorded } = start();
+    ['t1', 't2'].forEach((id) => {
+      runtime.dispatch({ type: 'targetReach.failed', atMs: 0, id });
+    });
+    deaths.sendBroke(broken('r1'));
+    probes[0]?.('refused');
+    await probed(probes, 2);
+    probes[1]?.('refused');
+    expect(recorded()).to.have.length(0);
+  });
+
+  it('records a death when other targets are reached after all', async () => {
+    const { runtime, deaths, probes, broken, recorded } = start();
+    ['t1', 't2'].forEach((id) => {
+      runtime.dispatch({ type: 'targetReach.failed', atMs: 0, id });
+    });
+    deaths.sendBroke(broken('r1'));
+    probes[0]?.('refused');
+    runtime.dispatch({ type: 'targetReach.probed', probed: 3, connected: 1 });
+    await probed(probes, 2);
+    probes[1]?.('refused');
+    expect(recorded()).to.have.length(1);
+  });
+
   // Guards against taking reset connections, or an overfull target, for a crash.
   it('records none when the target goes on accepting connections', async () => {
     const { deaths, probes, broken, recorded } = start();
