Failing test: a stream on a connection that hangs while its entry is cut off

Found by reading: an entry with few requests, all on kept connections that hang, sees no failure, so nothing starts the probes, and a stream before its first event is not taken over.

--- a/packages/gateway/src/testFleet/index.ts
+++ b/packages/gateway/src/testFleet/index.ts
@@ -42,8 +42,8 @@
 
 /**
  * State of an entry's path to all targets: `refusing` refuses new connections and
- * keeps open ones, `resetting` resets those too, `hanging` resets them and leaves new
- * ones without an answer.
+ * keeps open ones, `resetting` resets those too, `hanging` leaves both without an
+ * answer.
  */
 export type TargetPath = 'open' | 'refusing' | 'resetting' | 'hanging';
 
@@ -104,6 +104,7 @@
         const port = path === 'open' ? target.port : closedPort;
         const socket = connect({ ...target, port });
         sockets.add(socket);
+        dropData(socket, () => path === 'hanging');
         return socket.once('close', () => sockets.delete(socket));
       },
     });
@@ -115,7 +116,7 @@
       callerPort: Number(started.callerAddress.split(':')[1]),
       setPath(next) {
         path = next;
-        if (next === 'resetting' || next === 'hanging') {
+        if (next === 'resetting') {
           sockets.forEach((socket) => socket.resetAndDestroy());
         }
       },
@@ -149,6 +150,13 @@
   };
 }
 
+/** Drops what a socket receives while a condition holds. */
+function dropData(socket: Socket, isDropping: () => boolean): void {
+  const emit = socket.emit.bind(socket) as (...args: unknown[]) => boolean;
+  socket.emit = (event: string, ...args: unknown[]) =>
+    event === 'data' && isDropping() ? true : emit(event, ...args);
+}
+
 /** Resolves after a time. */
 export function settle(delayMs: number): Promise<void> {
   return new Promise((resolve) => {
--- a/packages/gateway/src/testFleet/test.ts
+++ b/packages/gateway/src/testFleet/test.ts
@@ -134,6 +134,20 @@
     await cancelled;
   });
 
+  // Guards against a request on a connection that hangs, of which nothing tells that
+  // the path is lost: it was never sent to another target before its first event.
+  it('serves a stream that was sent over a connection that hangs', async () => {
+    const started = await startTestFleet({
+      entries: 3,
+      targets: [answerStream],
+      route: { repeat: 'stream' },
+    });
+    fleet = started;
+    await started.ask(0);
+    started.entries[0]?.setPath('hanging');
+    expect((await started.ask(0)).status).to.equal(200);
+  });
+
   // Guards against requests that go round between entries of which none reaches a target.
   it('refuses requests when no entry reaches a target', async () => {
     const started = await startCutFleet(answer, { repeat: 'atMostOnce' });
@@ -201,6 +215,7 @@
       ['refusing', 'atMostOnce'],
       ['hanging', 'atMostOnce'],
       ['refusing', 'stream'],
+      ['hanging', 'stream'],
       ['resetting', 'stream'],
     ] as const satisfies readonly (readonly [TargetPath, RepeatRule])[]
   ).forEach(([path, repeat]) => {
