Find out that an entry is cut off when connections hang

An entry whose few requests were all on kept connections that hang saw no failure: its callers waited for the deadline (504 in the test). When the entry turns out to be cut off, its open requests that may be sent again go to a peer at once.

--- a/packages/core/src/forwarding/targetReach/index.ts
+++ b/packages/core/src/forwarding/targetReach/index.ts
@@ -24,6 +24,8 @@
       readonly atMs: number;
       readonly id: string;
     }
+  /** No target has sent anything for a while, though requests are open. */
+  | { readonly type: 'targetReach.silent' }
   /** A new connection to a target was opened. */
   | { readonly type: 'targetReach.connected' }
   /** A round of probes has ended. */
@@ -84,6 +86,10 @@
   switch (event.type) {
     case 'targetReach.failed':
       return applyFailure(state, event.id, event.atMs);
+    case 'targetReach.silent':
+      return state.phase === 'reaching'
+        ? startProbing(state)
+        : { state, effects: [] };
     case 'targetReach.connected':
       return state.phase === 'cutOff' || state.failures.size === 0
         ? { state, effects: [] }
@@ -141,11 +147,16 @@
     ([, failedAtMs]) => atMs - failedAtMs < FAILURE_WINDOW_MS,
   );
   const failures = new Map(recent).set(id, atMs);
+  const next = { ...state, failures };
   const isDue =
     state.phase === 'reaching' && failures.size >= MIN_FAILED_TARGETS;
+  return isDue ? startProbing(next) : { state: next, effects: [] };
+}
+
+function startProbing(state: ReachState): Step<ReachState, ReachEffect> {
   return {
-    state: { ...state, failures, phase: isDue ? 'probing' : state.phase },
-    effects: isDue ? [{ type: 'targetReach.probeDue' }] : [],
+    state: { ...state, phase: 'probing' },
+    effects: [{ type: 'targetReach.probeDue' }],
   };
 }
 
--- a/packages/core/src/forwarding/targetReach/test.ts
+++ b/packages/core/src/forwarding/targetReach/test.ts
@@ -50,6 +50,15 @@
     ]);
   });
 
+  it('probes when targets are silent, once at a time', () => {
+    const silent: ReachEvent = { type: 'targetReach.silent' };
+    const { state, effects } = reduceReach(initialReach, silent);
+    expect(effects).to.deep.equal([{ type: 'targetReach.probeDue' }]);
+    expect(reduceReach(state, silent).effects).to.deep.equal([]);
+    expect(phasesOf([silent, probe(1)]).at(-1)).to.equal('reaching');
+    expect(phasesOf([silent, probe(0)]).at(-1)).to.equal('cutOff');
+  });
+
   it('forgets failures after a new connection, or after a while', () => {
     const connected: ReachEvent = { type: 'targetReach.connected' };
     expect(phasesOf([fail('t0'), connected, fail('t1')]).at(-1)).to.equal(
--- a/packages/gateway/src/forwardRequest/_lib/openSends.ts
+++ b/packages/gateway/src/forwardRequest/_lib/openSends.ts
@@ -16,6 +16,8 @@
   readonly remove: (send: OpenSend) => void;
   readonly has: (send: OpenSend) => boolean;
   readonly isAny: () => boolean;
+  /** Sends to targets, not to peers. */
+  readonly toTargets: () => readonly OpenSend[];
   /** Number of sends by whether they are silent. */
   readonly count: () => { readonly live: number; readonly silent: number };
   /** Ends all sends but the one that has answered. Returns how many. */
@@ -38,6 +40,7 @@
     },
     has: (send) => sends.has(send),
     isAny: () => sends.size > 0,
+    toTargets: () => [...sends].filter((send) => !send.plan.isRelay),
     count() {
       const silent = [...sends].filter((send) => send.isSilent).length;
       return { live: sends.size - silent, silent };
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -84,6 +84,9 @@
   );
   reply.onDisconnect(onCallerGone);
   reply.onDrain(openSends.resumeAll);
+  const stopListening = context.reachProbe.onCutOff(() => {
+    openSends.toTargets().forEach(takeOver);
+  });
   if (!call.isRelayed) {
     runtime.dispatch({
       type: 'budget.requested',
@@ -396,6 +399,7 @@
     isOver = true;
     openSends.cancelAll();
     clearTimeout(deadlineTimer);
+    stopListening();
     requestLog.ended(end, counts());
   }
 
--- a/packages/gateway/src/forwardRequest/types.ts
+++ b/packages/gateway/src/forwardRequest/types.ts
@@ -8,6 +8,7 @@
 import type { GatewayBounds, GatewayRuntime } from '../gatewayRuntime/index.ts';
 import type { CallerHead, HttpDialect } from '../httpDialect/index.ts';
 import type { OrderPort } from '../orderPort/index.ts';
+import type { ReachProbe } from '../reachProbe/index.ts';
 import type { TargetDeaths } from '../targetDeaths/index.ts';
 
 /** A caller's request that passed all checks. */
@@ -37,6 +38,7 @@
   readonly pool: ConnectionPool;
   /** Connections to peers, for relayed requests. */
   readonly peerPool: ConnectionPool;
+  readonly reachProbe: Pick<ReachProbe, 'noteReceived' | 'onCutOff'>;
   readonly orders: OrderPort;
   readonly dialect: HttpDialect;
   readonly log: EventLog;
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -130,6 +130,7 @@
         onSent: handlers.onSent,
         onTargetHead: (targetHead) => {
           if (plan.isRelay) return;
+          context.reachProbe.noteReceived();
           recordAnnouncements({ target, head: targetHead, sentAtMs }, context);
         },
         onHead,
@@ -147,6 +148,7 @@
   }
 
   function onBody(chunk: Buffer): void {
+    if (!plan.isRelay) context.reachProbe.noteReceived();
     if (!isStream) {
       answerBuffer.add(chunk);
       return;
--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -260,6 +260,10 @@
           runtime,
           pool,
           peerPool: pool,
+          reachProbe: {
+            noteReceived: () => undefined,
+            onCutOff: () => () => undefined,
+          },
           orders: { reserve: order('reserve'), release: order('release') },
           dialect: testDialect,
           log,
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -115,7 +115,7 @@
       runtime.dispatch({ type: 'targetReach.connected' });
     },
   });
-  const reachProbe = startReachProbe({ runtime, probe });
+  const reachProbe = startReachProbe({ runtime, now, probe });
   const peerPool = createConnectionPool();
   let isLeaving = false;
 
@@ -124,6 +124,7 @@
       runtime,
       pool,
       peerPool,
+      reachProbe,
       orders: options.orders,
       dialect,
       log,
@@ -181,6 +182,7 @@
   function tick(): void {
     const atMs = now();
     runtime.dispatch({ type: 'roster.ticked', atMs });
+    reachProbe.checkSilence();
     runtime.dispatch({ type: 'suspects.ticked', atMs });
     runtime.dispatch({ type: 'partSuspects.ticked', atMs });
     runtime.dispatch({
