--- a/packages/core/src/forwarding/targetLimits/_lib/limits.ts
+++ b/packages/core/src/forwarding/targetLimits/_lib/limits.ts
@@ -8,10 +8,12 @@
 /** A limit that no response has confirmed for this long has ended. */
 const MIN_LIFETIME_MS = 10_000;
 
-/** The target of a low limit is tried rarely: that many trials have to fail to
- * confirm it. */
+/** Trials that may pass without a confirmation, as a target with a low limit is
+ * rarely tried. */
 const LIFETIME_TRIALS = 3;
 
+const MS_PER_S = 1000;
+
 /** A limit that is in force. */
 export type NamedTargetLimit = TargetLimit & { readonly requestsPerS: number };
 
@@ -32,7 +34,7 @@
     ? MIN_LIFETIME_MS
     : Math.max(
         MIN_LIFETIME_MS,
-        (LIFETIME_TRIALS * 1000) / trialRate(requestsPerS),
+        (LIFETIME_TRIALS * MS_PER_S) / trialRate(requestsPerS),
       );
 }
 
--- a/packages/core/src/forwarding/targetLimits/_lib/permits.ts
+++ b/packages/core/src/forwarding/targetLimits/_lib/permits.ts
@@ -1,5 +1,7 @@
 import type { LimitShare, TargetLimit } from '../types.ts';
 
+const MS_PER_S = 1000;
+
 /** Share of an entry that sends nothing to a limited target. */
 export const NO_SHARE: LimitShare = { requestsPerS: 0, burst: 0 };
 
@@ -9,7 +11,7 @@
   atMs: number,
 ): T {
   const { share, permits, permitsAtMs } = limit;
-  const elapsedS = Math.max(atMs - permitsAtMs, 0) / 1000;
+  const elapsedS = Math.max(atMs - permitsAtMs, 0) / MS_PER_S;
   return {
     ...limit,
     permits: Math.min(permits + elapsedS * share.requestsPerS, share.burst),
--- a/packages/core/src/forwarding/targetLimits/index.ts
+++ b/packages/core/src/forwarding/targetLimits/index.ts
@@ -14,6 +14,8 @@
 export { limitShares, type LimitFleet } from './_lib/shares.ts';
 export type * from './types.ts';
 
+const MS_PER_S = 1000;
+
 /** Limits before the first response. */
 export const initialTargetLimits: TargetLimitsState = new Map();
 
@@ -96,7 +98,7 @@
   const requestsPerS = targets
     .map((target) => limitOf(state, target)?.requestsPerS ?? 0)
     .reduce((sum, one) => sum + one, 0);
-  return 1000 / requestsPerS;
+  return MS_PER_S / requestsPerS;
 }
 
 /**
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -126,14 +126,18 @@
    * there is none either, connections that are still open are tried, once. */
   function planNow(left: TimeLeft): SendPlan | undefined {
     const { phase } = runtime.state().targetReach;
-    if (phase !== 'cutOff' || call.isRelayed) return planToTarget(left);
-    const relay = planRelay(runtime.state(), {
+    if (phase !== 'cutOff') return planToTarget(left);
+    const relay = call.isRelayed ? undefined : planToPeer();
+    return relay ?? (unsent === 0 ? planToTarget(left) : undefined);
+  }
+
+  function planToPeer(): SendPlan | undefined {
+    return planRelay(runtime.state(), {
       nowMs: now(),
       dataCentre: context.dataCentre,
       configVersion: runtime.table()?.config.version ?? 0,
       excludedNames: excludedIds,
     });
-    return relay ?? (unsent === 0 ? planToTarget(left) : undefined);
   }
 
   function planToTarget(left: TimeLeft): SendPlan | undefined {
