--- /dev/null
+++ b/packages/gateway/src/relayDialect/test.ts
@@ -0,0 +1,76 @@
+import { expect } from 'chai';
+import { testDialect } from '../testDialect/index.ts';
+import {
+  readRelay,
+  relayDialect,
+  withoutRelayHeaders,
+  writeRelay,
+} from './index.ts';
+
+describe('writeRelay', () => {
+  const request = {
+    rawHeaders: [
+      ...['Host', 'api.example'],
+      ...['Authorization', 'Bearer k'],
+      ...['X-Request', 'a1'],
+      ...['X-Deadline-Ms', '9000'],
+      ...['Last-Event-Id', '1'],
+      ...['X-Relay-Attempts', '9'],
+      ...['Connection', 'keep-alive'],
+    ],
+    deadlineMs: 8500,
+    lastEventId: '4',
+    ageMs: 499.6,
+    attempts: 2,
+  };
+
+  it("passes the caller's headers and key, and replaces what has changed", () => {
+    expect(writeRelay(request, testDialect)).to.deep.equal([
+      ['Host', 'api.example'],
+      ['Authorization', 'Bearer k'],
+      ['X-Request', 'a1'],
+      ['x-deadline-ms', '8500'],
+      ['last-event-id', '4'],
+      ['x-relay-age-ms', '500'],
+      ['x-relay-attempts', '2'],
+    ]);
+  });
+
+  it('is read back by the peer', () => {
+    const headers = Object.fromEntries(writeRelay(request, testDialect));
+    expect(readRelay(headers)).to.deep.equal({ ageMs: 500, attempts: 2 });
+  });
+});
+
+describe('readRelay', () => {
+  it('returns undefined for a request that was not relayed, or cannot be read', () => {
+    expect(readRelay({})).to.equal(undefined);
+    const negative = { 'x-relay-age-ms': '-1', 'x-relay-attempts': '1' };
+    expect(readRelay(negative)).to.equal(undefined);
+    const none = { 'x-relay-age-ms': '1', 'x-relay-attempts': '0' };
+    expect(readRelay(none)).to.equal(undefined);
+  });
+});
+
+describe('withoutRelayHeaders', () => {
+  // Guards against callers whose headers reach targets as if an entry had set them.
+  it('removes names and values', () => {
+    const raw = ['A', 'x-relay-age-ms', 'X-Relay-Age-Ms', '1', 'B', '2'];
+    expect(withoutRelayHeaders(raw)).to.deep.equal([
+      'A',
+      'x-relay-age-ms',
+      'B',
+      '2',
+    ]);
+  });
+});
+
+describe('relayDialect', () => {
+  it("takes a peer's own 503 for not run, but not one that a target signed", () => {
+    const { readTarget } = relayDialect(testDialect);
+    expect(readTarget(503, {}).notExecuted).to.equal(true);
+    expect(readTarget(503, { 'x-signed': '1' }).notExecuted).to.equal(false);
+    expect(readTarget(502, {}).notExecuted).to.equal(false);
+    expect(readTarget(504, {}).notExecuted).to.equal(false);
+  });
+});
