Tell a peer's own refusal of a relayed request from an answer of a target

Found by reading: a target's 503 without a signature, passed on by the peer, was taken for the peer's own refusal, so that the caller of a call which had run was told to come back; and a peer of an earlier build, which answers a relayed request with 404, had that 404 passed on. Peers now say in the response who has answered. Two unit tests failed before; a test with three gateways passes on a target's own 503.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -26,6 +26,8 @@
 import type { CallerHead } from '../httpDialect/index.ts';
 import {
   readRelay,
+  RELAY_ANSWERED_BY_HEADER,
+  type RelayAnsweredBy,
   type RelayHead,
   withoutRelayHeaders,
 } from '../relayDialect/index.ts';
@@ -245,6 +247,8 @@
     response: ServerResponse,
   ): void {
     const relay = readRelay(request.headers);
+    const by: RelayAnsweredBy = 'target';
+    response.setHeader(RELAY_ANSWERED_BY_HEADER, by);
     context.metrics.relayed({ side: 'received' });
     log.info('request.relayed', {
       request: String(request.headers[context.dialect.attemptIdHeader] ?? ''),
--- a/packages/gateway/src/createReply/index.ts
+++ b/packages/gateway/src/createReply/index.ts
@@ -1,4 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  RELAY_ANSWERED_BY_HEADER,
+  type RelayAnsweredBy,
+} from '../relayDialect/index.ts';
 
 /** Writes the response to a caller. */
 export interface Reply {
@@ -84,6 +88,10 @@
       if (retryAfterMs !== undefined) {
         response.setHeader('Retry-After', (retryAfterMs / MS_PER_S).toFixed(3));
       }
+      if (response.hasHeader(RELAY_ANSWERED_BY_HEADER)) {
+        const by: RelayAnsweredBy = 'entry';
+        response.setHeader(RELAY_ANSWERED_BY_HEADER, by);
+      }
       response.setHeader('Content-Type', 'application/json');
       response.setHeader('Content-Length', Buffer.byteLength(body));
       response.statusCode = status;
--- a/packages/gateway/src/forwardRequest/_lib/replies.ts
+++ b/packages/gateway/src/forwardRequest/_lib/replies.ts
@@ -1,6 +1,7 @@
 import type { Reply } from '../../createReply/index.ts';
 import { endToEndHeaders } from '../../httpDialect/index.ts';
 import type { BufferedResponse } from '../../runSend/index.ts';
+import { RELAY_HEADERS } from '../../relayDialect/index.ts';
 import type { ResponseHead } from '../../sendRequest/index.ts';
 
 const HTTP_OK = 200;
@@ -48,5 +49,5 @@
 function responseHeaders(
   head: ResponseHead,
 ): readonly (readonly [string, string])[] {
-  return endToEndHeaders(head.rawHeaders, new Set());
+  return endToEndHeaders(head.rawHeaders, RELAY_HEADERS);
 }
--- a/packages/gateway/src/relayDialect/index.ts
+++ b/packages/gateway/src/relayDialect/index.ts
@@ -8,8 +8,22 @@
 /** Number of targets that a relayed request may still be sent to. */
 export const RELAY_ATTEMPTS_HEADER = 'x-relay-attempts';
 
-const RELAY_HEADERS = new Set([RELAY_AGE_HEADER, RELAY_ATTEMPTS_HEADER]);
+/** Says in the response to a relayed request whether a target or the entry itself has
+ * answered. */
+export const RELAY_ANSWERED_BY_HEADER = 'x-relay-by';
 
+/** Who has answered a relayed request. */
+export type RelayAnsweredBy = 'target' | 'entry';
+
+/** Lower-case names of the headers that entries exchange about relayed requests. */
+export const RELAY_HEADERS: ReadonlySet<string> = new Set([
+  RELAY_AGE_HEADER,
+  RELAY_ATTEMPTS_HEADER,
+  RELAY_ANSWERED_BY_HEADER,
+]);
+
+const MIN_CLIENT_ERROR_STATUS = 400;
+const MIN_SERVER_ERROR_STATUS = 500;
 const UNAVAILABLE = 503;
 
 /** What the relaying entry says about a request. */
@@ -78,9 +92,9 @@
 }
 
 /**
- * Returns the dialect for responses of peers to relayed requests. A peer's own 503
- * promises that the request did not run; what a target says of itself concerns the
- * peer.
+ * Returns the dialect for responses of peers to relayed requests. A peer's own 503 or
+ * rejection promises that the request did not run. So does a response without the
+ * relay header: its entry is of a build that serves no relayed requests.
  *
  * @param dialect - Dialect of the deployment.
  * @returns The dialect.
@@ -90,8 +104,18 @@
     ...dialect,
     readTarget(status, headers) {
       const head = dialect.readTarget(status, headers);
-      const isRefusal = status === UNAVAILABLE && !head.isSigned;
-      return { ...head, notExecuted: head.notExecuted || isRefusal };
+      const answeredBy = headers[RELAY_ANSWERED_BY_HEADER];
+      const isNotRun =
+        answeredBy === undefined ||
+        (answeredBy === 'entry' && promisesNotRun(status));
+      return { ...head, notExecuted: head.notExecuted || isNotRun };
     },
   };
 }
+
+/** Whether an entry's own status means that the request did not and will not run. */
+function promisesNotRun(status: number): boolean {
+  const isRejection =
+    status >= MIN_CLIENT_ERROR_STATUS && status < MIN_SERVER_ERROR_STATUS;
+  return isRejection || status === UNAVAILABLE;
+}
--- a/packages/gateway/src/relayDialect/test.ts
+++ b/packages/gateway/src/relayDialect/test.ts
@@ -66,11 +66,26 @@
 });
 
 describe('relayDialect', () => {
-  it("takes a peer's own 503 for not run, but not one that a target signed", () => {
-    const { readTarget } = relayDialect(testDialect);
-    expect(readTarget(503, {}).notExecuted).to.equal(true);
-    expect(readTarget(503, { 'x-signed': '1' }).notExecuted).to.equal(false);
-    expect(readTarget(502, {}).notExecuted).to.equal(false);
-    expect(readTarget(504, {}).notExecuted).to.equal(false);
+  const isNotRun = (status: number, by: string | undefined) =>
+    relayDialect(testDialect).readTarget(
+      status,
+      by === undefined ? {} : { 'x-relay-by': by },
+    ).notExecuted;
+
+  // Guards against saying that a request did not run because a target that ran it
+  // answered 503 without a signature.
+  it("takes a peer's own refusals for not run, but no answer of a target", () => {
+    const byEntry = [503, 404, 401, 502, 504].map((one) =>
+      isNotRun(one, 'entry'),
+    );
+    const byTarget = [503, 404, 500].map((one) => isNotRun(one, 'target'));
+    expect(byEntry).to.deep.equal([true, true, true, false, false]);
+    expect(byTarget).to.deep.equal([false, false, false]);
+  });
+
+  // Guards against a 404 of an earlier build, which serves no relayed requests, that
+  // reaches the caller.
+  it('takes any answer of an entry that serves no relayed requests for not run', () => {
+    expect(isNotRun(404, undefined)).to.equal(true);
   });
 });
--- a/packages/gateway/src/testFleet/test.ts
+++ b/packages/gateway/src/testFleet/test.ts
@@ -107,6 +107,24 @@
     expect(ran).to.have.length(1);
   });
 
+  // Guards against a refusal of our own in place of what a target answered, which may
+  // have run the request.
+  it("passes on a target's own 503 to a relayed call", async () => {
+    let isDown = false;
+    const { ask } = await startCutFleet(
+      (request, response) => {
+        if (isDown) response.writeHead(503).end('ran');
+        else answer(request, response);
+      },
+      { repeat: 'atMostOnce' },
+    );
+    isDown = true;
+    expect(await ask(0)).to.deep.equal({
+      status: 503,
+      retryAfterS: undefined,
+    });
+  });
+
   // Guards against work that goes on at a target after the caller of a relayed
   // request has left.
   it('cancels a relayed request when its caller disconnects', async () => {
