Relay requests right after a change of the configuration

A cut entry relayed only to peers that had reported its configuration or a later one. Peers report with their heartbeat, up to 0.35 s later, so after each change its callers were refused meanwhile (503 in the new test). Now the request says which configuration accepted it, and a peer that has an older one refuses it; peers that reported an older one are the last choice.

--- a/packages/core/src/forwarding/pickRelay/index.ts
+++ b/packages/core/src/forwarding/pickRelay/index.ts
@@ -28,11 +28,15 @@
  * bytes between data centres are paid for. */
 const REMOTE_REQUESTS = 4;
 
+/** Above the load of any peer. */
+const OLDER_CONFIG_COST = 1_000_000;
+
 /**
  * Picks the peer to which an entry without paths to targets relays a request: one
  * that reaches targets, by its load for its capacity, preferably in this data centre.
  *
- * A peer with an older configuration might reject what this entry has accepted.
+ * A peer that last reported an older configuration is taken if there is no other: it
+ * may have the newer one by now, and else refuses the request.
  *
  * @param query - Peers, their load and the request.
  * @param options - Random source.
@@ -52,15 +56,13 @@
     (load.peers.get(name)?.flights.length ?? 0) +
     relayed.filter((targetId) => targetId === name).length;
   return reachingPeers(peers, query.nowMs)
-    .filter(
-      (peer) =>
-        peer.configVersion >= query.configVersion &&
-        !excludedNames.has(peer.name),
-    )
+    .filter((peer) => !excludedNames.has(peer.name))
     .map((peer) => {
       const remote = peer.dataCentre === dataCentre ? 0 : REMOTE_REQUESTS;
-      const cost = (requestsOf(peer) + remote + random()) / peer.weight;
-      return { peer, cost };
+      const older =
+        peer.configVersion >= query.configVersion ? 0 : OLDER_CONFIG_COST;
+      const load = (requestsOf(peer) + remote + random()) / peer.weight;
+      return { peer, cost: load + older };
     })
     .toSorted((a, b) => a.cost - b.cost)[0]?.peer;
 }
--- a/packages/core/src/forwarding/pickRelay/test.ts
+++ b/packages/core/src/forwarding/pickRelay/test.ts
@@ -68,10 +68,16 @@
     expect(pick(peers, { excluded: ['near'] })).to.equal('far');
   });
 
+  it('picks a peer with an older configuration only if there is no other', () => {
+    const older = peer('older', { configVersion: 2 });
+    const peers = [older, peer('far', { dataCentre: 'b' })];
+    expect(pick(peers, { busy: 'far' })).to.equal('far');
+    expect(pick([older])).to.equal('older');
+  });
+
   it('picks no peer that cannot serve the request', () => {
     const peers = [
       peer('cut off', { isCutOff: true }),
-      peer('older configuration', { configVersion: 2 }),
       peer('leaving', { isLeaving: true }),
       peer('not ready', { isReady: false }),
     ];
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -162,6 +162,14 @@
       });
       return;
     }
+    if (relay !== undefined && table.config.version < relay.configVersion) {
+      reject(request, reply, {
+        status: UNAVAILABLE,
+        message: 'older configuration than the relaying entry',
+        retryAfterMs: NO_CONFIG_RETRY_AFTER_MS,
+      });
+      return;
+    }
     const caller = context.dialect.readCaller(request.headers);
     const checked = checkRequest(request, {
       table,
--- a/packages/gateway/src/createCallerServer/test.ts
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -114,4 +114,31 @@
     while (!caller.received().endsWith('read')) await settle(5);
     expect(caller.received()).to.match(/^HTTP\/1\.1 200 /);
   });
+
+  // Guards against a peer that serves a relayed request as an older configuration says.
+  it('refuses a relayed request that was accepted by a newer configuration', async () => {
+    fleet = await startTestGateway({
+      targets: [
+        (request, response) => {
+          sign(request, response);
+          response.end('fine');
+        },
+      ],
+      route: { repeat: 'idempotent' },
+    });
+    const peerPort = Number(fleet.peerAddress.split(':')[1]);
+    const askAs = async (configVersion: number): Promise<string> => {
+      const caller = connectCaller(peerPort);
+      caller.socket.write(
+        'GET /1 HTTP/1.1\r\nHost: api.example\r\nConnection: close\r\nx-request: a1\r\n' +
+          'x-relay-age-ms: 1\r\nx-relay-attempts: 1\r\n' +
+          `x-relay-config-version: ${configVersion}\r\n\r\n`,
+      );
+      await caller.closed;
+      return caller.received().split('\r\n', 1)[0] ?? '';
+    };
+    expect(await askAs(1)).to.equal('HTTP/1.1 200 OK');
+    expect(await askAs(2)).to.equal('HTTP/1.1 503 Service Unavailable');
+    expect(fleet.sends).to.have.length(1);
+  });
 });
--- a/packages/gateway/src/relayDialect/index.ts
+++ b/packages/gateway/src/relayDialect/index.ts
@@ -8,6 +8,9 @@
 /** Number of targets that a relayed request may still be sent to. */
 export const RELAY_ATTEMPTS_HEADER = 'x-relay-attempts';
 
+/** Version of the configuration by which the relaying entry has accepted a request. */
+export const RELAY_CONFIG_HEADER = 'x-relay-config-version';
+
 /** Says in the response to a relayed request whether a target or the entry itself has
  * answered. */
 export const RELAY_ANSWERED_BY_HEADER = 'x-relay-by';
@@ -19,6 +22,7 @@
 export const RELAY_HEADERS: ReadonlySet<string> = new Set([
   RELAY_AGE_HEADER,
   RELAY_ATTEMPTS_HEADER,
+  RELAY_CONFIG_HEADER,
   RELAY_ANSWERED_BY_HEADER,
 ]);
 
@@ -30,6 +34,8 @@
 export interface RelayHead {
   readonly ageMs: number;
   readonly attempts: number;
+  /** Version of the configuration that it must be served by, or a later one. */
+  readonly configVersion: number;
 }
 
 /** A request to relay. */
@@ -52,7 +58,7 @@
   request: RelayedRequest,
   dialect: Pick<HttpDialect, 'deadlineHeader'>,
 ): readonly (readonly [string, string])[] {
-  const { deadlineMs, lastEventId, ageMs, attempts } = request;
+  const { deadlineMs, lastEventId, ageMs, attempts, configVersion } = request;
   const replaced = new Set([
     ...RELAY_HEADERS,
     dialect.deadlineHeader,
@@ -66,6 +72,7 @@
       : [['last-event-id', lastEventId] as const]),
     [RELAY_AGE_HEADER, String(Math.max(Math.round(ageMs), 0))],
     [RELAY_ATTEMPTS_HEADER, String(attempts)],
+    [RELAY_CONFIG_HEADER, String(configVersion)],
   ];
 }
 
@@ -73,12 +80,15 @@
  * Reads what the relaying entry says about a request.
  *
  * @param headers - Headers of the request.
- * @returns Age and attempts; undefined if the request was not relayed.
+ * @returns What it says; undefined if the request was not relayed.
  */
 export function readRelay(headers: IncomingHttpHeaders): RelayHead | undefined {
   const ageMs = Number(headers[RELAY_AGE_HEADER] ?? NaN);
   const attempts = Number(headers[RELAY_ATTEMPTS_HEADER] ?? NaN);
-  return ageMs >= 0 && attempts >= 1 ? { ageMs, attempts } : undefined;
+  const configVersion = Number(headers[RELAY_CONFIG_HEADER] ?? NaN);
+  return ageMs >= 0 && attempts >= 1 && configVersion >= 0
+    ? { ageMs, attempts, configVersion }
+    : undefined;
 }
 
 /** Removes the headers by which entries relay requests. */
--- a/packages/gateway/src/runSend/_lib/sendHeaders.ts
+++ b/packages/gateway/src/runSend/_lib/sendHeaders.ts
@@ -59,6 +59,7 @@
       lastEventId,
       ageMs: now() - call.arrivedAtMs,
       attempts: run.attemptsLeft,
+      configVersion: context.runtime.table()?.config.version ?? 0,
     };
     return [...writeRelay(relayed, dialect), ...bodyHeaders];
   }
--- a/packages/gateway/src/testFleet/test.ts
+++ b/packages/gateway/src/testFleet/test.ts
@@ -4,7 +4,7 @@
   ForwardingRoute,
   RepeatRule,
 } from '@endivegate/contracts/forwarding';
-import { sign } from '../testGateway/index.ts';
+import { sign, testConfig } from '../testGateway/index.ts';
 import {
   settle,
   startTestFleet,
@@ -125,6 +125,19 @@
     });
   });
 
+  // Guards against refusals until the peers of a cut entry have told it that they have
+  // the newest configuration too.
+  it('relays right after the configuration has changed', async () => {
+    const { entries, ask } = await startCutFleet(answer, {
+      repeat: 'atMostOnce',
+    });
+    entries.forEach(({ gateway }) => {
+      const config = testConfig({ repeat: 'atMostOnce' });
+      gateway.runtime.applyConfig({ ...config, version: 2 }, 'test');
+    });
+    expect((await ask(0)).status).to.equal(200);
+  });
+
   // Guards against work that goes on at a target after the caller of a relayed
   // request has left.
   it('cancels a relayed request when its caller disconnects', async () => {
--- a/packages/gateway/src/testGateway/index.ts
+++ b/packages/gateway/src/testGateway/index.ts
@@ -46,6 +46,8 @@
 export interface TestGateway {
   readonly gateway: Gateway;
   readonly callerPort: number;
+  /** IP and port for traffic between entries. */
+  readonly peerAddress: string;
   /** Requests that targets received, in order. */
   readonly sends: readonly TestSend[];
   /** Log lines of the gateway. */
@@ -218,6 +220,7 @@
   return {
     gateway,
     callerPort,
+    peerAddress: started.peerAddress,
     sends,
     lines,
     ask: (path) => ask(callerPort, path),
