--- a/packages/core/src/forwarding/targetLimits/_lib/shares.ts
+++ b/packages/core/src/forwarding/targetLimits/_lib/shares.ts
@@ -17,7 +17,8 @@
   readonly isServing: boolean;
 }
 
-/** Entries that send to a target with a limit near 0: one may be lost. */
+/** Senders beside one for each request a second, so that the loss of one leaves
+ * another. */
 const MIN_SENDERS = 2;
 
 /** Part of a second's requests that all senders together may save up. */
@@ -26,8 +27,8 @@
 /**
  * Computes this entry's share of each target's limit.
  *
- * A limit is divided among few senders, so that each has at least about one request
- * a second; the others send nothing to that target. Senders are chosen by rendezvous
+ * A limit is divided among few senders, about one for each request a second, so that
+ * their bursts stay small beside it; the others send nothing to that target. Senders are chosen by rendezvous
  * hashing: entries that know the same others agree without a message, and a change
  * of the fleet moves one sender. In cells, entries know little of other data centres,
  * so that the senders are entries of the target's own.
--- a/packages/gateway/src/reachProbe/index.ts
+++ b/packages/gateway/src/reachProbe/index.ts
@@ -41,7 +41,7 @@
 export function startReachProbe(options: StartReachProbeOptions): ReachProbe {
   const { runtime, now, probe = probeAddress } = options;
   const cutOffListeners = new Set<() => void>();
-  let lastSignAtMs = -Infinity;
+  let lastActivityAtMs = -Infinity;
   let timer: NodeJS.Timeout | undefined;
   let isClosed = false;
 
@@ -87,13 +87,13 @@
 
   return {
     noteReceived() {
-      lastSignAtMs = now();
+      lastActivityAtMs = now();
     },
     checkSilence() {
       const nowMs = now();
       const sinceMs = nowMs - MAX_SILENCE_MS;
-      if (lastSignAtMs > sinceMs || !hasOldRequest(sinceMs)) return;
-      lastSignAtMs = nowMs;
+      if (lastActivityAtMs > sinceMs || !hasOldRequest(sinceMs)) return;
+      lastActivityAtMs = nowMs;
       runtime.dispatch({ type: 'targetReach.silent' });
     },
     onCutOff(listener) {
--- a/packages/gateway/src/testFleet/test.ts
+++ b/packages/gateway/src/testFleet/test.ts
@@ -125,7 +125,7 @@
     });
   });
 
-  // Guards against refusals until the peers of a cut entry have told it that they have
+  // Guards against refusals until the peers of a cut entry have reported that they have
   // the newest configuration too.
   it('relays right after the configuration has changed', async () => {
     const { entries, ask } = await startCutFleet(answer, {
