testFleet: a closed port that no other run can open

The test's closed port comes from the range in which the other run opens ports, so probes connected and the entry was not cut off. Ruled out: a fault of the relay.

Change: connections of a cut entry go to port 9 of loopback. The check and its bound stay.

--- a/packages/gateway/src/testFleet/index.ts
+++ b/packages/gateway/src/testFleet/index.ts
@@ -17,6 +17,9 @@
 const HOST = '127.0.0.1';
 const POLL_INTERVAL_MS = 10;
 
+/** The discard port, outside the ports of tests, so that no other run listens there. */
+const CLOSED_PORT = 9;
+
 /** Entries that know each other, in front of the same stand-in targets. */
 export interface TestFleet {
   readonly entries: readonly TestFleetEntry[];
@@ -90,7 +93,6 @@
     dataCentre: DATA_CENTRES[index % DATA_CENTRES.length] ?? '',
   }));
   const seed = await testAddress();
-  const closedPort = Number((await testAddress()).split(':')[1]);
   const startEntry = async (index: number): Promise<TestFleetEntry> => {
     let path: TargetPath = 'open';
     const sockets = new Set<Socket>();
@@ -101,7 +103,7 @@
       ...(index === 0 ? { peerAddress: seed } : {}),
       connectTarget(target) {
         if (path === 'hanging') return new Socket();
-        const port = path === 'open' ? target.port : closedPort;
+        const port = path === 'open' ? target.port : CLOSED_PORT;
         const socket = connect({ ...target, port });
         sockets.add(socket);
         dropData(socket, () => path === 'hanging');
