Count a target as crashed by a request only when its crash is confirmed

Callers of all entries were refused for minutes after two entries had lost their paths to the targets: each broken connection counted as a crash, three break at once in a cut, peers took over the count, and a blocked request was never sent again, so that nothing cleared it. Whole requests had a mechanism of their own beside the one for prompt parts, which confirms deaths.

Whole requests are now one more part of that mechanism: confirmed deaths, those that overlap count once, an answer clears, one entry tries again after 5 s, 1 min, 2 h and 24 h. A death is confirmed only if another target accepts a connection while this one refuses; before, the first connection that a cut broke could count. Reports of earlier builds start a check of their own.

Ruled out: not counting only while the entry knows that it is cut off, since the first breaks come before.

--- a/packages/core/src/forwarding/gatewayReduce/index.ts
+++ b/packages/core/src/forwarding/gatewayReduce/index.ts
@@ -5,12 +5,6 @@
   initialBudget,
   reduceBudget,
 } from '../retryBudget/index.ts';
-import {
-  initialSuspects,
-  reduceSuspects,
-  type SuspectsEvent,
-  type SuspectsState,
-} from '../crashSuspects/index.ts';
 import {
   initialLoad,
   type LoadEvent,
@@ -60,7 +54,6 @@
   readonly load: LoadState;
   readonly peers: PeersState;
   readonly budget: BudgetState;
-  readonly suspects: SuspectsState;
   readonly partSuspects: PartSuspectsState;
   readonly targetLimits: TargetLimitsState;
   readonly targetReach: ReachState;
@@ -72,7 +65,6 @@
   | LoadEvent
   | PeersEvent
   | BudgetEvent
-  | SuspectsEvent
   | PartSuspectsEvent
   | TargetLimitsEvent
   | ReachEvent;
@@ -91,7 +83,6 @@
   load: initialLoad,
   peers: initialPeers,
   budget: initialBudget,
-  suspects: initialSuspects,
   partSuspects: initialPartSuspects,
   targetLimits: initialTargetLimits,
   targetReach: initialReach,
@@ -113,7 +104,6 @@
     load: { initial: initialLoad, reduce: reduceLoad },
     peers: { initial: initialPeers, reduce: reducePeers },
     budget: { initial: initialBudget, reduce: reduceBudget },
-    suspects: { initial: initialSuspects, reduce: reduceSuspects },
     partSuspects: { initial: initialPartSuspects, reduce: reducePartSuspects },
     targetLimits: { initial: initialTargetLimits, reduce: reduceTargetLimits },
     targetReach: { initial: initialReach, reduce: reduceReach },
--- a/packages/core/src/forwarding/partSuspects/_lib/findBlocks.ts
+++ b/packages/core/src/forwarding/partSuspects/_lib/findBlocks.ts
@@ -5,6 +5,7 @@
   PartSuspectsState,
 } from '../types.ts';
 import { effectiveParts, isCovered, soundAtMs } from './effectiveParts.ts';
+import { isRequestPart } from './requestPart.ts';
 
 /** Deaths one after the other after which a part is blocked. */
 const DEATH_LIMIT = 3;
@@ -179,6 +180,9 @@
   const soundMs = soundAtMs(state.sounds, query.service, part);
   const wasSoundRecently = query.nowMs - soundMs < RECENTLY_SOUND_MS;
   if (wasSoundRecently && counted.length < CERTAIN_DEATHS) return false;
+  // A service of which every target dies under every request has no other answers; one
+  // request that is sent again and again may be the only one.
+  if (isRequestPart(part)) return true;
   const fromMs = counted[0]?.sentAtMs ?? Infinity;
   const untilMs =
     (counted.at(-1)?.endedAtMs ?? -Infinity) + ANSWERS_AFTER_DEATH_MS;
--- a/packages/core/src/forwarding/partSuspects/_lib/merge.ts
+++ b/packages/core/src/forwarding/partSuspects/_lib/merge.ts
@@ -24,6 +24,7 @@
           isOwn: known.isOwn || death.isOwn,
           sentAtMs: Math.min(known.sentAtMs, death.sentAtMs),
           endedAtMs: Math.min(known.endedAtMs, death.endedAtMs),
+          ...(death.crash === undefined ? {} : { crash: death.crash }),
         };
   const deaths = new Map(state.deaths).set(death.id, merged);
   if (deaths.size <= MAX_DEATHS) return { ...state, deaths };
--- a/packages/core/src/forwarding/partSuspects/index.ts
+++ b/packages/core/src/forwarding/partSuspects/index.ts
@@ -24,6 +24,7 @@
 
 export type * from './types.ts';
 export { partsKey } from './types.ts';
+export { isRequestPart, requestPart } from './_lib/requestPart.ts';
 
 type PartStep = Step<PartSuspectsState, PartSuspectsEffect>;
 
@@ -48,8 +49,9 @@
 };
 
 /**
- * Finds out which part of a prompt crashes the targets that answer it, although
- * no two requests with it are alike.
+ * Finds out which part of a prompt, or which request as a whole, crashes the targets
+ * that run it. Answers the load patterns "poison request" and, as no two requests with
+ * such a part are alike, "poison prompt part".
  *
  * Deaths, answers and blocks are facts whose merge does not depend on their order:
  * entries that know the same facts come to the same blocks.
@@ -67,7 +69,8 @@
 ): PartStep {
   switch (event.type) {
     case 'partSuspects.died': {
-      const known = withDeath(state, { ...event.death, isOwn: true });
+      const { death, crash } = event;
+      const known = withDeath(state, { ...death, isOwn: true, crash });
       const step = establish(known, event.atMs);
       return {
         state: step.state,
@@ -222,7 +225,7 @@
   state: PartSuspectsState,
   event: Extract<PartSuspectsEvent, { type: 'partSuspects.answered' }>,
 ): PartStep {
-  const { atMs, service, parts } = event;
+  const { atMs, service, parts, soundParts = parts } = event;
   const deaths = [...state.deaths.values()].filter(
     (death) => death.service === service,
   );
@@ -240,7 +243,7 @@
         ),
       )
     : state.answers;
-  const accused = parts.filter((part) => {
+  const accused = soundParts.filter((part) => {
     const sinceMs = soundAtMs(state.sounds, service, part);
     return (
       deaths.some(
@@ -250,7 +253,7 @@
     );
   });
   if (!isRecorded && accused.length === 0) return { state, effects: [] };
-  const onRecord = parts.filter(
+  const onRecord = soundParts.filter(
     (part) =>
       accused.includes(part) || state.sounds.has(partKey(service, part)),
   );
--- a/packages/core/src/forwarding/partSuspects/test.ts
+++ b/packages/core/src/forwarding/partSuspects/test.ts
@@ -10,6 +10,7 @@
   type PartSuspectsState,
   type PartVerdict,
   reducePartSuspects,
+  requestPart,
 } from './index.ts';
 import {
   answered,
@@ -221,6 +222,54 @@
     ]);
   });
 
+  describe('of a whole request', () => {
+    const request = requestPart('/|w1|0|0');
+
+    // Guards against a request that crashes targets and is the only one that is sent.
+    it('blocks it after three deaths in sequence, although nothing else is answered', () => {
+      const two = run(three([request]).slice(0, 2));
+      expect(verdict(two, [request])).to.equal(undefined);
+      expect(verdict(run(three([request])), [request])).to.equal('refuse');
+    });
+
+    // Guards against a cut, a release or a power loss that ends several targets at once
+    // under requests that are alike.
+    it('does not block it when targets die together', () => {
+      const together = three([request]).map((event, index) =>
+        event.type === 'partSuspects.died'
+          ? died({
+              ...event.death,
+              sentAtMs: 100,
+              endedAtMs: 150 + index,
+            })
+          : event,
+      );
+      expect(verdict(run(together), [request])).to.equal(undefined);
+    });
+
+    // Guards against a target that keeps failing under requests that others answer.
+    it('does not block it while alike requests are answered', () => {
+      const [first, second, third] = three([request]);
+      const mixed = [first!, second!, answered(195, [request]), third!];
+      expect(verdict(run(mixed), [request])).to.equal(undefined);
+    });
+
+    it('lets one try again after 5 s, 1 min, 2 h and 24 h', () => {
+      const start = run(three([request]));
+      [5000, MINUTE_MS, 120 * MINUTE_MS, 1440 * MINUTE_MS].reduce(
+        (state, holdMs, level) => {
+          const block = [...state.blocks.values()].at(-1)!;
+          const endMs = block.sinceMs + holdMs;
+          expect(block.level).to.equal(level);
+          expect(verdict(state, [request], endMs - 1)).to.equal('refuse');
+          expect(verdict(state, [request], endMs)).to.equal('try');
+          return run([died(deathOf(`trial${level}`, [request], endMs))], state);
+        },
+        start,
+      );
+    });
+  });
+
   it('lets one request try again after 10 min, 2 h and 24 h', () => {
     const start = run([...three(['p']), ...others(260)]);
     [10, 120, 1440].reduce((state, minutes, level) => {
--- a/packages/core/src/forwarding/partSuspects/types.ts
+++ b/packages/core/src/forwarding/partSuspects/types.ts
@@ -1,11 +1,14 @@
-/** Death of a target process while it ran a request whose answer had not begun. */
+/** Death of a target process while it ran a request. */
 export interface PartDeath {
   /** Identifies the send; two reports of one send have the same id. */
   readonly id: string;
   readonly service: string;
   /** The process, by `processKey`. */
   readonly process: string;
-  /** Shared parts of the request. */
+  /**
+   * What may have caused it: the request itself, by {@link requestPart}, and its shared
+   * parts, unless its answer had begun.
+   */
   readonly parts: readonly string[];
   readonly sentAtMs: number;
   readonly endedAtMs: number;
@@ -32,9 +35,18 @@
   readonly sinceMs: number;
 }
 
+/** A death as entries of earlier builds report it. */
+export interface CrashReport {
+  /** Fingerprint of the request's path, caller and body. */
+  readonly fingerprint: string;
+  readonly targetId: string;
+}
+
 /** A death, and whether this entry observed it. */
 export interface KnownDeath extends PartDeath {
   readonly isOwn: boolean;
+  /** Undefined if another entry observed the death. */
+  readonly crash?: CrashReport | undefined;
 }
 
 /** The last soundness of a part, and the last one to tell to peers. */
@@ -80,13 +92,16 @@
       readonly type: 'partSuspects.died';
       readonly atMs: number;
       readonly death: PartDeath;
+      readonly crash?: CrashReport;
     }
-  /** An answer to a request of this entry began. */
+  /** An answer to a request of this entry began, or is complete. */
   | {
       readonly type: 'partSuspects.answered';
       readonly atMs: number;
       readonly service: string;
       readonly parts: readonly string[];
+      /** Parts that this answer clears; all by default. */
+      readonly soundParts?: readonly string[];
     }
   | ({
       readonly type: 'partSuspects.reportReceived';
--- a/packages/gateway/src/createPeerLink/_lib/describeState.ts
+++ b/packages/gateway/src/createPeerLink/_lib/describeState.ts
@@ -16,6 +16,9 @@
 /** A draining process is told for this long, which allows for lost datagrams. */
 const DRAINING_NEWS_MS = 10_000;
 
+/** Datagrams may be lost, but a sound request that was accused clears itself soon. */
+const CRASH_REPORT_MS = 3000;
+
 /** Describes what an entry shares with its peers. */
 export function describeState(entry: DescribedEntry): PeerMessage {
   const { state, self } = entry;
@@ -23,13 +26,24 @@
     self,
     flights: [...state.load.flights.values()],
     drainingProcesses: recentlyDraining(entry),
-    crashes: [...state.suspects].flatMap(([fingerprint, suspect]) =>
-      suspect.crashedTargetIds.map((targetId) => ({ fingerprint, targetId })),
-    ),
+    crashes: recentCrashes(entry),
     addresses: [],
   };
 }
 
+/** Deaths that this entry confirmed, for entries of earlier builds. */
+function recentCrashes({
+  state,
+  nowMs,
+}: DescribedEntry): PeerMessage['crashes'] {
+  return [...state.partSuspects.deaths.values()].flatMap(
+    ({ crash, endedAtMs }) =>
+      crash === undefined || endedAtMs <= nowMs - CRASH_REPORT_MS
+        ? []
+        : [crash],
+  );
+}
+
 /** Draining processes that peers may not know of yet. */
 function recentlyDraining({
   state,
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -1,5 +1,6 @@
 import { decodeMulti, encode } from '@msgpack/msgpack';
 import type {
+  CrashReport,
   InFlightRequest,
   LimitReport,
   PartReport,
@@ -17,11 +18,9 @@
   readonly flights: readonly InFlightRequest[] | undefined;
   /** Target processes known to be draining. */
   readonly drainingProcesses: readonly TargetProcess[];
-  /** Requests, by fingerprint, that crashed a target. */
-  readonly crashes: readonly {
-    readonly fingerprint: string;
-    readonly targetId: string;
-  }[];
+  /** Crashes of targets. Entries of earlier builds report each broken connection, and
+   * do not read the deaths of whole requests in `parts`. */
+  readonly crashes: readonly CrashReport[];
   /** Peer addresses of other entries. */
   readonly addresses: readonly string[];
   /** Parts of prompts that crash targets; undefined if there is nothing to report. */
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -1,6 +1,7 @@
 import { createSocket, type RemoteInfo } from 'node:dgram';
 import type { RequestListener } from 'node:http';
 import {
+  type CrashReport,
   MAX_SHARED_ENTRIES,
   type PeerStatus,
   peerTimes,
@@ -48,6 +49,8 @@
   readonly seedAddresses: readonly string[];
   /** Serves requests that peers relay. */
   readonly serveRelayed: RequestListener;
+  /** Checks a crash that an entry of an earlier build reports. */
+  readonly crashReported?: (crash: CrashReport) => void;
   /** Monotonic time in ms. */
   readonly now: () => number;
   /** Uniform in [0, 1); used to choose relays. */
@@ -322,11 +325,7 @@
     }
     messages
       .flatMap((message) => message.crashes)
-      .forEach((crash) => {
-        const known = runtime.state().suspects.get(crash.fingerprint);
-        if (known?.crashedTargetIds.includes(crash.targetId) === true) return;
-        runtime.dispatch({ type: 'suspects.crashed', atMs, ...crash });
-      });
+      .forEach((crash) => options.crashReported?.(crash));
     messages.forEach(({ parts }) => {
       if (parts === undefined) return;
       runtime.dispatch({ type: 'partSuspects.reportReceived', atMs, ...parts });
--- a/packages/gateway/src/createPeerLink/test.ts
+++ b/packages/gateway/src/createPeerLink/test.ts
@@ -6,7 +6,9 @@
 import {
   allLoads,
   findBlockedParts,
+  type CrashReport,
   type InFlightRequest,
+  requestPart,
   servingPeers,
 } from '@endivegate/core/forwarding';
 import { createEventLog } from '../createEventLog/index.ts';
@@ -59,6 +61,8 @@
   readonly runtime: GatewayRuntime;
   readonly link: PeerLink;
   readonly address: string;
+  /** Crashes that peers reported. */
+  readonly crashes: readonly CrashReport[];
 }
 
 /** Waits until a condition holds, or until the test times out. */
@@ -83,8 +87,10 @@
     const log = createEventLog({ entryId: name, write: () => true });
     const runtime = createGatewayRuntime(log);
     runtime.dispatch({ type: 'roster.listed', atMs: 0, targets: [target] });
+    const crashes: CrashReport[] = [];
     const link = createPeerLink({
       serveRelayed: () => undefined,
+      crashReported: (crash) => crashes.push(crash),
       runtime,
       log,
       seedAddresses,
@@ -101,7 +107,7 @@
         weight: 1,
       }),
     });
-    const entry = { runtime, link, address };
+    const entry = { runtime, link, address, crashes };
     entries.push(entry);
     return entry;
   }
@@ -149,16 +155,29 @@
       atMs: performance.now(),
       target: { ...target, draining: true },
     });
+    const atMs = performance.now();
     first.runtime.dispatch({
-      type: 'suspects.crashed',
-      atMs: performance.now(),
-      fingerprint: 'f1',
-      targetId: 't1',
+      type: 'partSuspects.died',
+      atMs,
+      death: {
+        id: 't1@1#1',
+        service: 's',
+        process: 't1@1',
+        parts: [requestPart('f1')],
+        sentAtMs: atMs - 10,
+        endedAtMs: atMs,
+      },
+      crash: { fingerprint: 'f1', targetId: 't1' },
     });
     const isShared = (): boolean =>
       second.runtime.state().roster.targets.get('t1')?.draining === true &&
-      second.runtime.state().suspects.has('f1');
+      second.runtime.state().partSuspects.deaths.size === 1 &&
+      second.crashes.length > 0;
     await until(isShared);
+    expect(second.crashes[0]).to.deep.equal({
+      fingerprint: 'f1',
+      targetId: 't1',
+    });
   });
 
   it('shares requests in flight, which expire after a while', async () => {
--- a/packages/gateway/src/forwardRequest/_lib/recordOutcome.ts
+++ b/packages/gateway/src/forwardRequest/_lib/recordOutcome.ts
@@ -7,7 +7,6 @@
 export interface Outcome {
   readonly plan: SendPlan;
   readonly result: SendResult;
-  readonly fingerprint: () => string;
 }
 
 /** 421 Misdirected Request: another process listens at the target's address. */
@@ -15,9 +14,9 @@
 
 /** Updates the gateway's state with the outcome of a send. */
 export function recordOutcome(outcome: Outcome, context: ForwardContext): void {
-  const { plan, result, fingerprint } = outcome;
+  const { plan, result } = outcome;
   const { end } = result;
-  const { dispatch, state } = context.runtime;
+  const { dispatch } = context.runtime;
   const atMs = context.now();
   const { id } = plan.target;
   switch (end.type) {
@@ -28,9 +27,6 @@
         id,
         ratio: result.passTimeRatio,
       });
-      if (state().suspects.size > 0) {
-        dispatch({ type: 'suspects.cleared', fingerprint: fingerprint() });
-      }
       return;
     case 'refused':
       recordRefusal(end.status);
@@ -41,12 +37,6 @@
       return;
     case 'broken':
       reportFailure(id, end.reason, 'broken');
-      dispatch({
-        type: 'suspects.crashed',
-        atMs,
-        fingerprint: fingerprint(),
-        targetId: id,
-      });
   }
 
   /**
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -1,7 +1,6 @@
 import {
   decideAdmission,
   decideNext,
-  isCrasher,
   type NextStep,
   type SendEnd,
   type SendProgress,
@@ -18,7 +17,6 @@
 } from '../runSend/index.ts';
 import type { ResponseHead } from '../sendRequest/index.ts';
 import type { StreamEvent } from '../splitEvents/index.ts';
-import { fingerprintOf } from './_lib/fingerprintOf.ts';
 import { hasRetryBudget } from './_lib/hasRetryBudget.ts';
 import { type TimeLeft, timeLeft } from './_lib/timeLeft.ts';
 import { createOpenSends, type OpenSend } from './_lib/openSends.ts';
@@ -62,7 +60,6 @@
   const { route, service } = call;
   const waitMs = Math.min(route.timeoutMs, call.caller.deadlineMs ?? Infinity);
   const deadlineAtMs = call.arrivedAtMs + waitMs;
-  const fingerprint = fingerprintOf(call);
   const partGuard = createPartGuard(call, context);
   const requestLog = createRequestLog(call, context);
   const excludedIds = new Set<string>();
@@ -97,11 +94,6 @@
   sendOnce();
 
   function sendOnce(): void {
-    const state = runtime.state();
-    if (state.suspects.size > 0 && isCrasher(state.suspects, fingerprint())) {
-      giveUp('the request crashed several targets');
-      return;
-    }
     const blocked = partGuard.refusal();
     if (blocked !== undefined) {
       giveUp(blocked);
@@ -261,7 +253,7 @@
     if (plan.isRelay) {
       if (refuseAsPeer(result)) return;
     } else {
-      recordOutcome({ plan, result, fingerprint }, context);
+      recordOutcome({ plan, result }, context);
       partGuard.sendEnded({ target: plan.target, sentAtMs }, end);
     }
     const step = decideNext(usableEnd(result), progress());
@@ -297,7 +289,6 @@
   }
 
   function progress(): SendProgress {
-    const state = runtime.state();
     const { live, silent } = openSends.count();
     return {
       ...counts(),
@@ -306,9 +297,7 @@
       maxAttempts: route.maxAttempts,
       timeLeftMs: deadlineAtMs - now(),
       budgetLeft: hasRetryBudget(service.name, context),
-      isCrasher:
-        partGuard.isBlocked() ||
-        (state.suspects.size > 0 && isCrasher(state.suspects, fingerprint())),
+      isCrasher: partGuard.isBlocked(),
       liveSends: live,
       silentSends: silent,
     };
--- a/packages/gateway/src/httpDialect/index.ts
+++ b/packages/gateway/src/httpDialect/index.ts
@@ -119,7 +119,7 @@
 }
 
 /** Longest list of part ids that is read: the first ones are shared by most. */
-const MAX_SHARED_PARTS = 12;
+export const MAX_SHARED_PARTS = 12;
 
 const MAX_PART_ID_LENGTH = 32;
 
--- a/packages/gateway/src/partGuard/_lib/test.ts
+++ b/packages/gateway/src/partGuard/_lib/test.ts
@@ -1,10 +1,14 @@
 import { expect } from 'chai';
-import type { SendEnd } from '@endivegate/core/forwarding';
+import { requestPart, type SendEnd } from '@endivegate/core/forwarding';
 import { createEventLog } from '../../createEventLog/index.ts';
 import { createGatewayRuntime } from '../../gatewayRuntime/index.ts';
 import type { BrokenSend } from '../../targetDeaths/index.ts';
+import { fingerprintOf } from '../../forwardRequest/_lib/fingerprintOf.ts';
 import { createPartGuard } from '../index.ts';
 
+const request = { path: '/', workspace: 'w1', body: Buffer.from('alike') };
+const OWN_PART = requestPart(fingerprintOf(request)());
+
 const HOLD_MS = 10 * 60_000;
 
 describe('createPartGuard', () => {
@@ -35,6 +39,7 @@
       const guard = (sharedParts: readonly string[]) =>
         createPartGuard(
           {
+            ...request,
             attemptId: 'r1',
             service: { name: 's', healthPath: '/h', maxConnections: 1 },
             caller: {
@@ -51,7 +56,10 @@
             metrics: {
               partSuspected: ({ event }) => refused.push(event),
             },
-            targetDeaths: { sendBroke: (send) => broken.push(send) },
+            targetDeaths: {
+              sendBroke: (send) => broken.push(send),
+              crashReported: () => undefined,
+            },
             entryName,
             now: () => clock.nowMs,
           },
@@ -133,7 +141,9 @@
     expect(tried[0]?.isBlocked()).to.equal(false);
   });
 
-  it('reports only connections that broke before the answer began', () => {
+  // Guards against blaming shared parts for a target that dies after its answer began, and
+  // against a request that crashes targets in the middle of its answer.
+  it('reports broken connections, after the answer began with the request alone', () => {
     const { clock, broken, entries } = start('e1');
     const { runtime, guard } = entries[0]!;
     const target = runtime.state().roster.targets.get('t1')!;
@@ -148,15 +158,41 @@
     });
     const begun = guard(['a']);
     begun.answerBegan();
+    expect(broken).to.have.length(0);
     begun.sendEnded({ target, sentAtMs: 0 }, reset);
     guard([]).sendEnded({ target, sentAtMs: 0 }, reset);
-    expect(broken).to.have.length(0);
+    expect(broken.map(({ parts }) => parts)).to.deep.equal([
+      [OWN_PART],
+      [OWN_PART],
+    ]);
+    broken.length = 0;
     const one = guard(['a']);
     const sentAtMs = clock.nowMs;
     clock.nowMs += 70;
     one.sendEnded({ target, sentAtMs }, reset);
     expect(broken).to.have.length(1);
-    expect(broken[0]).to.include({ sentAtMs: 1000, endedAtMs: 1070 });
+    expect(broken[0]).to.deep.include({
+      parts: [OWN_PART, 'a'],
+      sentAtMs: 1000,
+      endedAtMs: 1070,
+    });
+  });
+
+  // Guards against a sound request that stays refused after it was accused wrongly.
+  it('tries an accused request again after seconds, and clears it by a complete answer', () => {
+    const { clock, entries, block } = start('e1');
+    const { runtime, guard } = entries[0]!;
+    const target = runtime.state().roster.targets.get('t1')!;
+    block([OWN_PART]);
+    clock.nowMs += 4999;
+    expect(guard([]).refusal()).to.equal('the request crashed several targets');
+    clock.nowMs += 1;
+    const trial = guard([]);
+    expect(trial.refusal()).to.equal(undefined);
+    trial.answerBegan();
+    expect(guard([]).isBlocked()).to.equal(true);
+    trial.sendEnded({ target, sentAtMs: 0 }, { type: 'answered', status: 200 });
+    expect(guard([]).isBlocked()).to.equal(false);
   });
 
   it('takes a complete successful answer for soundness, and records none without need', () => {
--- a/packages/gateway/src/partGuard/index.ts
+++ b/packages/gateway/src/partGuard/index.ts
@@ -1,16 +1,20 @@
 import {
   findBlockedParts,
   hasRecords,
+  isRequestPart,
   type PartVerdict,
   ranksFirst,
+  reachingPeers,
+  requestPart,
   type SendEnd,
-  servingPeers,
 } from '@endivegate/core/forwarding';
 import type { GatewayMetrics } from '../createGatewayMetrics/index.ts';
 import type { SendDestination } from '../planSend/index.ts';
+import { fingerprintOf } from '../forwardRequest/_lib/fingerprintOf.ts';
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
+import { MAX_SHARED_PARTS } from '../httpDialect/index.ts';
 
-/** Keeps requests with parts that crash targets from being sent. */
+/** Keeps requests that crash targets, or have parts that do, from being sent. */
 export interface PartGuard {
   /**
    * Call before each send. Returns the reason for which the request must not be
@@ -59,22 +63,39 @@
  * const guard = createPartGuard(call, context);
  */
 export function createPartGuard(
-  call: Pick<ForwardCall, 'attemptId' | 'service' | 'caller'>,
+  call: Pick<
+    ForwardCall,
+    'attemptId' | 'service' | 'caller' | 'path' | 'workspace' | 'body'
+  >,
   context: PartGuardContext,
 ): PartGuard {
   const { runtime, metrics, now } = context;
-  const parts = call.caller.sharedParts;
+  const { sharedParts } = call.caller;
   const service = call.service.name;
+  const fingerprint = fingerprintOf(call);
   let hasBegun = false;
 
+  function ownPart(): string {
+    return requestPart(fingerprint());
+  }
+
+  /** The request and its shared parts, as many as a report to peers may have. */
+  function allParts(): readonly string[] {
+    return [ownPart(), ...sharedParts.slice(0, MAX_SHARED_PARTS - 1)];
+  }
+
   function verdict(): PartVerdict | undefined {
     const { partSuspects } = runtime.state();
+    if (partSuspects.blocks.size === 0) return undefined;
+    const parts = allParts();
     return findBlockedParts(partSuspects, { service, parts, nowMs: now() });
   }
 
   /** Whether this entry tries the parts again, chosen alike by all entries. */
   function isTrialEntry(key: string): boolean {
-    const peers = servingPeers(runtime.state().peers, now());
+    const state = runtime.state();
+    if (state.targetReach.phase === 'cutOff') return false;
+    const peers = reachingPeers(state.peers, now());
     const names = peers.map((peer) => peer.name);
     return ranksFirst(key, context.entryName, names);
   }
@@ -91,7 +112,10 @@
       return undefined;
     }
     metrics.partSuspected({ event: 'refused' });
-    return `parts crash targets: ${found.block.parts.join(', ')}`;
+    const parts = found.block.parts.filter((part) => !isRequestPart(part));
+    return parts.length < found.block.parts.length
+      ? 'the request crashed several targets'
+      : `parts crash targets: ${parts.join(', ')}`;
   }
 
   function retryAfterMs(): number {
@@ -103,33 +127,38 @@
 
   function answerBegan(): void {
     hasBegun = true;
+    recordSound(sharedParts);
+  }
+
+  function recordSound(soundParts: readonly string[]): void {
     if (!hasRecords(runtime.state().partSuspects)) return;
     runtime.dispatch({
       type: 'partSuspects.answered',
       atMs: now(),
       service,
-      parts,
+      parts: allParts(),
+      soundParts,
     });
   }
 
   function sendEnded({ target, sentAtMs }: EndedSend, end: SendEnd): void {
-    if (hasBegun) return;
-    if (end.type === 'broken' && parts.length > 0 && sentAtMs !== undefined) {
+    if (end.type === 'broken' && sentAtMs !== undefined) {
       context.targetDeaths.sendBroke({
         attemptId: call.attemptId,
         service,
         target,
-        parts,
+        parts: hasBegun ? [ownPart()] : allParts(),
+        fingerprint: fingerprint(),
         sentAtMs,
         endedAtMs: now(),
       });
       return;
     }
+    if (end.type !== 'answered') return;
     const isSuccess =
-      end.type === 'answered' &&
-      end.status >= MIN_SUCCESS_STATUS &&
-      end.status < MIN_REDIRECT_STATUS;
-    if (isSuccess) answerBegan();
+      end.status >= MIN_SUCCESS_STATUS && end.status < MIN_REDIRECT_STATUS;
+    if (isSuccess && !hasBegun) answerBegan();
+    recordSound([ownPart()]);
   }
 
   return {
--- a/packages/gateway/src/partGuard/test.ts
+++ b/packages/gateway/src/partGuard/test.ts
@@ -16,6 +16,9 @@
 const HOST = '127.0.0.1';
 const BAD_PART = 'bad0';
 const RESET_PART = 'reset0';
+
+/** Last, and so unshared, part of a request that crashes targets as a whole. */
+const POISON = 'poison0';
 const ENTRIES = 3;
 const TARGETS = 8;
 
@@ -50,6 +53,9 @@
 /** Time that a target takes until its answer begins, or until it crashes. */
 const RUN_MS = 20;
 
+/** Time within which deaths settle, and all entries learn of a block. */
+const BLOCK_KNOWN_MS = 600;
+
 /** Time until a crashed target is back as a new process. */
 const RESTART_MS = 120;
 
@@ -87,7 +93,8 @@
           request.socket.resetAndDestroy();
           return;
         }
-        if (String(request.headers['x-parts']).includes(BAD_PART)) {
+        const parts = String(request.headers['x-parts']);
+        if (parts.includes(BAD_PART) || parts.includes(POISON)) {
           crash(index, address);
           return;
         }
@@ -203,21 +210,25 @@
     gateways.length = 0;
   });
 
-  const ask = (port: number, parts: string) =>
+  const ask = (port: number, parts: string) => {
+    requests += 1;
+    return send(port, `${parts},own${requests}`, String(requests));
+  };
+
+  const send = (port: number, parts: string, content: string) =>
     new Promise<number>((resolve, reject) => {
-      requests += 1;
       const request = httpRequest(
         {
           host: HOST,
           port,
-          path: `/stream/${requests}`,
+          path: `/stream/${content}`,
           agent: false,
           method: 'POST',
           headers: {
             host: 'api.example',
             'x-request': `a${requests}`,
             authorization: 'Bearer k1',
-            'x-parts': `${parts},own${requests}`,
+            'x-parts': parts,
           },
         },
         (response) => {
@@ -228,7 +239,7 @@
         },
       );
       request.on('error', reject);
-      request.end(`body ${requests}`);
+      request.end(`body ${content}`);
     });
 
   const atAll = (parts: string) =>
@@ -289,6 +300,31 @@
     expect(sends).to.have.length(60);
   });
 
+  // Guards against a request that crashes target after target each time that it comes again,
+  // at any entry.
+  it('sends at most three more of a request that has crashed three targets', async () => {
+    const sendPoison = async (): Promise<readonly number[]> => {
+      requests += 1;
+      const entry = gateways[requests % ENTRIES];
+      const [status] = await Promise.all([
+        send(entry?.port ?? 0, POISON, POISON),
+        atAll('first'),
+      ]);
+      await settle(RESTART_MS + 2 * RUN_MS);
+      return [status];
+    };
+    while (crashes < 3) await sendPoison();
+    await settle(BLOCK_KNOWN_MS);
+    received = [];
+    const statuses: number[] = [];
+    while (statuses.length < 10) statuses.push(...(await sendPoison()));
+    const reached = received.filter((parts) => parts.includes(POISON));
+    expect(reached.length).to.be.at.most(3);
+    expect(statuses.filter((status) => status === 503)).to.have.length(
+      10 - reached.length,
+    );
+  });
+
   // Guards against telling a caller that a request did not run although it may have.
   it('refuses a blocked request with 503 only if none of its sends may have run', async () => {
     const port = gateways[0]?.port ?? 0;
--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -256,7 +256,10 @@
         },
         {
           entryName: 'e1',
-          targetDeaths: { sendBroke: () => undefined },
+          targetDeaths: {
+            sendBroke: () => undefined,
+            crashReported: () => undefined,
+          },
           runtime,
           pool,
           peerPool: pool,
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -121,6 +121,13 @@
   });
   const reachProbe = startReachProbe({ runtime, now, probe });
   const peerPool = createConnectionPool();
+  const targetDeaths = createTargetDeaths({
+    runtime,
+    log,
+    metrics,
+    now,
+    probe,
+  });
   let isLeaving = false;
 
   const callerServer = createCallerServer(
@@ -136,7 +143,7 @@
       bounds,
       dataCentre: options.dataCentre,
       entryName: options.name,
-      targetDeaths: createTargetDeaths({ runtime, log, metrics, now, probe }),
+      targetDeaths,
       startedAtMs: now(),
       now,
     },
@@ -149,6 +156,7 @@
     self,
     seedAddresses: options.seedAddresses,
     serveRelayed: callerServer.serveRelayed,
+    crashReported: targetDeaths.crashReported,
     now,
   });
   const ticker = setInterval(tick, TICK_INTERVAL_MS);
@@ -188,7 +196,6 @@
     const atMs = now();
     runtime.dispatch({ type: 'roster.ticked', atMs });
     reachProbe.checkSilence();
-    runtime.dispatch({ type: 'suspects.ticked', atMs });
     runtime.dispatch({ type: 'partSuspects.ticked', atMs });
     const targets = [...runtime.state().roster.targets.values()];
     pool.keepOnly(
--- a/packages/gateway/src/targetDeaths/index.ts
+++ b/packages/gateway/src/targetDeaths/index.ts
@@ -1,17 +1,26 @@
-import { type PartDeath, processKey } from '@endivegate/core/forwarding';
+import {
+  type CrashReport,
+  type PartDeath,
+  pickProbedTargets,
+  processKey,
+  requestPart,
+} from '@endivegate/core/forwarding';
 import { xxHash32 } from 'js-xxhash';
 import type { EventLog } from '../createEventLog/index.ts';
 import type { GatewayMetrics } from '../createGatewayMetrics/index.ts';
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
 import type { SendDestination } from '../planSend/index.ts';
-import { probeAddress, type ProbeResult } from '../probeAddress/index.ts';
+import { probeAddress } from '../probeAddress/index.ts';
 
-/** A send whose connection broke before its answer began. */
+/** A send whose connection broke before its answer was complete. */
 export interface BrokenSend {
   readonly attemptId: string;
   readonly service: string;
   readonly target: SendDestination;
+  /** See `PartDeath`. */
   readonly parts: readonly string[];
+  /** Fingerprint of the request. */
+  readonly fingerprint: string;
   readonly sentAtMs: number;
   readonly endedAtMs: number;
 }
@@ -19,6 +28,9 @@
 /** Finds out whether targets whose connections broke have died. */
 export interface TargetDeaths {
   readonly sendBroke: (send: BrokenSend) => void;
+  /** Checks a target that an entry of an earlier build reports as crashed, which it does
+   * for each broken connection. Each report is checked once. */
+  readonly crashReported: (crash: CrashReport) => void;
 }
 
 /** Options of {@link createTargetDeaths}. */
@@ -34,14 +46,20 @@
 /** A process may accept a last connection while it ends. */
 const MAX_PROBES = 2;
 
+/** Earlier builds repeat a report for two minutes. */
+const MAX_KNOWN_REPORTS = 256;
+
+/** Earlier builds do not report when a request was sent. Targets whose crashes are
+ * reported within this time count as one. */
+const ASSUMED_RUN_MS = 200;
+
 const REPROBE_DELAY_MS = 100;
 
 /**
- * Creates the check for dead targets. A target whose connection broke is dead if
- * a new connection is refused, or if it is listed as another process by then. A
- * target that accepts is alive, and one that does not answer may be cut off, as may
- * this entry if others fail too. A
- * target that was leaving, or is no longer listed, has ended as planned.
+ * Creates the check for dead targets. A target whose connection broke is dead if it
+ * refuses a new connection while another target accepts one, or if it is listed as
+ * another process by then. A target that accepts is alive, and one that does not answer
+ * may be cut off. A target that was leaving, or is no longer listed, has ended as planned.
  *
  * @param options - State, log and clock of the gateway.
  * @returns The check, with one probe at a time for each process.
@@ -54,6 +72,7 @@
 ): TargetDeaths {
   const { runtime, log, metrics, now, probe = probeAddress } = options;
   const waiting = new Map<string, readonly BrokenSend[]>();
+  const knownReports = new Set<string>();
 
   function sendBroke(send: BrokenSend): void {
     const { target } = send;
@@ -68,25 +87,73 @@
   }
 
   function startProbe(target: SendDestination, number: number): void {
-    const process = processKey(target);
     probe(target.address, (result) => {
-      const isInDoubt = result === 'accepted' || !reachesTargets();
-      if (isInDoubt && number < MAX_PROBES && !isReplaced(target)) {
-        setTimeout(() => {
-          startProbe(target, number + 1);
-        }, REPROBE_DELAY_MS);
-        return;
-      }
-      settle(process, isDeath(target, result));
+      if (result === 'accepted') retryProbe(target, number);
+      else if (result === 'refused') probeOthers(target, number);
+      else settle(processKey(target), isReplaced(target));
     });
   }
 
-  function isDeath(target: SendDestination, result: ProbeResult): boolean {
-    return (result === 'refused' && reachesTargets()) || isReplaced(target);
+  function retryProbe(target: SendDestination, number: number): void {
+    if (number >= MAX_PROBES || isReplaced(target)) {
+      settle(processKey(target), isReplaced(target));
+      return;
+    }
+    setTimeout(() => {
+      startProbe(target, number + 1);
+    }, REPROBE_DELAY_MS);
   }
 
-  /** While this entry has lost its paths to all targets, or may have, a refused
-   * connection says nothing about a single one. */
+  /** Finds out whether the path is lost, in which case a refused connection says nothing
+   * about a single target. */
+  function probeOthers(target: SendDestination, number: number): void {
+    const { roster, targetReach } = runtime.state();
+    const targets = new Map(roster.targets);
+    targets.delete(target.id);
+    const others = pickProbedTargets(
+      { ...roster, targets },
+      targetReach.failures,
+    );
+    if (others.length === 0) {
+      confirm(target, number, reachesTargets());
+      return;
+    }
+    let pending = others.length;
+    let accepted = 0;
+    others.forEach(({ address }) => {
+      probe(address, (result) => {
+        pending -= 1;
+        if (result === 'accepted') accepted += 1;
+        if (pending === 0) confirmAgain(target, number, accepted > 0);
+      });
+    });
+  }
+
+  /** A path that was lost may be back since the target refused. */
+  function confirmAgain(
+    target: SendDestination,
+    number: number,
+    reaches: boolean,
+  ): void {
+    if (!reaches) {
+      confirm(target, number, false);
+      return;
+    }
+    probe(target.address, (result) => {
+      confirm(target, number, result === 'refused');
+    });
+  }
+
+  function confirm(
+    target: SendDestination,
+    number: number,
+    isDead: boolean,
+  ): void {
+    if (isDead) settle(processKey(target), true);
+    else retryProbe(target, number);
+  }
+
+  /** Whether this entry has, and may have, paths to targets. */
   function reachesTargets(): boolean {
     return runtime.state().targetReach.phase === 'reaching';
   }
@@ -125,8 +192,33 @@
       target: send.target.id,
       parts: send.parts,
     });
-    runtime.dispatch({ type: 'partSuspects.died', atMs: now(), death });
+    const crash = {
+      fingerprint: send.fingerprint,
+      targetId: send.target.id,
+    };
+    runtime.dispatch({ type: 'partSuspects.died', atMs: now(), death, crash });
+  }
+
+  function crashReported({ fingerprint, targetId }: CrashReport): void {
+    const target = runtime.state().roster.targets.get(targetId);
+    if (target === undefined) return;
+    const report = `${processKey(target)}#${fingerprint}`;
+    if (knownReports.has(report)) return;
+    knownReports.add(report);
+    const [oldest] = knownReports;
+    if (knownReports.size > MAX_KNOWN_REPORTS && oldest !== undefined) {
+      knownReports.delete(oldest);
+    }
+    sendBroke({
+      attemptId: fingerprint,
+      service: target.service,
+      target,
+      parts: [requestPart(fingerprint)],
+      fingerprint,
+      sentAtMs: now() - ASSUMED_RUN_MS,
+      endedAtMs: now(),
+    });
   }
 
-  return { sendBroke };
+  return { sendBroke, crashReported };
 }
