Peer messages: extensions by name, protocol version, decoding one by one

Cause: builds run side by side during an upgrade, and each part that is added to peer messages needs a place that other builds skip. One malformed message hid all others of its datagram, and a datagram of an unknown kind was applied.

Change: element 8 is a map of extensions. `v` is the sender's protocol version (1; builds without it count as 0), kept for a process although a build without it passes on its status. Extensions are defined in PEER_EXTENSIONS with a schema, `describe` and `apply`. Unknown keys and kinds of datagram are counted (`endivegate_peer_data_ignored_total`); malformed known parts are dropped and logged with their position (`peers.malformed`). A hub or relay passes on only messages that it could read, as builds of version 0 drop a datagram with a malformed one. Arrays longer than the datagram are not allocated.

A message grows by 7 bytes.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -10,6 +10,7 @@
 export * from './gatewayReduce/index.ts';
 export * from './partSuspects/index.ts';
 export * from './peerList/index.ts';
+export * from './peerProtocol/index.ts';
 export * from './peerTimes/index.ts';
 export * from './pickRelay/index.ts';
 export * from './pickTarget/index.ts';
--- a/packages/core/src/forwarding/peerList/index.ts
+++ b/packages/core/src/forwarding/peerList/index.ts
@@ -19,6 +19,8 @@
   readonly weight: number;
   /** Whether it has lost its paths to all targets. */
   readonly isCutOff?: boolean;
+  /** Version of the messages that it sends; absent (0) for builds that name none. */
+  readonly protocolVersion?: number;
 }
 
 /** A peer and the time of its last message. */
@@ -58,7 +60,8 @@
  *
  * A message from an older process of a known peer is ignored until the newer one
  * has been silent for the timeout. A process that is leaving stays so: others may
- * pass on an earlier status of it.
+ * pass on an earlier status of it. A process keeps its protocol version: a peer of
+ * a build that knows none passes on statuses without it.
  *
  * @param state - Current peers.
  * @param event - The event to apply.
@@ -81,11 +84,9 @@
       known.startedAtUnixMs > status.startedAtUnixMs &&
       event.atMs - known.heardAtMs < silenceMs;
     if (isOlder) return [];
-    const wasLeaving =
-      known?.startedAtUnixMs === status.startedAtUnixMs && known.isLeaving;
-    const isLeaving = status.isLeaving || wasLeaving;
-    const change = changeOf(known, { ...status, isLeaving });
-    next.set(status.name, { ...status, isLeaving, heardAtMs: event.atMs });
+    const merged = mergeStatus(known, status);
+    const change = changeOf(known, merged);
+    next.set(status.name, { ...merged, heardAtMs: event.atMs });
     return change === undefined
       ? []
       : [{ type: 'peers.changed', name: status.name, change }];
@@ -131,6 +132,18 @@
   return servingPeers(state, nowMs).filter((peer) => peer.isCutOff !== true);
 }
 
+/** Adds what is known of the process to a status of it, which may be older. */
+function mergeStatus(known: Peer | undefined, status: PeerStatus): PeerStatus {
+  if (known?.startedAtUnixMs !== status.startedAtUnixMs) return status;
+  const { protocolVersion = 0 } = status;
+  const version = Math.max(protocolVersion, known.protocolVersion ?? 0);
+  return {
+    ...status,
+    isLeaving: status.isLeaving || known.isLeaving,
+    ...(version === 0 ? {} : { protocolVersion: version }),
+  };
+}
+
 function silenceMsOf(state: PeersState): number {
   return peerTimes(state.size + 1).silenceMs;
 }
--- a/packages/core/src/forwarding/peerList/test.ts
+++ b/packages/core/src/forwarding/peerList/test.ts
@@ -57,6 +57,20 @@
     expect(serving([newer, heard(1, { isReady: false })], 10)).to.equal(1);
   });
 
+  // Guards against a peer counting as one of an earlier build when such a build passes
+  // on its status.
+  it('keeps the protocol version of a process, and learns that of its successor', () => {
+    const versionAfter = (events: readonly PeersEvent[]) =>
+      events
+        .reduce((state, event) => reducePeers(state, event).state, initialPeers)
+        .get('p')?.protocolVersion;
+    const passedOn = [heard(0, { protocolVersion: 1 }), heard(1)];
+    expect(versionAfter(passedOn)).to.equal(1);
+    expect(versionAfter(passedOn.toReversed())).to.equal(1);
+    const downgraded = [...passedOn, heard(2, { startedAtUnixMs: 2000 })];
+    expect(versionAfter(downgraded)).to.equal(undefined);
+  });
+
   it('accepts a process with an earlier start time once the other is silent', () => {
     const later = heard(0, { startedAtUnixMs: 9_000_000 });
     expect(serving([later, heard(silenceMs)], silenceMs)).to.equal(1);
--- a/packages/gateway/src/createGatewayMetrics/index.ts
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -25,6 +25,9 @@
   readonly targetAnnounced: (labels: { announcement: string }) => void;
   /** Counts a request that this entry relays to a peer, or serves for one. */
   readonly relayed: (labels: { side: 'sent' | 'received' }) => void;
+  /** Counts data of peers that was ignored: datagrams of an unknown kind, unknown
+   * extension keys, and malformed parts of messages. */
+  readonly peerDataIgnored: (labels: { kind: string }, amount: number) => void;
   /** Counts a target's death under a request with parts, and a request refused for
    * a part that crashes targets. */
   readonly partSuspected: (labels: { event: 'death' | 'refused' }) => void;
@@ -113,6 +116,12 @@
     labelNames: ['side'],
     registers,
   });
+  const peerDataIgnored = new Counter({
+    name: 'endivegate_peer_data_ignored_total',
+    help: 'Data of peers that was ignored: datagrams of unknown kind, unknown keys, malformed parts.',
+    labelNames: ['kind'],
+    registers,
+  });
   const era = new Gauge({
     name: 'endivegate_store_era',
     help: 'Era of the store; it rises when the store is restored from a copy.',
@@ -152,6 +161,9 @@
     relayed: (labels) => {
       relayed.inc(labels);
     },
+    peerDataIgnored: (labels, amount) => {
+      peerDataIgnored.inc(labels, amount);
+    },
     partSuspected: (labels) => {
       partSuspects.inc(labels);
     },
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -9,6 +9,14 @@
 import { z } from 'zod';
 import { decodeLimitRows, encodeLimitRows } from './limitRows.ts';
 import { decodePartRows, encodePartRows } from './partRows.ts';
+import {
+  type ApplyReceived,
+  type ExtensionRegistry,
+  pathOf,
+  PEER_EXTENSIONS,
+  readExtensions,
+  VERSION_KEY,
+} from './peerExtensions.ts';
 
 /** Message with the complete state that an entry shares with its peers. */
 export interface PeerMessage {
@@ -28,6 +36,33 @@
   readonly parts?: PartReport | undefined;
   /** Limits that targets name; undefined if there is nothing to report. */
   readonly limits?: readonly LimitReport[] | undefined;
+  /** Values of extensions by key; entries of earlier builds do not read them. */
+  readonly extensions?: Readonly<Record<string, unknown>> | undefined;
+}
+
+/** A message that was read. */
+export interface ReceivedMessage {
+  readonly message: Omit<PeerMessage, 'extensions'>;
+  /** The message as it was sent, to pass it on. */
+  readonly row: readonly unknown[];
+  /** Readable extensions. */
+  readonly extensions: readonly ApplyReceived[];
+}
+
+/** A part of a datagram that could not be read. */
+export interface MalformedPart {
+  /** Index of the message in its datagram. */
+  readonly message: number;
+  /** Path to the part, as in `1.0.3` or `8.v`; empty for the whole message. */
+  readonly path: string;
+}
+
+/** Messages of a datagram, as far as they could be read. */
+export interface ReceivedDatagram {
+  readonly messages: readonly ReceivedMessage[];
+  readonly malformed: readonly MalformedPart[];
+  /** Number of extension keys that this build does not know. */
+  readonly unknownKeys: number;
 }
 
 /** Maps target ids to the hashes that stand for them in messages. */
@@ -77,7 +112,10 @@
   ])
   .rest(z.unknown());
 
-const messagesSchema = z.array(messageSchema).min(1);
+/** Positions of the elements that not all builds send. */
+const PARTS_INDEX = 5;
+const LIMITS_INDEX = 6;
+const EXTENSIONS_INDEX = 8;
 
 /** Values are estimates, so two decimals are enough. */
 const VALUE_SCALE = 100;
@@ -119,35 +157,60 @@
 }
 
 /**
- * Decodes the concatenated messages of a datagram.
+ * Decodes the concatenated messages of a datagram. A message that cannot be read
+ * does not affect the others, unless it hides where the next one starts.
  *
  * @param bytes - The messages.
  * @param codec - Mapping of hashes to target ids; requests at unknown targets
  * are omitted.
  * @param nowMs - Monotonic time of the receiver.
- * @returns The messages, or undefined if the bytes are malformed.
+ * @param registry - The known extensions.
+ * @returns The readable messages, and what was dropped.
  */
 export function decodePeerMessages(
   bytes: Uint8Array,
   codec: TargetCodec,
   nowMs: number,
-): readonly PeerMessage[] | undefined {
-  const parsed = messagesSchema.safeParse(unpack(bytes));
-  return parsed.success
-    ? parsed.data.map((row) => decodeMessage(row, codec, nowMs))
-    : undefined;
+  registry: ExtensionRegistry = PEER_EXTENSIONS,
+): ReceivedDatagram {
+  const { values, isComplete } = unpack(bytes);
+  const decoded = values.map((value, index) =>
+    decodeMessage(value, { index, codec, nowMs, registry }),
+  );
+  return {
+    messages: decoded.flatMap((one) => one.messages),
+    malformed: [
+      ...decoded.flatMap((one) => one.malformed),
+      ...(isComplete ? [] : [{ message: values.length, path: '' }]),
+    ],
+    unknownKeys: decoded.reduce((sum, one) => sum + one.unknownKeys, 0),
+  };
+}
+
+interface DecodeContext {
+  /** Index of the message in its datagram. */
+  readonly index: number;
+  readonly codec: TargetCodec;
+  readonly nowMs: number;
+  readonly registry: ExtensionRegistry;
 }
 
 function decodeMessage(
-  row: z.infer<typeof messageSchema>,
-  codec: TargetCodec,
-  nowMs: number,
-): PeerMessage {
-  const [self, flights, draining, crashes, addresses, ...reports] = row;
-  const [partRows, limitRows, isCutOff] = reports;
+  value: unknown,
+  { index, codec, nowMs, registry }: DecodeContext,
+): ReceivedDatagram {
+  const parsed = messageSchema.safeParse(value);
+  if (!parsed.success) {
+    const malformed = [{ message: index, path: pathOf(parsed.error) }];
+    return { messages: [], malformed, unknownKeys: 0 };
+  }
+  const [self, flights, draining, crashes, addresses, ...reports] = parsed.data;
+  const [partRows, limitRows, isCutOff, extensionMap] = reports;
   const parts = decodePartRows(partRows, nowMs);
   const limits = decodeLimitRows(limitRows, nowMs);
-  return {
+  const extensions = readExtensions(extensionMap, registry);
+  const { protocolVersion } = extensions;
+  const message = {
     self: {
       name: self[0],
       peerAddress: self[1],
@@ -159,6 +222,7 @@
       configVersion: self[7],
       weight: self[8],
       ...(isCutOff === true ? { isCutOff } : {}),
+      ...(protocolVersion === 0 ? {} : { protocolVersion }),
     },
     flights: flights?.flatMap((row) => decodeFlight(row, codec, nowMs)),
     drainingProcesses: draining.map(([id, bornMs]) => ({ id, bornMs })),
@@ -170,23 +234,57 @@
     ...(parts === undefined ? {} : { parts }),
     ...(limits === undefined ? {} : { limits }),
   };
+  const paths = [
+    ...unreadable(PARTS_INDEX, partRows, parts),
+    ...unreadable(LIMITS_INDEX, limitRows, limits),
+    ...extensions.malformed.map((path) =>
+      path === '' ? `${EXTENSIONS_INDEX}` : `${EXTENSIONS_INDEX}.${path}`,
+    ),
+  ];
+  return {
+    messages: [{ message, row: parsed.data, extensions: extensions.received }],
+    malformed: paths.map((path) => ({ message: index, path })),
+    unknownKeys: extensions.unknownKeys,
+  };
+}
+
+/** Path of an optional element that was sent and could not be read. */
+function unreadable(
+  index: number,
+  sent: unknown,
+  read: unknown,
+): readonly string[] {
+  const isSent = sent !== undefined && sent !== null;
+  return isSent && read === undefined ? [`${index}`] : [];
 }
 
 /** Encodes the elements that entries of earlier builds do not read; those at the end
  * are left out if they say nothing. */
 function encodeReports(
-  { self, parts, limits }: PeerMessage,
+  { self, parts, limits, extensions }: PeerMessage,
   nowMs: number,
 ): readonly unknown[] {
   const reports = [
     parts === undefined ? null : encodePartRows(parts, nowMs),
     limits === undefined ? null : encodeLimitRows(limits, nowMs),
     self.isCutOff === true ? true : null,
+    encodeExtensions(self, extensions),
   ];
   const last = reports.findLastIndex((report) => report !== null);
   return reports.slice(0, last + 1);
 }
 
+/** An entry that is only passed on keeps the version that it named, if any. */
+function encodeExtensions(
+  { protocolVersion = 0 }: PeerStatus,
+  extensions: PeerMessage['extensions'],
+): Readonly<Record<string, unknown>> | null {
+  const version =
+    protocolVersion === 0 ? {} : { [VERSION_KEY]: protocolVersion };
+  const all = { ...extensions, ...version };
+  return Object.keys(all).length === 0 ? null : all;
+}
+
 function encodeFlight(
   flight: InFlightRequest,
   codec: TargetCodec,
@@ -245,10 +343,19 @@
   ];
 }
 
-function unpack(bytes: Uint8Array): unknown {
+/** Unpacks the values up to the first one whose end cannot be found. */
+function unpack(bytes: Uint8Array): {
+  readonly values: readonly unknown[];
+  readonly isComplete: boolean;
+} {
+  const values: unknown[] = [];
+  // Without this limit, four bytes that name a long array reserve its memory.
+  const maxLength = bytes.length;
+  const limits = { maxArrayLength: maxLength, maxMapLength: maxLength };
   try {
-    return [...decodeMulti(bytes)];
+    for (const value of decodeMulti(bytes, limits)) values.push(value);
+    return { values, isComplete: bytes.length > 0 };
   } catch {
-    return undefined;
+    return { values, isComplete: false };
   }
 }
--- a/packages/gateway/src/createPeerLink/_lib/reportSender.ts
+++ b/packages/gateway/src/createPeerLink/_lib/reportSender.ts
@@ -6,11 +6,13 @@
   type PartReport,
 } from '@endivegate/core/forwarding';
 import type { GatewayRuntime } from '../../gatewayRuntime/index.ts';
+import { type ExtensionRegistry, PEER_EXTENSIONS } from './peerExtensions.ts';
 
 /** What an entry reports to its peers besides its own state. */
 export interface Reports {
   readonly parts?: PartReport;
   readonly limits?: readonly LimitReport[];
+  readonly extensions?: Readonly<Record<string, unknown>>;
 }
 
 /** Reports to peers parts that crash targets, and limits that targets name. */
@@ -30,6 +32,8 @@
   readonly send: (reports: Reports, nowMs: number) => void;
   /** Monotonic time in ms. */
   readonly now: () => number;
+  /** The extensions that are reported. */
+  readonly registry?: ExtensionRegistry;
 }
 
 /** Collects what a death reveals: each request that ran there reports it. */
@@ -45,7 +49,7 @@
 export function createReportSender(
   options: CreateReportSenderOptions,
 ): ReportSender {
-  const { runtime, now } = options;
+  const { runtime, now, registry = PEER_EXTENSIONS } = options;
   let delayTimer: NodeJS.Timeout | undefined;
   let intervalTimer: NodeJS.Timeout | undefined;
   let isDue = false;
@@ -66,6 +70,12 @@
     chunksOf(limits, MAX_LIMIT_ROWS).forEach((rows) => {
       options.send({ limits: rows }, nowMs);
     });
+    const context = { nowMs, includeReceived };
+    Object.entries(registry).forEach(([key, { describe }]) => {
+      describe(runtime.state(), context).forEach((value) => {
+        options.send({ extensions: { [key]: value } }, nowMs);
+      });
+    });
   }
 
   function schedule(): void {
--- a/packages/gateway/src/createPeerLink/_lib/test.ts
+++ b/packages/gateway/src/createPeerLink/_lib/test.ts
@@ -1,7 +1,9 @@
 import { decode, encode } from '@msgpack/msgpack';
 import { expect } from 'chai';
+import { z } from 'zod';
 import { createBatch } from './batch.ts';
 import { createHubSelector } from './hubSelector.ts';
+import { defineExtension } from './peerExtensions.ts';
 import {
   decodePeerMessages,
   encodePeerMessage,
@@ -53,7 +55,7 @@
 };
 
 const decodeOne = (bytes: Uint8Array, by: TargetCodec, nowMs: number) =>
-  decodePeerMessages(bytes, by, nowMs)?.[0];
+  decodePeerMessages(bytes, by, nowMs).messages[0]?.message;
 
 describe('peerMessage', () => {
   it('encodes the age of requests, so that clocks need not be synchronised', () => {
@@ -88,8 +90,13 @@
 
   it('decodes concatenated messages', () => {
     const bytes = encodePeerMessage(message, codec, 0);
-    const names = decodePeerMessages(Buffer.concat([bytes, bytes]), codec, 0);
-    expect(names?.map((one) => one.self.name)).to.deep.equal(['p', 'p']);
+    const both = Buffer.concat([bytes, bytes]);
+    const { messages, malformed } = decodePeerMessages(both, codec, 0);
+    expect(messages.map((one) => one.message.self.name)).to.deep.equal([
+      'p',
+      'p',
+    ]);
+    expect(malformed).to.deep.equal([]);
   });
 });
 
@@ -163,6 +170,95 @@
   });
 });
 
+describe('extensions of peer messages', () => {
+  const registry = {
+    evac: defineExtension({
+      schema: z.array(z.tuple([z.string(), z.number()])),
+      describe: () => [],
+      apply: (rows, { nowMs }) =>
+        rows.map(() => ({ type: 'peers.ticked', atMs: nowMs })),
+    }),
+  };
+  const versioned = {
+    ...message,
+    self: { ...message.self, protocolVersion: 1 },
+  };
+  const read = (bytes: Uint8Array) =>
+    decodePeerMessages(bytes, codec, 1000, registry);
+  const encodeWith = (extensions: Record<string, unknown>) =>
+    encodePeerMessage({ ...versioned, extensions }, codec, 1000);
+
+  it('tells the protocol version; a message without one has none', () => {
+    const bytes = encodePeerMessage(versioned, codec, 0);
+    expect((decode(bytes) as unknown[])[8]).to.deep.equal({ v: 1 });
+    expect(decodeOne(bytes, codec, 0)?.self.protocolVersion).to.equal(1);
+    const old = encodePeerMessage(message, codec, 0);
+    expect(decodeOne(old, codec, 0)?.self).to.not.have.property(
+      'protocolVersion',
+    );
+  });
+
+  // Guards against a later build's message being dropped with all that it tells.
+  it('ignores and counts unknown keys, and applies the known ones', () => {
+    const { messages, malformed, unknownKeys } = read(
+      encodeWith({ evac: [['a', 1]], later: { x: 1 }, toString: 2 }),
+    );
+    const context = { nowMs: 5, sender: message.self };
+    expect(
+      messages[0]?.extensions.map((apply) => apply(context)),
+    ).to.deep.equal([[{ type: 'peers.ticked', atMs: 5 }]]);
+    expect(malformed).to.deep.equal([]);
+    expect(unknownKeys).to.equal(2);
+  });
+
+  it('drops malformed values of known keys, with their position', () => {
+    const row = decode(encodeWith({})) as unknown[];
+    const withEighth = (value: unknown) =>
+      read(encode([...row.slice(0, 8), value]));
+    const cases: readonly (readonly [unknown, string])[] = [
+      [{ v: 1, evac: [['a', 'b']] }, '8.evac.0.1'],
+      [{ v: -1, evac: [] }, '8.v'],
+      [{ v: 'x' }, '8.v'],
+      [[1], '8'],
+    ];
+    cases.forEach(([value, path]) => {
+      const { messages, malformed } = withEighth(value);
+      expect(messages[0]?.message.flights).to.have.length(1);
+      expect(malformed).to.deep.equal([{ message: 0, path }]);
+    });
+  });
+
+  it('drops unreadable reports on parts and limits, with their position', () => {
+    const row = decode(encodePeerMessage(message, codec, 0)) as unknown[];
+    const { messages, malformed } = read(encode([...row, 'parts', 7]));
+    expect(messages).to.have.length(1);
+    expect(malformed.map((one) => one.path)).to.deep.equal(['5', '6']);
+  });
+
+  // Guards against one sender's malformed message hiding those of its whole batch.
+  it('reads the messages around a malformed one', () => {
+    const good = encodePeerMessage(versioned, codec, 0);
+    const row = decode(good) as unknown[];
+    const [flight = []] = row[1] as unknown[][];
+    const bad = encode([
+      row[0],
+      [[flight[0], 'x', ...flight.slice(2)]],
+      ...row.slice(2),
+    ]);
+    const { messages, malformed } = read(Buffer.concat([good, bad, good]));
+    expect(messages).to.have.length(2);
+    expect(malformed).to.deep.equal([{ message: 1, path: '1.0.1' }]);
+    const cut = read(Buffer.concat([good, good.subarray(0, 20)]));
+    expect(cut.messages).to.have.length(1);
+    expect(cut.malformed).to.deep.equal([{ message: 1, path: '' }]);
+  });
+
+  it('reads no array that is longer than the datagram', () => {
+    const bytes = Buffer.from([0xdd, 0x01, 0xff, 0xff, 0xff, 0x01]);
+    expect(read(bytes).malformed).to.deep.equal([{ message: 0, path: '' }]);
+  });
+});
+
 describe('createBatch', () => {
   it('sends messages together and before they exceed the maximum size', async () => {
     const sent: string[] = [];
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -15,11 +15,12 @@
 import { digestMessages, NO_NEWS } from './_lib/digestMessages.ts';
 import { createHubSelector } from './_lib/hubSelector.ts';
 import {
-  decodePeerMessages,
   encodePeerMessage,
   type PeerMessage,
+  type ReceivedMessage,
   type TargetCodec,
 } from './_lib/peerMessage.ts';
+import { type IgnoredPeerData, readDatagram } from './_lib/readDatagram.ts';
 import { createReportSender } from './_lib/reportSender.ts';
 import { createPeerSelection } from './_lib/peerSelection.ts';
 import { createTargetCodec } from './_lib/targetCodec.ts';
@@ -50,6 +51,8 @@
   readonly serveRelayed: RequestListener;
   /** Monotonic time in ms. */
   readonly now: () => number;
+  /** Counts data of peers that was ignored. */
+  readonly countIgnored?: (kind: IgnoredPeerData, amount: number) => void;
   /** Uniform in [0, 1); used to choose relays. */
   readonly random?: () => number;
 }
@@ -91,6 +94,9 @@
 const TO_HUB = 2;
 const CONTACT = 3;
 
+/** Datagrams of another kind are ignored. */
+const KINDS = new Set([DIRECT, TO_RELAY, TO_HUB, CONTACT]);
+
 /**
  * Opens the link to the other entries. Datagrams carry the state of this entry,
  * its requests in flight and draining targets. An HTTP server lets peers with
@@ -277,16 +283,33 @@
 
   function receive(datagram: Buffer, from: RemoteInfo): void {
     hubSelector.datagramReceived(`${from.address}:${from.port}`);
-    const bytes = datagram.subarray(1);
-    const messages = decodePeerMessages(bytes, codec, now());
-    if (messages === undefined) {
-      log.warn('peers.unreadable', { bytes: datagram.length });
-      return;
-    }
-    if (datagram[0] === CONTACT) contacts.answer(messages);
-    if (datagram[0] === TO_RELAY) relayLocally(bytes, messages);
-    if (datagram[0] === TO_HUB) batch.add(Uint8Array.from(bytes));
-    applyMessages(messages.filter((one) => one.self.name !== own.name));
+    const read = readDatagram(datagram, {
+      kinds: KINDS,
+      codec,
+      nowMs: now(),
+      log,
+      countIgnored: options.countIgnored ?? (() => undefined),
+    });
+    if (read === undefined) return;
+    const { kind, bytes } = read;
+    const messages = read.messages.map(({ message }) => message);
+    if (kind === CONTACT) contacts.answer(messages);
+    if (kind === TO_RELAY) relayLocally(bytes, messages);
+    if (kind === TO_HUB) batch.add(Uint8Array.from(bytes));
+    const others = read.messages.filter(
+      ({ message }) => message.self.name !== own.name,
+    );
+    applyMessages(others.map(({ message }) => message));
+    others.forEach(applyExtensions);
+  }
+
+  function applyExtensions({ message, extensions }: ReceivedMessage): void {
+    const context = { nowMs: now(), sender: message.self };
+    extensions
+      .flatMap((apply) => apply(context))
+      .forEach((event) => {
+        runtime.dispatch(event);
+      });
   }
 
   function relayLocally(
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -1,6 +1,7 @@
 import type { Server } from 'node:http';
 import {
   limitShares,
+  PROTOCOL_VERSION,
   sampleEntries,
   servingPeers,
   type PeerStatus,
@@ -150,6 +151,9 @@
     seedAddresses: options.seedAddresses,
     serveRelayed: callerServer.serveRelayed,
     now,
+    countIgnored(kind, amount) {
+      metrics.peerDataIgnored({ kind }, amount);
+    },
   });
   const ticker = setInterval(tick, TICK_INTERVAL_MS);
   const limitTicker = setInterval(tickLimits, LIMIT_INTERVAL_MS);
@@ -169,6 +173,7 @@
       configVersion: runtime.table()?.config.version ?? 0,
       weight: options.weight ?? 1,
       ...(isCutOff() ? { isCutOff: true } : {}),
+      protocolVersion: PROTOCOL_VERSION,
     };
   }
 
