Target availability: one place decides whether a target may get a request

Which targets may get requests was decided in the roster (draining, paused, unconfirmed) and in availableTargets (limits), and no log line named the condition. targetAvailability now evaluates a list of conditions and returns the obstacle that lasts longest with its end. availableTargets and soonestAvailableAtMs build on it, and request.givenUp names the condition of most targets. usableTargets and soonestUsableAtMs of the roster are gone; their tests ask availableTargets.

One difference: if some targets are paused and the others are limited, the soonest time is the earlier of the two, not the next permit.

--- a/packages/core/src/forwarding/availableTargets/test.ts
+++ b/packages/core/src/forwarding/availableTargets/test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { initialGatewayState } from '../gatewayReduce/index.ts';
 import {
   initialTargetLimits,
   reduceTargetLimits,
@@ -6,6 +7,7 @@
 import { initialRoster, reduceRoster } from '../targetRoster/index.ts';
 import {
   availableTargets,
+  mainObstacle,
   soonestAvailableAtMs,
   type TargetsView,
 } from './index.ts';
@@ -30,7 +32,7 @@
       }).state,
     initialTargetLimits,
   );
-  return { roster, targetLimits };
+  return { ...initialGatewayState, roster, targetLimits };
 }
 
 describe('availableTargets', () => {
@@ -53,3 +55,12 @@
     );
   });
 });
+
+describe('mainObstacle', () => {
+  it('names the condition that applies to most targets', () => {
+    const of = (ids: readonly string[]) =>
+      mainObstacle(viewWithLimits(ids), 's', 100);
+    expect(of([])).to.equal(undefined);
+    expect(of(['t0'])).to.equal('limited');
+  });
+});
--- a/packages/core/src/forwarding/engineCell/test.ts
+++ b/packages/core/src/forwarding/engineCell/test.ts
@@ -9,7 +9,6 @@
   initialRoster,
   reduceRoster,
   type RosterState,
-  usableTargets,
 } from '../targetRoster/index.ts';
 import { cellTargets, formsCells } from './index.ts';
 
@@ -29,6 +28,8 @@
   return reduceRoster(initialRoster, listed).state;
 };
 
+const targetsOf = ({ targets }: RosterState) => [...targets.values()];
+
 const peersOf = (count: number) =>
   reducePeers(initialPeers, {
     type: 'peers.received',
@@ -61,16 +62,16 @@
   });
 
   it('uses the targets of its data centre', () => {
-    const targets = usableTargets(rosterOf({ a: 20, b: 20 }), 's', 0);
+    const targets = targetsOf(rosterOf({ a: 20, b: 20 }));
     const cell = cellTargets(targets, { dataCentre: 'a', nowMs: 0 });
     expect(cell).to.have.length(20);
     expect(cell.every((target) => target.dataCentre === 'a')).to.equal(true);
   });
 
   it('widens a cell at once when most of its targets are gone or failing', () => {
-    const lost = usableTargets(rosterOf({ a: 5, b: 20 }), 's', 0);
+    const lost = targetsOf(rosterOf({ a: 5, b: 20 }));
     expect(cellTargets(lost, { dataCentre: 'a', nowMs: 0 })).to.have.length(25);
-    const failing = usableTargets(rosterOf({ a: 20, b: 20 }), 's', 0).map(
+    const failing = targetsOf(rosterOf({ a: 20, b: 20 })).map(
       (target, index) =>
         index < 15 ? { ...target, avoidUntilMs: 400 } : target,
     );
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -19,6 +19,7 @@
 export * from './routeTable/index.ts';
 export * from './sampleEntries/index.ts';
 export * from './storeWatchers/index.ts';
+export * from './targetAvailability/index.ts';
 export * from './targetLimits/index.ts';
 export * from './targetReach/index.ts';
 export * from './targetRoster/index.ts';
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -109,56 +109,6 @@
   }
 }
 
-/**
- * Lists the targets of a service that may receive new requests.
- *
- * @param state - Current roster.
- * @param service - Service name.
- * @param nowMs - Current monotonic time.
- * @returns The targets of the service that are not draining, did not ask for a
- * pause and are not remnants of an older copy of the store.
- *
- * @example
- * usableTargets(state, 'ledger', performance.now());
- */
-export function usableTargets(
-  state: RosterState,
-  service: string,
-  nowMs: number,
-): readonly RosterTarget[] {
-  return [...state.targets.values()].filter(
-    (target) =>
-      target.service === service &&
-      !target.draining &&
-      usableFromMs(target) <= nowMs,
-  );
-}
-
-/**
- * Returns when the first target of a service may receive requests.
- *
- * @param state - Current roster.
- * @param service - Service name.
- * @returns Monotonic time, in the past if a target is usable now; undefined if
- * the service has no target, or only draining ones.
- *
- * @example
- * soonestUsableAtMs(state, 'ledger');
- */
-export function soonestUsableAtMs(
-  state: RosterState,
-  service: string,
-): number | undefined {
-  const timesMs = [...state.targets.values()]
-    .filter((target) => target.service === service && !target.draining)
-    .map(usableFromMs);
-  return timesMs.length === 0 ? undefined : Math.min(...timesMs);
-}
-
-function usableFromMs(target: RosterTarget): number {
-  return Math.max(target.pausedUntilMs, target.unconfirmedUntilMs);
-}
-
 function applyList(
   state: RosterState,
   targets: readonly ListedTarget[],
--- a/packages/core/src/forwarding/targetRoster/test.ts
+++ b/packages/core/src/forwarding/targetRoster/test.ts
@@ -1,15 +1,18 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import type { ListedTarget } from '@endivegate/contracts/forwarding';
+import {
+  availableTargets,
+  soonestAvailableAtMs,
+} from '../availableTargets/index.ts';
+import { initialGatewayState } from '../gatewayReduce/index.ts';
 import {
   initialRoster,
   LAPSED_ENTRY_GRACE_MS,
   REMNANT_LIFETIME_MS,
-  soonestUsableAtMs,
   reduceRoster,
   type RosterEvent,
   type RosterState,
-  usableTargets,
 } from './index.ts';
 
 const target: ListedTarget = {
@@ -28,8 +31,13 @@
     initialRoster,
   );
 
+const viewOf = (roster: RosterState) => ({ ...initialGatewayState, roster });
+
 const usableIds = (state: RosterState, atMs = 0) =>
-  usableTargets(state, 's', atMs).map((one) => one.id);
+  availableTargets(viewOf(state), 's', atMs).map((one) => one.id);
+
+const soonestUsableAtMs = (state: RosterState, nowMs: number) =>
+  soonestAvailableAtMs(viewOf(state), 's', nowMs);
 
 const listed = (atMs: number, ...targets: ListedTarget[]): RosterEvent => ({
   type: 'roster.listed',
@@ -118,7 +126,7 @@
       { type: 'roster.put', atMs: 400, target },
     ]);
     expect(usableIds(state, 2599)).to.deep.equal([]);
-    expect(soonestUsableAtMs(state, 's')).to.equal(2600);
+    expect(soonestUsableAtMs(state, 400)).to.equal(2600);
     expect(usableIds(state, 2600)).to.deep.equal(['t1']);
   });
 
@@ -143,7 +151,7 @@
       bornMs: 100,
       pauseMs: 1e12,
     });
-    expect(soonestUsableAtMs(state, 's')).to.equal(600_000);
+    expect(soonestUsableAtMs(state, 400)).to.equal(600_000);
     expect(effects).to.deep.equal([
       { type: 'roster.paused', id: 't1', pauseMs: 600_000, requestedMs: 1e12 },
     ]);
--- a/packages/gateway/src/forwardRequest/_lib/requestLog.ts
+++ b/packages/gateway/src/forwardRequest/_lib/requestLog.ts
@@ -1,6 +1,7 @@
 import type {
   Admission,
   NextStep,
+  Obstacle,
   SendEnd,
   TakeoverObstacle,
 } from '@endivegate/core/forwarding';
@@ -40,7 +41,12 @@
     step: NextStep,
     counts: RequestCounts,
   ) => void;
-  readonly givenUp: (reason: string, tried: ReadonlySet<string>) => void;
+  /** `obstacle` is the condition that applies to most targets of the service. */
+  readonly givenUp: (
+    reason: string,
+    tried: ReadonlySet<string>,
+    obstacle: Obstacle['obstacle'] | undefined,
+  ) => void;
   /** Logs and counts the end of the request for its caller. */
   readonly ended: (end: string, counts: RequestCounts) => void;
 }
@@ -81,12 +87,13 @@
         answerBegun,
       });
     },
-    givenUp(reason, tried) {
+    givenUp(reason, tried, obstacle) {
       log.warn('request.givenUp', {
         request,
         service: service.name,
         reason,
         tried: [...tried],
+        obstacle,
       });
     },
     ended(end, { sends, events, mayHaveRun }) {
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -2,6 +2,7 @@
   decideAdmission,
   decideNext,
   isCrasher,
+  mainObstacle,
   type NextStep,
   type SendEnd,
   type SendProgress,
@@ -359,7 +360,8 @@
 
   function giveUp(reason: string): void {
     if (openSends.isAny()) return;
-    requestLog.givenUp(reason, excludedIds);
+    const obstacle = mainObstacle(runtime.state(), service.name, now());
+    requestLog.givenUp(reason, excludedIds, obstacle);
     if (answerBegun) applyStep({ type: 'cutOff' }, undefined);
     else applyStep({ type: mayHaveRun ? 'fail' : 'refuse' }, undefined);
   }
