--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -1,6 +1,7 @@
 import { createSocket, type RemoteInfo } from 'node:dgram';
 import type { RequestListener } from 'node:http';
 import {
+  commonVersion,
   type CrashReport,
   MAX_SHARED_ENTRIES,
   type PeerStatus,
@@ -347,6 +348,7 @@
       runtime.dispatch({ type: 'roster.leavingHeard', atMs, processes });
     }
     messages
+      .filter((message) => !reportsDeaths(message.self))
       .flatMap((message) => message.crashes)
       .forEach((crash) => options.crashReported?.(crash));
     messages.forEach(({ parts }) => {
@@ -361,6 +363,12 @@
     if (newest !== undefined) configFetcher.schedule(newest);
   }
 
+  /** Whether a peer reports the confirmed deaths of whole requests among those of parts. */
+  function reportsDeaths({ name }: PeerStatus): boolean {
+    const known = runtime.state().peers.get(name);
+    return known !== undefined && commonVersion(known) > 0;
+  }
+
   function isNewProcess({ name, startedAtUnixMs }: PeerStatus): boolean {
     const known = runtime.state().peers.get(name);
     return known?.startedAtUnixMs !== startedAtUnixMs;
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -1,6 +1,7 @@
 import {
   decideAdmission,
   decideNext,
+  mainObstacle,
   type NextStep,
   type SendEnd,
   type SendProgress,
@@ -348,7 +349,8 @@
 
   function giveUp(reason: string): void {
     if (openSends.isAny()) return;
-    requestLog.givenUp(reason, excludedIds);
+    const obstacle = mainObstacle(runtime.state(), service.name, now());
+    requestLog.givenUp(reason, excludedIds, obstacle);
     if (answerBegun) applyStep({ type: 'cutOff' }, undefined);
     else applyStep({ type: mayHaveRun ? 'fail' : 'refuse' }, undefined);
   }
