Evacuations: slice of the facts on evacuated data centres

A target in an evacuated data centre may get no request. The slice keeps the newest fact by data centre, ordered by era and revision of the store, and the newest list, which replaces older facts. The condition 'evacuated' of targetAvailability asks the slice.

--- a/packages/core/src/forwarding/gatewayReduce/index.ts
+++ b/packages/core/src/forwarding/gatewayReduce/index.ts
@@ -11,6 +11,13 @@
   type SuspectsEvent,
   type SuspectsState,
 } from '../crashSuspects/index.ts';
+import {
+  type EvacuationsEffect,
+  type EvacuationsEvent,
+  type EvacuationsState,
+  initialEvacuations,
+  reduceEvacuations,
+} from '../evacuations/index.ts';
 import {
   initialLoad,
   type LoadEvent,
@@ -64,6 +71,7 @@
   readonly partSuspects: PartSuspectsState;
   readonly targetLimits: TargetLimitsState;
   readonly targetReach: ReachState;
+  readonly evacuations: EvacuationsState;
 }
 
 /** Every event that changes the state of a gateway. */
@@ -75,7 +83,8 @@
   | SuspectsEvent
   | PartSuspectsEvent
   | TargetLimitsEvent
-  | ReachEvent;
+  | ReachEvent
+  | EvacuationsEvent;
 
 /** State changes to log. */
 export type GatewayEffect =
@@ -83,7 +92,8 @@
   | PeersEffect
   | PartSuspectsEffect
   | TargetLimitsEffect
-  | ReachEffect;
+  | ReachEffect
+  | EvacuationsEffect;
 
 /** State of a gateway before its first event. */
 export const initialGatewayState: GatewayState = {
@@ -95,6 +105,7 @@
   partSuspects: initialPartSuspects,
   targetLimits: initialTargetLimits,
   targetReach: initialReach,
+  evacuations: initialEvacuations,
 };
 
 /**
@@ -117,4 +128,5 @@
     partSuspects: { initial: initialPartSuspects, reduce: reducePartSuspects },
     targetLimits: { initial: initialTargetLimits, reduce: reduceTargetLimits },
     targetReach: { initial: initialReach, reduce: reduceReach },
+    evacuations: { initial: initialEvacuations, reduce: reduceEvacuations },
   });
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -7,6 +7,7 @@
 export * from './engineCell/index.ts';
 export * from './engineLoad/index.ts';
 export * from './engineTimes/index.ts';
+export * from './evacuations/index.ts';
 export * from './gatewayReduce/index.ts';
 export * from './partSuspects/index.ts';
 export * from './peerList/index.ts';
--- a/packages/core/src/forwarding/targetAvailability/index.ts
+++ b/packages/core/src/forwarding/targetAvailability/index.ts
@@ -1,3 +1,4 @@
+import { evacuationOf, outdatedUntilMs } from '../evacuations/index.ts';
 import { hasPermit, permitIntervalMs } from '../targetLimits/index.ts';
 import type { RosterTarget } from '../targetRoster/index.ts';
 import type { ConditionsView, Obstacle, TargetCondition } from './types.ts';
@@ -23,7 +24,23 @@
 export function targetConditions(
   view: ConditionsView,
 ): readonly TargetCondition[] {
-  return [leaving, paused, unconfirmed, limited(view)];
+  return [...lastingConditions(view), limited(view)];
+}
+
+/**
+ * Lists the conditions that also apply to a request which was already assigned to a
+ * target. Permits are not among them, because such a request has used one.
+ *
+ * @param view - State that the conditions depend on.
+ * @returns One function for each condition.
+ *
+ * @example
+ * targetAvailability(target, nowMs, lastingConditions(state));
+ */
+export function lastingConditions(
+  view: ConditionsView,
+): readonly TargetCondition[] {
+  return [leaving, paused, unconfirmed, evacuated(view)];
 }
 
 /**
@@ -118,6 +135,19 @@
     : undefined;
 }
 
+/** While the facts on evacuations may be outdated, any target may be evacuated. */
+function evacuated({ evacuations }: ConditionsView): TargetCondition {
+  return ({ dataCentre }, nowMs) => {
+    const untilMs =
+      evacuationOf(evacuations, dataCentre) === undefined
+        ? outdatedUntilMs(evacuations, nowMs)
+        : Infinity;
+    return untilMs === undefined
+      ? undefined
+      : { obstacle: 'evacuated', untilMs };
+  };
+}
+
 function limited({ targetLimits }: ConditionsView): TargetCondition {
   return (target, nowMs) =>
     hasPermit(targetLimits, target, nowMs)
--- a/packages/core/src/forwarding/targetAvailability/test.ts
+++ b/packages/core/src/forwarding/targetAvailability/test.ts
@@ -7,7 +7,13 @@
   targetAvailability,
   targetConditions,
 } from './index.ts';
-import { initialGatewayState } from '../gatewayReduce/index.ts';
+import { RESUME_HOLD_MS } from '../evacuations/index.ts';
+import {
+  type GatewayEvent,
+  gatewayReduce,
+  type GatewayState,
+  initialGatewayState,
+} from '../gatewayReduce/index.ts';
 
 const target: RosterTarget = {
   ...{ id: 't0', service: 's', address: '', dataCentre: 'a' },
@@ -17,6 +23,12 @@
   ...{ idHash: 0, laneRank: 0 },
 };
 
+const reduceAll = (events: readonly GatewayEvent[]): GatewayState =>
+  events.reduce<GatewayState>(
+    (state, event) => gatewayReduce(state, event).state,
+    initialGatewayState,
+  );
+
 const of = (changes: Partial<RosterTarget>, nowMs = 100) =>
   targetAvailability(
     { ...target, ...changes },
@@ -42,6 +54,40 @@
     });
   });
 
+  // Guards against a request to a data centre that the operator evacuated, and
+  // against one that a process sends right after it was stopped.
+  it('forbids targets of evacuated data centres, and all of them after a stop', () => {
+    const view = reduceAll([
+      { type: 'evacuations.ticked', atMs: 0 },
+      {
+        type: 'evacuations.reported',
+        atMs: 0,
+        reports: [
+          {
+            ...{ dataCentre: 'a', era: 0, revision: 3 },
+            ...{ isEvacuated: true, ageMs: 0 },
+          },
+        ],
+        source: 'peer',
+      },
+    ]);
+    const at = (dataCentre: string, nowMs: number) =>
+      targetAvailability(
+        { ...target, dataCentre },
+        nowMs,
+        targetConditions(view),
+      );
+    expect(at('a', 100)).to.deep.equal({
+      obstacle: 'evacuated',
+      untilMs: Infinity,
+    });
+    expect(at('b', 100)).to.equal(undefined);
+    expect(at('b', 9000)).to.deep.equal({
+      obstacle: 'evacuated',
+      untilMs: 9000 + RESUME_HOLD_MS,
+    });
+  });
+
   it('asks only the conditions that it is given', () => {
     expect(targetAvailability({ ...target, draining: true }, 0, [])).to.equal(
       undefined,
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -146,6 +146,20 @@
         failedTargets: effect.failedTargets,
       });
       return;
+    case 'evacuations.changed':
+      log.warn('evacuation.changed', {
+        dataCentre: effect.evacuation.dataCentre,
+        evacuated: effect.evacuation.isEvacuated,
+        era: effect.evacuation.era,
+        revision: effect.evacuation.revision,
+        source: effect.source,
+        ageMs: Math.round(effect.ageMs),
+      });
+      return;
+    case 'evacuations.outdated':
+      log.warn('entry.resumed', { stoppedMs: Math.round(effect.stoppedMs) });
+      return;
+    case 'evacuations.reportDue':
     case 'partSuspects.reportDue':
     case 'targetReach.probeDue':
   }
