--- a/packages/core/src/forwarding/gatewayReduce/index.ts
+++ b/packages/core/src/forwarding/gatewayReduce/index.ts
@@ -5,6 +5,13 @@
   initialBudget,
   reduceBudget,
 } from '../retryBudget/index.ts';
+import {
+  type EvacuationsEffect,
+  type EvacuationsEvent,
+  type EvacuationsState,
+  initialEvacuations,
+  reduceEvacuations,
+} from '../evacuations/index.ts';
 import {
   initialLoad,
   type LoadEvent,
@@ -57,6 +64,7 @@
   readonly partSuspects: PartSuspectsState;
   readonly targetLimits: TargetLimitsState;
   readonly targetReach: ReachState;
+  readonly evacuations: EvacuationsState;
 }
 
 /** Every event that changes the state of a gateway. */
@@ -67,7 +75,8 @@
   | BudgetEvent
   | PartSuspectsEvent
   | TargetLimitsEvent
-  | ReachEvent;
+  | ReachEvent
+  | EvacuationsEvent;
 
 /** State changes to log. */
 export type GatewayEffect =
@@ -75,7 +84,8 @@
   | PeersEffect
   | PartSuspectsEffect
   | TargetLimitsEffect
-  | ReachEffect;
+  | ReachEffect
+  | EvacuationsEffect;
 
 /** State of a gateway before its first event. */
 export const initialGatewayState: GatewayState = {
@@ -86,6 +96,7 @@
   partSuspects: initialPartSuspects,
   targetLimits: initialTargetLimits,
   targetReach: initialReach,
+  evacuations: initialEvacuations,
 };
 
 /**
@@ -107,4 +118,5 @@
     partSuspects: { initial: initialPartSuspects, reduce: reducePartSuspects },
     targetLimits: { initial: initialTargetLimits, reduce: reduceTargetLimits },
     targetReach: { initial: initialReach, reduce: reduceReach },
+    evacuations: { initial: initialEvacuations, reduce: reduceEvacuations },
   });
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -33,6 +33,9 @@
   readonly retry: Omit<RetryBudgetOptions, 'entries' | 'uptimeMs'>;
   /** Time from the stop request until the process is killed. */
   readonly graceMs: number;
+  /** Time within which an evacuation of a data centre must take effect; undefined where
+   * data centres are not evacuated. */
+  readonly evacuationMs?: number | undefined;
 }
 
 /**
@@ -146,6 +149,20 @@
         failedTargets: effect.failedTargets,
       });
       return;
+    case 'evacuations.changed':
+      log.warn('evacuation.changed', {
+        dataCentre: effect.evacuation.dataCentre,
+        evacuated: effect.evacuation.isEvacuated,
+        era: effect.evacuation.era,
+        revision: effect.evacuation.revision,
+        source: effect.source,
+        ageMs: Math.round(effect.ageMs),
+      });
+      return;
+    case 'evacuations.outdated':
+      log.warn('entry.resumed', { stoppedMs: Math.round(effect.stoppedMs) });
+      return;
+    case 'evacuations.reportDue':
     case 'partSuspects.reportDue':
     case 'targetReach.probeDue':
   }
