--- a/packages/gateway/src/shareStore/test.ts
+++ b/packages/gateway/src/shareStore/test.ts
@@ -8,7 +8,7 @@
 } from '../gatewayRuntime/index.ts';
 import type { StorePosition } from '../storePort/index.ts';
 import { testAddress } from '../testAddress/index.ts';
-import { encodeNews, type StoreNews } from './_lib/storeNews.ts';
+import { decodeNews, encodeNews, type StoreNews } from './_lib/storeNews.ts';
 import {
   shareStore,
   type StoreSharing,
@@ -247,3 +247,28 @@
     expect(allHave('t3')).to.equal(true);
   }).timeout(20_000);
 });
+
+describe('encodeNews', () => {
+  const evacuations = [
+    {
+      ...{ dataCentre: 'a', era: 1, revision: 4 },
+      ...{ isEvacuated: true, ageMs: 0 },
+    },
+  ];
+
+  // Guards against an evacuation that is left out because many targets changed.
+  it('keeps evacuations in news that are too large for all changes', () => {
+    const changes = Array.from({ length: 60 }, (_, index): TargetChange => ({
+      type: 'put',
+      target: target(`t${index}`),
+    }));
+    const news = decodeNews(encodeNews({ ...beat, changes, evacuations }));
+    expect(news?.changes).to.deep.equal([]);
+    expect(news?.evacuations).to.deep.equal(evacuations);
+  });
+
+  it('reads news of earlier builds, which name no evacuations', () => {
+    const news = decodeNews(encodeNews(beat));
+    expect(news).to.deep.equal(beat);
+  });
+});
