Relays and limits: ask peers without a protocol version what they do

Change: an entry asks each peer of version 0, eight at a time, with a relayed request that has no key: 404 means no relays, a relay header means relays. A request is relayed only to a peer of version 1 or one that gave the second answer. A peer that gave the first takes no share of a limit; the others leave it its part of the requests, or what it sent within the last second if that is more, up to 0.9 of the limit. The same room is left for a peer that has not answered.

Tests changed: peers of pickRelay's and limitShares' tests now name version 1, as one without a version is no longer taken; each case without it has a test.

--- a/packages/core/src/forwarding/peerList/index.ts
+++ b/packages/core/src/forwarding/peerList/index.ts
@@ -26,6 +26,9 @@
 /** A peer and the time of its last message. */
 export interface Peer extends PeerStatus {
   readonly heardAtMs: number;
+  /** Whether its process serves relayed requests, if it was asked; see
+   * `servesRelays`. */
+  readonly servesRelays?: boolean;
 }
 
 /** Peers by name. */
@@ -39,6 +42,13 @@
       /** Peers that a datagram tells of. */
       readonly peers: readonly PeerStatus[];
     }
+  /** A process that names no protocol version was asked for relays. */
+  | {
+      readonly type: 'peers.relayProbed';
+      readonly name: string;
+      readonly startedAtUnixMs: number;
+      readonly servesRelays: boolean;
+    }
   | { readonly type: 'peers.ticked'; readonly atMs: number };
 
 /** A change of the peer list to log. */
@@ -75,6 +85,7 @@
   event: PeersEvent,
 ): Step<PeersState, PeersEffect> {
   if (event.type === 'peers.ticked') return expirePeers(state, event.atMs);
+  if (event.type === 'peers.relayProbed') return noteProbe(state, event);
   const silenceMs = silenceMsOf(state);
   const next = new Map(state);
   const effects = event.peers.flatMap((status): readonly PeersEffect[] => {
@@ -133,14 +144,32 @@
 }
 
 /** Adds what is known of the process to a status of it, which may be older. */
-function mergeStatus(known: Peer | undefined, status: PeerStatus): PeerStatus {
+function mergeStatus(
+  known: Peer | undefined,
+  status: PeerStatus,
+): Omit<Peer, 'heardAtMs'> {
   if (known?.startedAtUnixMs !== status.startedAtUnixMs) return status;
+  const { servesRelays } = known;
   const { protocolVersion = 0 } = status;
   const version = Math.max(protocolVersion, known.protocolVersion ?? 0);
   return {
     ...status,
     isLeaving: status.isLeaving || known.isLeaving,
     ...(version === 0 ? {} : { protocolVersion: version }),
+    ...(servesRelays === undefined ? {} : { servesRelays }),
+  };
+}
+
+function noteProbe(
+  state: PeersState,
+  probed: Extract<PeersEvent, { type: 'peers.relayProbed' }>,
+): Step<PeersState, PeersEffect> {
+  const { name, startedAtUnixMs, servesRelays } = probed;
+  const peer = state.get(name);
+  if (peer?.startedAtUnixMs !== startedAtUnixMs) return { state, effects: [] };
+  return {
+    state: new Map(state).set(name, { ...peer, servesRelays }),
+    effects: [],
   };
 }
 
--- a/packages/core/src/forwarding/pickRelay/index.ts
+++ b/packages/core/src/forwarding/pickRelay/index.ts
@@ -4,6 +4,7 @@
   type PeersState,
   reachingPeers,
 } from '../peerList/index.ts';
+import { servesRelays } from '../peerProtocol/index.ts';
 
 /** What decides which peer serves the requests of an entry that is cut off. */
 export interface RelayQuery {
@@ -36,7 +37,8 @@
  * that reaches targets, by its load for its capacity, preferably in this data centre.
  *
  * A peer that last reported an older configuration is taken if there is no other: it
- * may have the newer one by now, and else refuses the request.
+ * may have the newer one by now, and else refuses the request. A peer that is not
+ * known to serve relayed requests is never taken.
  *
  * @param query - Peers, their load and the request.
  * @param options - Random source.
@@ -56,7 +58,7 @@
     (load.peers.get(name)?.flights.length ?? 0) +
     relayed.filter((targetId) => targetId === name).length;
   return reachingPeers(peers, query.nowMs)
-    .filter((peer) => !excludedNames.has(peer.name))
+    .filter((peer) => servesRelays(peer) && !excludedNames.has(peer.name))
     .map((peer) => {
       const remote = peer.dataCentre === dataCentre ? 0 : REMOTE_REQUESTS;
       const older =
--- a/packages/core/src/forwarding/pickRelay/test.ts
+++ b/packages/core/src/forwarding/pickRelay/test.ts
@@ -17,21 +17,34 @@
   isLeaving: false,
   configVersion: 3,
   weight: 1,
+  protocolVersion: 1,
   ...more,
 });
 
 function pick(
   peers: readonly PeerStatus[],
   options: {
+    /** Whether the peers said that they serve relayed requests. */
+    readonly probed?: readonly (readonly [string, boolean])[];
     readonly excluded?: readonly string[];
     readonly busy?: string;
   } = {},
 ): string | undefined {
-  const { state } = reducePeers(initialPeers, {
+  const heard = reducePeers(initialPeers, {
     type: 'peers.received',
     atMs: 0,
     peers,
-  });
+  }).state;
+  const state = (options.probed ?? []).reduce(
+    (known, [name, servesRelays]) =>
+      reducePeers(known, {
+        type: 'peers.relayProbed',
+        name,
+        startedAtUnixMs: 0,
+        servesRelays,
+      }).state,
+    heard,
+  );
   const flight = {
     ...{ flightId: '', targetId: 't', helperIds: [], reservations: [] },
     ...{ partPrefillMs: 0, memoryTokens: 0, contextTokens: 0, value: 1 },
@@ -83,4 +96,13 @@
     ];
     expect(pick(peers)).to.equal(undefined);
   });
+
+  // Guards against a request relayed to a build that answers it with 404.
+  it('takes no peer that is not known to serve relayed requests', () => {
+    const old = { protocolVersion: 0 };
+    const peers = [peer('p', old), peer('q', old)];
+    expect(pick(peers)).to.equal(undefined);
+    expect(pick(peers, { probed: [['p', false]] })).to.equal(undefined);
+    expect(pick(peers, { probed: [['q', true]] })).to.equal('q');
+  });
 });
--- a/packages/core/src/forwarding/targetLimits/test.ts
+++ b/packages/core/src/forwarding/targetLimits/test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import type { ListedTarget } from '@endivegate/contracts/forwarding';
+import { initialLoad, reduceLoad } from '../engineLoad/index.ts';
 import { initialPeers, reducePeers } from '../peerList/index.ts';
 import { initialRoster, reduceRoster } from '../targetRoster/index.ts';
 import {
@@ -7,6 +8,7 @@
   initialTargetLimits,
   limitReports,
   limitShares,
+  type LimitShare,
   permitIntervalMs,
   reduceTargetLimits,
   type TargetLimitsState,
@@ -132,11 +134,13 @@
             isLeaving: false,
             configVersion: 1,
             weight: 1,
+            protocolVersion: 1,
           })),
       }).state;
       const shares = limitShares(state, {
         roster,
         peers,
+        load: initialLoad,
         nowMs,
         name: `e${own}`,
         dataCentre: DATA_CENTRES[own % DATA_CENTRES.length] ?? '',
@@ -208,7 +212,10 @@
 
   it('gives an entry that takes no callers no share', () => {
     const state = respond(initialTargetLimits, 5, 0);
-    const fleet = { roster, peers: initialPeers, nowMs: 0, name: 'e0' };
+    const fleet = {
+      ...{ roster, peers: initialPeers, load: initialLoad },
+      ...{ nowMs: 0, name: 'e0' },
+    };
     const shares = limitShares(state, {
       ...fleet,
       dataCentre: 'a',
@@ -218,6 +225,82 @@
   });
 });
 
+describe('limitShares beside peers of earlier builds', () => {
+  const REPORT_MS = 100;
+  const names = Array.from({ length: 8 }, (_, n) => `e${n}`);
+
+  /** Shares of the entries from `e4` on; the others name no version. */
+  function sharesBeside(
+    servesRelays: boolean | undefined,
+    sentByOld = 0,
+  ): readonly LimitShare[] {
+    const limits = respond(initialTargetLimits, 8, 0);
+    const status = (name: string, index: number) => ({
+      ...{ name, peerAddress: '', callerAddress: '', dataCentre: 'a' },
+      ...{ startedAtUnixMs: 0, isReady: true, isLeaving: false },
+      ...{ configVersion: 1, weight: 1 },
+      ...(index < 4 ? {} : { protocolVersion: 1 }),
+    });
+    const flight = {
+      ...{ flightId: '', targetId: 't', helperIds: [], reservations: [] },
+      ...{ partPrefillMs: 0, memoryTokens: 0, contextTokens: 0, value: 1 },
+      ...{ isShort: true, gapTargetMs: 0, startedAtMs: 0, isDecoding: false },
+    };
+    const load = reduceLoad(initialLoad, {
+      type: 'load.received',
+      atMs: 0,
+      reports: [
+        {
+          peer: 'e0',
+          flights: Array.from({ length: sentByOld }, () => flight),
+        },
+      ],
+    }).state;
+    return names.slice(4).flatMap((name) => {
+      const others = names.map(status).filter((one) => one.name !== name);
+      const heard = reducePeers(initialPeers, {
+        type: 'peers.received',
+        atMs: 0,
+        peers: others,
+      }).state;
+      const peers = names.slice(0, 4).reduce(
+        (known, old) =>
+          servesRelays === undefined
+            ? known
+            : reducePeers(known, {
+                type: 'peers.relayProbed',
+                name: old,
+                startedAtUnixMs: 0,
+                servesRelays,
+              }).state,
+        heard,
+      );
+      const fleet = { roster, peers, load, nowMs: REPORT_MS, dataCentre: 'a' };
+      const shares = limitShares(limits, { ...fleet, name, isServing: true });
+      return [...shares.values()];
+    });
+  }
+
+  const sumOf = (shares: readonly LimitShare[]): number =>
+    shares.reduce((sum, share) => sum + share.requestsPerS, 0);
+
+  // Guards against a limit that is exceeded by what a build that knows none sends.
+  it('leaves them the part of the limit that they send', () => {
+    expect(sumOf(sharesBeside(false))).to.be.closeTo(4, 0.01);
+    expect(sumOf(sharesBeside(false, 6))).to.be.closeTo(2, 0.01);
+    expect(sumOf(sharesBeside(false, 50))).to.be.closeTo(0.8, 0.01);
+  });
+
+  it('divides the limit among all where peers of version 0 divide it, too', () => {
+    expect(sumOf(sharesBeside(true))).to.be.closeTo(4, 0.01);
+    expect(sharesBeside(true)).to.have.length(4);
+  });
+
+  it('leaves peers room until it is known what they do', () => {
+    expect(sumOf(sharesBeside(undefined))).to.be.closeTo(2, 0.01);
+  });
+});
+
 describe('limitReports', () => {
   it('merges reports of peers by their age', () => {
     const named = respond(initialTargetLimits, 2, 1000);
--- a/packages/gateway/src/shareStore/_lib/storeNews.ts
+++ b/packages/gateway/src/shareStore/_lib/storeNews.ts
@@ -7,6 +7,8 @@
   z.object({ type: z.literal('removed'), id: z.string() }),
 ]);
 
+/** Keys that later builds add are optional, and those that this build does not know
+ * are dropped: entries of two builds hear one watcher. */
 const newsSchema = z.object({
   name: z.string(),
   weight: z.number(),
@@ -23,7 +25,8 @@
   changes: z.array(targetChangeSchema),
 });
 
-/** All targets that a watcher knows, for an entry that missed news. */
+/** All targets that a watcher knows, for an entry that missed news. Added keys are
+ * optional, as in news. */
 export const snapshotSchema = z.object({
   era: z.number(),
   revision: z.number(),
--- /dev/null
+++ b/packages/gateway/src/shareStore/_lib/test.ts
@@ -0,0 +1,53 @@
+import { decode, encode } from '@msgpack/msgpack';
+import { expect } from 'chai';
+import {
+  decodeNews,
+  encodeNews,
+  snapshotSchema,
+  type StoreNews,
+} from './storeNews.ts';
+
+const news: StoreNews = {
+  name: 'w',
+  weight: 1,
+  era: 1,
+  fromRevision: 4,
+  revision: 5,
+  overdueMs: 0,
+  holdMs: 0,
+  configVersion: 3,
+  changes: [{ type: 'removed', id: 't1' }],
+};
+
+/** Keys that the builds of ee21227 and 3e2fffc send and require. */
+const OLD_KEYS = [
+  ...['name', 'weight', 'era', 'fromRevision', 'revision', 'overdueMs'],
+  ...['holdMs', 'configVersion', 'changes'],
+];
+
+describe('storeNews', () => {
+  // Guards against entries of earlier builds that do not hear the watchers.
+  it('has all keys that earlier builds require', () => {
+    const sent = decode(encodeNews(news)) as Record<string, unknown>;
+    expect(Object.keys(sent)).to.include.members(OLD_KEYS);
+  });
+
+  it('reads news of earlier builds, and of later ones without what they add', () => {
+    const old = Object.fromEntries(
+      Object.entries(news).filter(([key]) => OLD_KEYS.includes(key)),
+    );
+    expect(decodeNews(encode(old))).to.deep.equal(news);
+    const later = { ...news, evacuations: [['a', 1, 9, true]], later: {} };
+    expect(decodeNews(encode(later))).to.deep.include(news);
+    const snapshot = { era: 1, revision: 5, holdMs: 0, targets: [] };
+    expect(snapshotSchema.parse(snapshot)).to.deep.equal(snapshot);
+    expect(snapshotSchema.parse({ ...snapshot, later: 1 })).to.deep.include(
+      snapshot,
+    );
+  });
+
+  it('drops bytes that are no news', () => {
+    expect(decodeNews(encode({ ...news, era: 'x' }))).to.equal(undefined);
+    expect(decodeNews(encodeNews(news).subarray(0, 9))).to.equal(undefined);
+  });
+});
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -23,6 +23,7 @@
 import type { HttpDialect } from '../httpDialect/index.ts';
 import type { OrderPort } from '../orderPort/index.ts';
 import { startReachProbe } from '../reachProbe/index.ts';
+import { createRelayProbe } from '../relayProbe/index.ts';
 import { createTargetDeaths } from '../targetDeaths/index.ts';
 
 /** Options of {@link startGateway}. */
@@ -155,10 +156,13 @@
       metrics.peerDataIgnored({ kind }, amount);
     },
   });
+  const relayProbe = createRelayProbe({ runtime });
   const ticker = setInterval(tick, TICK_INTERVAL_MS);
   const limitTicker = setInterval(tickLimits, LIMIT_INTERVAL_MS);
   runtime.onEffect(({ type }) => {
-    if (type === 'targetReach.changed') peers.broadcast();
+    if (type !== 'targetReach.changed') return;
+    peers.broadcast();
+    relayProbe.probeSome();
   });
 
   function self(): PeerStatus {
@@ -208,6 +212,7 @@
 
   /** Divides the limits that targets name anew. */
   function tickLimits(): void {
+    relayProbe.probeSome();
     const nowMs = now();
     const state = runtime.state();
     const shares = limitShares(state.targetLimits, {
@@ -261,6 +266,7 @@
     pool.close();
     peerPool.close();
     reachProbe.close();
+    relayProbe.close();
   }
 
   return { runtime, peers, isReady, callerAddresses, leave, stop };
