--- a/packages/gateway/src/shareStore/_lib/storeNews.ts
+++ b/packages/gateway/src/shareStore/_lib/storeNews.ts
@@ -15,6 +15,8 @@
   ageMs: z.number(),
 });
 
+/** Keys that later builds add are optional, and those that this build does not know
+ * are dropped: entries of two builds hear one watcher. */
 const newsSchema = z.object({
   name: z.string(),
   weight: z.number(),
@@ -33,7 +35,8 @@
   evacuations: z.array(evacuationSchema).optional(),
 });
 
-/** All targets that a watcher knows, for an entry that missed news. */
+/** All targets that a watcher knows, for an entry that missed news. Added keys are
+ * optional, as in news. */
 export const snapshotSchema = z.object({
   era: z.number(),
   revision: z.number(),
