--- a/packages/contracts/src/forwarding/index.ts
+++ b/packages/contracts/src/forwarding/index.ts
@@ -68,6 +68,12 @@
   /** Maximum number of connections that one target accepts from all clients. */
   maxConnections: countSchema,
   engine: engineCostSchema.optional(),
+  /** Time for which a process takes few requests after its start. Absent in data of
+   * earlier builds, as is `warmUpRequestsPerS`. */
+  warmUpMs: durationMsSchema.optional(),
+  /** Requests per second that a cold process takes from all entries together; 0 or
+   * absent: no bound. */
+  warmUpRequestsPerS: z.number().nonnegative().optional(),
 });
 
 /** A workspace with the keys of its callers. */
@@ -108,6 +114,8 @@
   /** Unix time of its start; a different value for the same id means that another
    * process has taken its place. */
   bornMs: z.number(),
+  /** How long it stays cold after it was listed; 0 or absent if it is warm. */
+  warmUpLeftMs: durationMsSchema.optional(),
 });
 
 /** See {@link repeatRuleSchema}. */
--- a/packages/core/src/forwarding/gatewayReduce/index.ts
+++ b/packages/core/src/forwarding/gatewayReduce/index.ts
@@ -5,6 +5,13 @@
   initialBudget,
   reduceBudget,
 } from '../retryBudget/index.ts';
+import {
+  type ColdTargetsEffect,
+  type ColdTargetsEvent,
+  type ColdTargetsState,
+  initialColdTargets,
+  reduceColdTargets,
+} from '../coldTargets/index.ts';
 import {
   initialSuspects,
   reduceSuspects,
@@ -64,6 +71,7 @@
   readonly partSuspects: PartSuspectsState;
   readonly targetLimits: TargetLimitsState;
   readonly targetReach: ReachState;
+  readonly coldTargets: ColdTargetsState;
 }
 
 /** Every event that changes the state of a gateway. */
@@ -75,7 +83,8 @@
   | SuspectsEvent
   | PartSuspectsEvent
   | TargetLimitsEvent
-  | ReachEvent;
+  | ReachEvent
+  | ColdTargetsEvent;
 
 /** State changes to log. */
 export type GatewayEffect =
@@ -83,7 +92,8 @@
   | PeersEffect
   | PartSuspectsEffect
   | TargetLimitsEffect
-  | ReachEffect;
+  | ReachEffect
+  | ColdTargetsEffect;
 
 /** State of a gateway before its first event. */
 export const initialGatewayState: GatewayState = {
@@ -95,6 +105,7 @@
   partSuspects: initialPartSuspects,
   targetLimits: initialTargetLimits,
   targetReach: initialReach,
+  coldTargets: initialColdTargets,
 };
 
 /**
@@ -117,4 +128,5 @@
     partSuspects: { initial: initialPartSuspects, reduce: reducePartSuspects },
     targetLimits: { initial: initialTargetLimits, reduce: reduceTargetLimits },
     targetReach: { initial: initialReach, reduce: reduceReach },
+    coldTargets: { initial: initialColdTargets, reduce: reduceColdTargets },
   });
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -1,5 +1,6 @@
 /** Decision logic of the forwarding gateway: pure functions and one reducer. */
 export * from './availableTargets/index.ts';
+export * from './coldTargets/index.ts';
 export * from './collectBytes/index.ts';
 export * from './crashSuspects/index.ts';
 export * from './decideAdmission/index.ts';
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -237,6 +237,7 @@
     laneRank: xxHash32(listed.id) / HASH_RANGE,
     ...(restarted ? {} : observationsOf(known)),
     ...listed,
+    ...((listed.warmUpLeftMs ?? 0) > 0 ? { listedAtMs: atMs } : {}),
     draining: listed.draining || wasDraining,
   };
   const change = changeOf(known, target, restarted);
--- a/packages/core/src/forwarding/targetRoster/types.ts
+++ b/packages/core/src/forwarding/targetRoster/types.ts
@@ -13,6 +13,9 @@
   /** Until this time its list entry may be a remnant of an older copy of the
    * store, so it gets no requests; 0 for a confirmed entry. */
   readonly unconfirmedUntilMs: number;
+  /** When its list entry was last read; only set if the entry says that the target
+   * is cold. */
+  readonly listedAtMs?: number;
   /** Consecutive failures. */
   readonly failures: number;
   /** Smoothed ratio of observed to expected time; 1 matches the cost model. */
