--- a/packages/core/src/forwarding/coldTargets/_lib/testFleet.ts
+++ b/packages/core/src/forwarding/coldTargets/_lib/testFleet.ts
@@ -59,14 +59,14 @@
   nextTickMs: number;
 }
 
-const listedWith = (bornMs: number): ListedTarget => ({
+const listedWith = (bornMs: number, warmUpLeftMs: number): ListedTarget => ({
   ...{ id: 't', service: 's', address: '10.0.0.1:80', dataCentre: 'a' },
-  ...{ draining: false, slots: 8, bornMs },
+  ...{ draining: false, slots: 8, bornMs, warmUpLeftMs },
 });
 
-function rosterTargets(bornMs: number) {
-  const event = { type: 'roster.listed', atMs: 0 } as const;
-  const targets = [listedWith(bornMs)];
+function rosterTargets(bornMs: number, warmUpLeftMs: number) {
+  const event = { type: 'roster.listed', atMs: COLD_FROM_MS } as const;
+  const targets = [listedWith(bornMs, warmUpLeftMs)];
   const { state } = reduceRoster(initialRoster, { ...event, targets });
   return [...state.targets.values()];
 }
@@ -75,8 +75,10 @@
 export function simulateColdTarget(fleet: SimulatedFleet): readonly number[] {
   const { entries: count, faults = [], unaware = 0 } = fleet;
   const { newsDelayMs = () => 0, travelMs = () => 0 } = fleet;
-  const targetsBefore = rosterTargets(1);
-  const targetsAfter = rosterTargets(2);
+  const targetsBefore = rosterTargets(1, 0);
+  const targetsAfter = rosterTargets(2, 0);
+  // What an entry reads that does not know the process before it.
+  const targetsAtStart = rosterTargets(2, fleet.rule.warmUpMs);
   const rules = new Map([['s', fleet.rule]]);
   const addresses = Array.from({ length: count }, (_, index) => `e${index}`);
   const entries = addresses.map((address, index) => start(address, index, 0));
@@ -133,10 +135,10 @@
 
   function reportsOf(entry: SimulatedEntry): readonly MemberReport[] {
     const heard = [...entry.heardAtMs].map(([address, heardAtMs]) => {
-      const index = entries.findIndex((one) => one.address === address);
+      const index = Number.parseInt(address.slice(1), 10);
       return {
         ...{ address, heardAtMs, isLeaving: false },
-        dataCentre: DATA_CENTRES[Math.max(index, 0) % DATA_CENTRES.length],
+        dataCentre: DATA_CENTRES[index % DATA_CENTRES.length],
         isAware: index >= unaware,
       };
     });
@@ -152,12 +154,14 @@
 
   function tick(entry: SimulatedEntry, index: number, nowMs: number): void {
     const knowsNew = nowMs >= COLD_FROM_MS + newsDelayMs(index);
+    const isFirst = entry.state.tickedAtMs === undefined;
+    const newTargets = isFirst ? targetsAtStart : targetsAfter;
     entry.state = reduceColdTargets(entry.state, {
       type: 'coldTargets.ticked',
       atMs: nowMs,
       rules,
       bound: BOUND,
-      targets: knowsNew ? targetsAfter : targetsBefore,
+      targets: knowsNew ? newTargets : targetsBefore,
       members: reportsOf(entry),
       own: {
         address: entry.address,
--- a/packages/core/src/forwarding/coldTargets/index.ts
+++ b/packages/core/src/forwarding/coldTargets/index.ts
@@ -159,12 +159,16 @@
   options: { readonly includeReceived: boolean; readonly nowMs: number },
 ): readonly ColdReport[] {
   return [...state.cold.values()]
-    .filter(({ source }) => source !== 'started')
-    .filter(({ source }) => source !== 'peer' || options.includeReceived)
+    .filter(({ source }) => isSaidHere(source) || options.includeReceived)
     .filter(({ atMs, leftMs }) => atMs + leftMs > options.nowMs)
     .map(({ id, bornMs, leftMs, atMs }) => ({ id, bornMs, leftMs, atMs }));
 }
 
+/** Whether a target said to this entry that it is cold. */
+function isSaidHere(source: ColdTarget['source']): boolean {
+  return source === 'response' || source === 'listed';
+}
+
 function forbidden(untilMs: number): WarmingUp {
   return { obstacle: 'warmingUp', untilMs };
 }
--- a/packages/core/src/forwarding/targetAvailability/index.ts
+++ b/packages/core/src/forwarding/targetAvailability/index.ts
@@ -1,3 +1,4 @@
+import { warmUpObstacle } from '../coldTargets/index.ts';
 import { hasPermit, permitIntervalMs } from '../targetLimits/index.ts';
 import type { RosterTarget } from '../targetRoster/index.ts';
 import type { ConditionsView, Obstacle, TargetCondition } from './types.ts';
@@ -23,7 +24,7 @@
 export function targetConditions(
   view: ConditionsView,
 ): readonly TargetCondition[] {
-  return [leaving, paused, unconfirmed, limited(view)];
+  return [leaving, paused, unconfirmed, limited(view), warmingUp(view)];
 }
 
 /**
@@ -127,3 +128,7 @@
           untilMs: nowMs + permitIntervalMs(targetLimits, [target]),
         };
 }
+
+function warmingUp({ coldTargets }: ConditionsView): TargetCondition {
+  return (target, nowMs) => warmUpObstacle(coldTargets, target, nowMs);
+}
--- a/packages/core/src/forwarding/targetAvailability/types.ts
+++ b/packages/core/src/forwarding/targetAvailability/types.ts
@@ -1,3 +1,4 @@
+import type { ColdTargetsState } from '../coldTargets/index.ts';
 import type { TargetLimitsState } from '../targetLimits/index.ts';
 import type { RosterTarget } from '../targetRoster/index.ts';
 
@@ -23,4 +24,5 @@
 /** State that the conditions depend on. */
 export interface ConditionsView {
   readonly targetLimits: TargetLimitsState;
+  readonly coldTargets: ColdTargetsState;
 }
--- a/packages/gateway/src/createGatewayMetrics/index.ts
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -21,7 +21,7 @@
   /** Records the observed minus the predicted time to first event. */
   readonly observePredictionError: (errorMs: number) => void;
   /** Counts a response in which a target said that it is leaving, asked for a
-   * pause or named a limit. */
+   * pause, named a limit or said that it is cold. */
   readonly targetAnnounced: (labels: { announcement: string }) => void;
   /** Counts a request that this entry relays to a peer, or serves for one. */
   readonly relayed: (labels: { side: 'sent' | 'received' }) => void;
@@ -34,6 +34,8 @@
   readonly connected: () => void;
   /** Counts a call to the store by its end. */
   readonly storeCalled: (labels: { call: string; end: string }) => void;
+  /** Sets the number of targets that are cold. */
+  readonly coldTargets: (targets: number) => void;
   /** Sets the number of dropped log lines since the start. */
   readonly droppedLines: (lines: number) => void;
 }
@@ -97,7 +99,7 @@
   });
   const announcements = new Counter({
     name: 'endivegate_target_announcements_total',
-    help: 'Responses in which a target announced its leaving, asked for a pause or named a limit.',
+    help: 'Responses in which a target announced its leaving, asked for a pause, named a limit or said that it is cold.',
     labelNames: ['announcement'],
     registers,
   });
@@ -124,6 +126,11 @@
     labelNames: ['call', 'end'],
     registers,
   });
+  const cold = new Gauge({
+    name: 'endivegate_cold_targets',
+    help: 'Targets that are cold and take few requests.',
+    registers,
+  });
   const dropped = new Gauge({
     name: 'endivegate_dropped_log_lines',
     help: 'Log lines that were left out since the start.',
@@ -164,6 +171,9 @@
     storeCalled: (labels) => {
       storeCalls.inc(labels);
     },
+    coldTargets: (targets) => {
+      cold.set(targets);
+    },
     droppedLines: (lines) => {
       dropped.set(lines);
     },
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -8,6 +8,7 @@
   initialGatewayState,
   type RetryBudgetOptions,
   type RouteTable,
+  type WarmUpBound,
 } from '@endivegate/core/forwarding';
 import type { ForwardingConfig } from '@endivegate/contracts/forwarding';
 import type { EventLog } from '../createEventLog/index.ts';
@@ -33,6 +34,8 @@
   readonly retry: Omit<RetryBudgetOptions, 'entries' | 'uptimeMs'>;
   /** Time from the stop request until the process is killed. */
   readonly graceMs: number;
+  /** Bound on requests to a cold target in any second. */
+  readonly warmUp?: WarmUpBound | undefined;
 }
 
 /**
@@ -122,6 +125,15 @@
         reason: effect.reason,
       });
       return;
+    case 'coldTargets.changed':
+      log.info('target.warmUp', {
+        target: effect.id,
+        cold: effect.isCold,
+        leftMs: Math.round(effect.leftMs),
+        source: effect.source,
+        clamped: effect.isClamped ? true : undefined,
+      });
+      return;
     case 'peers.changed':
       log.info('peer.changed', { peer: effect.name, change: effect.change });
       return;
--- a/packages/gateway/src/httpDialect/index.ts
+++ b/packages/gateway/src/httpDialect/index.ts
@@ -58,8 +58,16 @@
   readonly pause: RequestedPause;
   /** Requests per second that the target takes from all entries together. */
   readonly limit: NamedLimit;
+  /** How long the target stays cold. */
+  readonly warmUp: NamedWarmUp;
 }
 
+/** How long a target stays cold, as written in its response; 0 if it is warm. */
+export type NamedWarmUp =
+  | { readonly type: 'none' }
+  | { readonly type: 'named'; readonly leftMs: number }
+  | { readonly type: 'unreadable'; readonly text: string };
+
 /** A limit on requests that a target names, as written in its response. */
 export type NamedLimit =
   | { readonly type: 'none' }
@@ -118,6 +126,27 @@
     : { type: 'unreadable', text };
 }
 
+/**
+ * Reads how long a target stays cold, a decimal number of ms. Of several header
+ * lines, which Node joins with commas, the longest time applies.
+ *
+ * @param text - Value of the header; undefined if the response has none.
+ * @returns The time, or the text if it is negative or not a number.
+ *
+ * @example
+ * readWarmUp('1500'); // { type: 'named', leftMs: 1500 }
+ */
+export function readWarmUp(text: string | undefined): NamedWarmUp {
+  if (text === undefined) return { type: 'none' };
+  const values = text
+    .split(',')
+    .filter((value) => /^\s*\d+(\.\d+)?\s*$/.test(value))
+    .map(Number);
+  return values.length > 0
+    ? { type: 'named', leftMs: Math.max(...values) }
+    : { type: 'unreadable', text };
+}
+
 /** Longest list of part ids that is read: the first ones are shared by most. */
 const MAX_SHARED_PARTS = 12;
 
--- a/packages/gateway/src/planSend/index.ts
+++ b/packages/gateway/src/planSend/index.ts
@@ -7,8 +7,10 @@
   availableTargets,
   cellTargets,
   formsCells,
+  isColdTarget,
   type GatewayState,
   type PlannedReservation,
+  type PromptDemand,
   type RelayQuery,
   pickRelay,
   pickTarget,
@@ -98,17 +100,29 @@
   const targets = isCell ? cellTargets(usable, query) : usable;
   const outputTokens =
     prompt.hintedOutputTokens ?? prompt.maxOutputTokens * EXPECTED_OUTPUT_SHARE;
-  const plan = planPrompt(
-    {
-      promptTokens: prompt.promptTokens,
-      outputTokens,
-      latencyBudgetMs: query.latencyBudgetMs,
-      patienceMs: query.patienceMs,
-      gapTargetMs: query.route.gapTargetMs,
-    },
-    { cost: service.engine, targets, loads, nowMs },
-    query.excludedIds.size > 0 ? { partCounts: RESEND_PART_COUNTS } : {},
-  );
+  const plannedPrompt: PromptDemand = {
+    promptTokens: prompt.promptTokens,
+    outputTokens,
+    latencyBudgetMs: query.latencyBudgetMs,
+    patienceMs: query.patienceMs,
+    gapTargetMs: query.route.gapTargetMs,
+  };
+  const resendOptions =
+    query.excludedIds.size > 0 ? { partCounts: RESEND_PART_COUNTS } : {};
+  const fleet = { cost: service.engine, targets, loads, nowMs };
+  const split = planPrompt(plannedPrompt, fleet, resendOptions);
+  const isCold = (target: RosterTarget): boolean =>
+    isColdTarget(state.coldTargets, target, nowMs);
+  const isSplitOverCold =
+    split !== undefined &&
+    split.helpers.length > 0 &&
+    [split.target, ...split.helpers].some(isCold);
+  const warm = targets.filter((target) => !isCold(target));
+  // A split prompt costs each of its targets several requests at once.
+  const plan = isSplitOverCold
+    ? (planPrompt(plannedPrompt, { ...fleet, targets: warm }, resendOptions) ??
+      planPrompt(plannedPrompt, fleet, { partCounts: [1] }))
+    : split;
   return plan === undefined
     ? undefined
     : {
--- a/packages/gateway/src/runSend/_lib/recordAnnouncements.ts
+++ b/packages/gateway/src/runSend/_lib/recordAnnouncements.ts
@@ -12,7 +12,7 @@
 
 /**
  * Applies what a target says about itself in a response: that it is leaving, that
- * it wants a pause, or how many requests it takes.
+ * it wants a pause, how many requests it takes, or that it is cold.
  */
 export function recordAnnouncements(
   { target, head, sentAtMs }: TargetAnnouncement,
@@ -26,6 +26,7 @@
     runtime.dispatch({ type: 'roster.leavingAnnounced', atMs, id, bornMs });
   }
   recordLimit({ target, head, sentAtMs }, context);
+  recordWarmUp({ target, head, sentAtMs }, context);
   switch (head.pause.type) {
     case 'none':
       return;
@@ -75,3 +76,29 @@
     sentAtMs,
   });
 }
+
+/**
+ * Records how long a target says that it stays cold. Only a response that the target
+ * signed says that it is warm.
+ */
+function recordWarmUp(
+  { target, head, sentAtMs }: TargetAnnouncement,
+  context: Pick<ForwardContext, 'runtime' | 'log' | 'metrics' | 'now'>,
+): void {
+  const { runtime, log, metrics } = context;
+  const { id, bornMs } = target;
+  const { warmUp } = head;
+  if (warmUp.type === 'none') return;
+  if (warmUp.type === 'unreadable') {
+    log.warn('target.warmUpUnreadable', { target: id, text: warmUp.text });
+    return;
+  }
+  const { leftMs } = warmUp;
+  if (leftMs > 0) metrics.targetAnnounced({ announcement: 'warmUp' });
+  else if (!head.isSigned) return;
+  runtime.dispatch({
+    type: 'coldTargets.responded',
+    report: { id, bornMs, leftMs, atMs: context.now() },
+    sentAtMs,
+  });
+}
--- a/packages/gateway/src/runSend/_lib/sendStart.ts
+++ b/packages/gateway/src/runSend/_lib/sendStart.ts
@@ -27,15 +27,17 @@
 }
 
 /** Counts a send, and the orders that it needs, towards the limits that targets
- * name. */
+ * name and the requests that cold targets take. */
 export function countTowardsLimits(
   { plan }: SendRun,
   { runtime, now }: Pick<ForwardContext, 'runtime' | 'now'>,
 ): void {
-  if (runtime.state().targetLimits.size === 0) return;
+  const { targetLimits, coldTargets } = runtime.state();
+  if (targetLimits.size === 0 && coldTargets.cold.size === 0) return;
   const atMs = now();
   const count = (id: string, calls: number): void => {
     runtime.dispatch({ type: 'targetLimits.sent', atMs, id, calls });
+    runtime.dispatch({ type: 'coldTargets.sent', atMs, id, calls });
   };
   count(plan.target.id, 1);
   plan.reservations.forEach(({ target }) => {
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -11,6 +11,7 @@
 } from '../createConnectionPool/index.ts';
 import { probeAddress } from '../probeAddress/index.ts';
 import type { EventLog } from '../createEventLog/index.ts';
+import { createColdTargetTicker } from '../coldTargetTicker/index.ts';
 import { createCallerServer } from '../createCallerServer/index.ts';
 import type { GatewayMetrics } from '../createGatewayMetrics/index.ts';
 import { createPeerLink, type PeerLink } from '../createPeerLink/index.ts';
@@ -151,6 +152,18 @@
     serveRelayed: callerServer.serveRelayed,
     now,
   });
+  const startedAtMs = now();
+  const tickColdTargets = createColdTargetTicker({
+    ...{ runtime, metrics, now },
+    seedAddresses: options.seedAddresses,
+    bound: bounds.warmUp,
+    own: () => ({
+      address: options.peerAddress,
+      dataCentre: options.dataCentre,
+      startedAtMs,
+      isServing: isReady() && !isCutOff(),
+    }),
+  });
   const ticker = setInterval(tick, TICK_INTERVAL_MS);
   const limitTicker = setInterval(tickLimits, LIMIT_INTERVAL_MS);
   runtime.onEffect(({ type }) => {
@@ -187,6 +200,7 @@
   function tick(): void {
     const atMs = now();
     runtime.dispatch({ type: 'roster.ticked', atMs });
+    tickColdTargets();
     reachProbe.checkSilence();
     runtime.dispatch({ type: 'suspects.ticked', atMs });
     runtime.dispatch({ type: 'partSuspects.ticked', atMs });
--- a/packages/gateway/src/testDialect/index.ts
+++ b/packages/gateway/src/testDialect/index.ts
@@ -5,6 +5,7 @@
   readLimit,
   readRetryAfter,
   readSharedParts,
+  readWarmUp,
 } from '../httpDialect/index.ts';
 
 /** HTTP dialect for tests, with header names that no deployment uses. */
@@ -45,5 +46,6 @@
         ? readRetryAfter(headers['retry-after'])
         : { type: 'none' },
     limit: readLimit(headerText(headers, 'x-limit')),
+    warmUp: readWarmUp(headerText(headers, 'x-warm-up-ms')),
   }),
 };
