--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -1,6 +1,7 @@
 import type { Server } from 'node:http';
 import {
   limitShares,
+  PROTOCOL_VERSION,
   sampleEntries,
   servingPeers,
   type PeerStatus,
@@ -151,6 +152,9 @@
     seedAddresses: options.seedAddresses,
     serveRelayed: callerServer.serveRelayed,
     now,
+    countIgnored(kind, amount) {
+      metrics.peerDataIgnored({ kind }, amount);
+    },
   });
   const startedAtMs = now();
   const tickColdTargets = createColdTargetTicker({
@@ -182,6 +186,7 @@
       configVersion: runtime.table()?.config.version ?? 0,
       weight: options.weight ?? 1,
       ...(isCutOff() ? { isCutOff: true } : {}),
+      protocolVersion: PROTOCOL_VERSION,
     };
   }
 
