--- a/packages/core/src/forwarding/coldTargets/test.ts
+++ b/packages/core/src/forwarding/coldTargets/test.ts
@@ -72,7 +72,9 @@
   // Guards against a bound that is kept by sending next to nothing.
   [1, 2, 6, 11, 12, 19, 20, 33, 82, 195].forEach((entries) => {
     it(`lets ${entries} entries use at least 0.7 of the rate`, () => {
-      [2, 14, 60].forEach((requestsPerS) => {
+      // Each rate takes 20 s with 195 entries.
+      const rates = entries > 100 ? [14] : [2, 14, 60];
+      rates.forEach((requestsPerS) => {
         const arrivalsMs = simulateColdTarget({
           entries,
           forMs: COLD_FROM_MS + 10_000,
