--- a/packages/core/src/forwarding/gatewayReduce/index.ts
+++ b/packages/core/src/forwarding/gatewayReduce/index.ts
@@ -12,6 +12,13 @@
   initialEvacuations,
   reduceEvacuations,
 } from '../evacuations/index.ts';
+import {
+  type ColdTargetsEffect,
+  type ColdTargetsEvent,
+  type ColdTargetsState,
+  initialColdTargets,
+  reduceColdTargets,
+} from '../coldTargets/index.ts';
 import {
   initialLoad,
   type LoadEvent,
@@ -65,6 +72,7 @@
   readonly targetLimits: TargetLimitsState;
   readonly targetReach: ReachState;
   readonly evacuations: EvacuationsState;
+  readonly coldTargets: ColdTargetsState;
 }
 
 /** Every event that changes the state of a gateway. */
@@ -76,7 +84,8 @@
   | PartSuspectsEvent
   | TargetLimitsEvent
   | ReachEvent
-  | EvacuationsEvent;
+  | EvacuationsEvent
+  | ColdTargetsEvent;
 
 /** State changes to log. */
 export type GatewayEffect =
@@ -85,7 +94,8 @@
   | PartSuspectsEffect
   | TargetLimitsEffect
   | ReachEffect
-  | EvacuationsEffect;
+  | EvacuationsEffect
+  | ColdTargetsEffect;
 
 /** State of a gateway before its first event. */
 export const initialGatewayState: GatewayState = {
@@ -97,6 +107,7 @@
   targetLimits: initialTargetLimits,
   targetReach: initialReach,
   evacuations: initialEvacuations,
+  coldTargets: initialColdTargets,
 };
 
 /**
@@ -119,4 +130,5 @@
     targetLimits: { initial: initialTargetLimits, reduce: reduceTargetLimits },
     targetReach: { initial: initialReach, reduce: reduceReach },
     evacuations: { initial: initialEvacuations, reduce: reduceEvacuations },
+    coldTargets: { initial: initialColdTargets, reduce: reduceColdTargets },
   });
--- a/packages/core/src/forwarding/targetAvailability/index.ts
+++ b/packages/core/src/forwarding/targetAvailability/index.ts
@@ -1,4 +1,5 @@
 import { evacuationOf, outdatedUntilMs } from '../evacuations/index.ts';
+import { warmUpObstacle } from '../coldTargets/index.ts';
 import { hasPermit, permitIntervalMs } from '../targetLimits/index.ts';
 import type { RosterTarget } from '../targetRoster/index.ts';
 import type { ConditionsView, Obstacle, TargetCondition } from './types.ts';
@@ -24,7 +25,7 @@
 export function targetConditions(
   view: ConditionsView,
 ): readonly TargetCondition[] {
-  return [...lastingConditions(view), limited(view)];
+  return [...lastingConditions(view), limited(view), warmingUp(view)];
 }
 
 /**
@@ -157,3 +158,7 @@
           untilMs: nowMs + permitIntervalMs(targetLimits, [target]),
         };
 }
+
+function warmingUp({ coldTargets }: ConditionsView): TargetCondition {
+  return (target, nowMs) => warmUpObstacle(coldTargets, target, nowMs);
+}
--- a/packages/core/src/forwarding/targetAvailability/types.ts
+++ b/packages/core/src/forwarding/targetAvailability/types.ts
@@ -1,4 +1,5 @@
 import type { EvacuationsState } from '../evacuations/index.ts';
+import type { ColdTargetsState } from '../coldTargets/index.ts';
 import type { TargetLimitsState } from '../targetLimits/index.ts';
 import type { RosterTarget } from '../targetRoster/index.ts';
 
@@ -25,4 +26,5 @@
 export interface ConditionsView {
   readonly targetLimits: TargetLimitsState;
   readonly evacuations: EvacuationsState;
+  readonly coldTargets: ColdTargetsState;
 }
--- a/packages/gateway/src/createPeerLink/_lib/peerExtensions.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerExtensions.ts
@@ -5,6 +5,7 @@
 } from '@endivegate/core/forwarding';
 import { z } from 'zod';
 import { evacuationExtension } from './evacuationExtension.ts';
+import { warmExtension } from './warmExtension.ts';
 
 /** Key of the sender's protocol version among the extensions. */
 export const VERSION_KEY = 'v';
@@ -89,6 +90,7 @@
 /** The extensions that this build knows. */
 export const PEER_EXTENSIONS: ExtensionRegistry = {
   evac: defineExtension(evacuationExtension),
+  warm: defineExtension(warmExtension),
 };
 
 /** Extensions of a message, as far as they could be read. */
--- a/packages/gateway/src/createPeerLink/_lib/reportSender.ts
+++ b/packages/gateway/src/createPeerLink/_lib/reportSender.ts
@@ -109,7 +109,10 @@
   return (
     effect.type === 'partSuspects.reportDue' ||
     effect.type === 'evacuations.reportDue' ||
-    (effect.type === 'targetLimits.changed' && effect.reason === 'response')
+    (effect.type === 'targetLimits.changed' && effect.reason === 'response') ||
+    (effect.type === 'coldTargets.changed' &&
+      effect.isCold &&
+      effect.source === 'response')
   );
 }
 
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -14,6 +14,7 @@
 import { createEvacuationWatch } from './_lib/evacuationWatch.ts';
 import { informedEntries } from './_lib/informedEntries.ts';
 import type { EventLog } from '../createEventLog/index.ts';
+import { createColdTargetTicker } from '../coldTargetTicker/index.ts';
 import { createCallerServer } from '../createCallerServer/index.ts';
 import type { GatewayMetrics } from '../createGatewayMetrics/index.ts';
 import { createPeerLink, type PeerLink } from '../createPeerLink/index.ts';
@@ -173,6 +174,18 @@
     bounds,
   });
   const relayProbe = createRelayProbe({ runtime });
+  const startedAtMs = now();
+  const tickColdTargets = createColdTargetTicker({
+    ...{ runtime, metrics, now },
+    seedAddresses: options.seedAddresses,
+    bound: bounds.warmUp,
+    own: () => ({
+      address: options.peerAddress,
+      dataCentre: options.dataCentre,
+      startedAtMs,
+      isServing: isReady() && !isCutOff(),
+    }),
+  });
   const ticker = setInterval(tick, TICK_INTERVAL_MS);
   const limitTicker = setInterval(tickLimits, LIMIT_INTERVAL_MS);
   runtime.onEffect(({ type }) => {
@@ -212,6 +225,7 @@
   function tick(): void {
     const atMs = now();
     runtime.dispatch({ type: 'roster.ticked', atMs });
+    tickColdTargets();
     reachProbe.checkSilence();
     runtime.dispatch({ type: 'partSuspects.ticked', atMs });
     const targets = [...runtime.state().roster.targets.values()];
