Take over from targets that are silent before their first event

Change: firstEventLimitMs sets the limit at the send: four times the prediction (firstEventMs and slotWaitMs) and a margin, bounded by the time that another target needs before the caller disconnects or the deadline. Without a prediction the latency objective of the route is assumed. The silence starts when the request is written, so the entry's own pause while it connects does not count.

--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -201,6 +201,7 @@
         number: sends + unsent + 1,
         attemptsLeft: route.maxAttempts - sends,
         deadlineAtMs,
+        patienceMs: timeLeftNow().patienceMs,
         resumeAfterId: lastEventId,
       },
       {
--- a/packages/gateway/src/runSend/_lib/remainingSilenceMs.ts
+++ b/packages/gateway/src/runSend/_lib/remainingSilenceMs.ts
@@ -1,6 +1,7 @@
 import type { ForwardingRoute } from '@endivegate/contracts/forwarding';
 import { callerStallTimeoutMs } from '../../callerStallTimeoutMs/index.ts';
 import type { SendPlan } from '../../planSend/index.ts';
+import { firstEventLimitMs } from './firstEventLimitMs/index.ts';
 
 /** Inputs that determine how long a target may stay silent. */
 export interface StallQuery {
@@ -11,22 +12,15 @@
   /** Whether this send has received an event. */
   readonly hasFirstEvent: boolean;
   readonly timeLeftMs: number;
+  /** Time from the start of the silence until the caller disconnects or the
+   * deadline. */
+  readonly patienceMs: number;
   /** Prefill time still pending at the target, which delays its events. */
   readonly backlogMs: number;
   /** Time since the target last sent an event, or since the send started. */
   readonly silenceMs: number;
 }
 
-/**
- * A first event delayed beyond this multiple of the prediction counts as lost.
- */
-const FIRST_EVENT_FACTOR = 3;
-
-/**
- * Added to that limit: how long work stalls when one of its engines is lost.
- */
-const FIRST_EVENT_MARGIN_MS = 1500;
-
 /**
  * A gap above this multiple of the route's gap target has made the stream late.
  */
@@ -50,8 +44,8 @@
  * to another one. The result is 0 or less if the time is up, and undefined if
  * the request must not be sent again.
  *
- * A stream that waits for the prefill of other prompts stays at its target if
- * that prefill is expected to finish before the caller's stall timeout.
+ * A stream that has begun and waits for the prefill of other prompts stays at its
+ * target if that prefill is expected to finish before the caller's stall timeout.
  */
 export function remainingSilenceMs(query: StallQuery): number | undefined {
   const { route, plan, isLast, hasFirstEvent, timeLeftMs, silenceMs } = query;
@@ -61,11 +55,11 @@
   if (route.repeat === 'idempotent')
     return timeLeftMs * PLAIN_CALL_SHARE - silenceMs;
   if (hasFirstEvent) return remainingGapMs(query);
-  const expectedMs = Math.max(
-    plan.firstEventMs ?? 0,
-    silenceMs + query.backlogMs - plan.partPrefillMs,
+  const { targetLatencyMs } = route;
+  return (
+    firstEventLimitMs({ plan, targetLatencyMs, patienceMs: query.patienceMs }) -
+    silenceMs
   );
-  return expectedMs * FIRST_EVENT_FACTOR + FIRST_EVENT_MARGIN_MS - silenceMs;
 }
 
 function remainingGapMs({ route, silenceMs, backlogMs }: StallQuery): number {
--- a/packages/gateway/src/runSend/_lib/test.ts
+++ b/packages/gateway/src/runSend/_lib/test.ts
@@ -15,10 +15,15 @@
 
 const query = {
   route,
-  plan: { firstEventMs: 100, partPrefillMs: 30 } as SendPlan,
+  plan: {
+    firstEventMs: 100,
+    slotWaitMs: 0,
+    helpers: [],
+  } as unknown as SendPlan,
   isLast: false,
   hasFirstEvent: true,
   timeLeftMs: 10_000,
+  patienceMs: 2000,
   backlogMs: 0,
   silenceMs: 0,
 };
@@ -41,6 +46,13 @@
     expect(remainingSilenceMs(tooBusy)).to.equal(0);
   });
 
+  // The limit before the first event grew with the silence and never expired.
+  it('does not extend the limit before the first event by the silence or a backlog', () => {
+    const waiting = { ...query, hasFirstEvent: false, backlogMs: 500 };
+    expect(remainingSilenceMs(waiting)).to.equal(900);
+    expect(remainingSilenceMs({ ...waiting, silenceMs: 900 })).to.equal(0);
+  });
+
   it('sets no limit for a request that must not be sent again', () => {
     const nonRepeatable = { ...route, repeat: 'atMostOnce' as const };
     expect(remainingSilenceMs({ ...query, route: nonRepeatable })).to.equal(
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -127,7 +127,7 @@
         freshConnection: call.route.repeat === 'atMostOnce',
       },
       {
-        onSent: handlers.onSent,
+        onSent,
         onTargetHead: (targetHead) => {
           if (plan.isRelay) return;
           context.reachProbe.noteReceived();
@@ -142,6 +142,14 @@
     if (!isOver) sending = started;
   }
 
+  /** The target's silence begins here: what this entry needed until then, to
+   * reserve memory or to connect, does not count. */
+  function onSent(): void {
+    eventTimes.restart(now());
+    stallDetector.reset();
+    handlers.onSent();
+  }
+
   function onHead(received: ResponseHead): void {
     head = received;
     isStream = call.route.repeat === 'stream' && received.status === HTTP_OK;
@@ -214,6 +222,8 @@
   }
 
   function remainingMs(backlogMs: number): number | undefined {
+    const silenceMs = eventTimes.silenceMs(now());
+    const silentSinceMs = now() - silenceMs;
     return remainingSilenceMs({
       route: call.route,
       plan,
@@ -221,8 +231,9 @@
       isLast: run.attemptsLeft <= 1 || plan.isRelay,
       hasFirstEvent: eventTimes.eventCount() > 0,
       timeLeftMs: run.deadlineAtMs - startedAtMs,
+      patienceMs: run.patienceMs - (silentSinceMs - startedAtMs),
       backlogMs,
-      silenceMs: eventTimes.silenceMs(now()),
+      silenceMs,
     });
   }
 
--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -246,6 +246,7 @@
           number,
           attemptsLeft: 2,
           deadlineAtMs: 1000,
+          patienceMs: 1000,
           resumeAfterId: 1,
         },
         {
--- a/packages/gateway/src/runSend/types.ts
+++ b/packages/gateway/src/runSend/types.ts
@@ -14,6 +14,8 @@
   /** Sends that the route still allows, including this one. */
   readonly attemptsLeft: number;
   readonly deadlineAtMs: number;
+  /** Time until the caller disconnects if it receives nothing, or the deadline. */
+  readonly patienceMs: number;
   /**
    * Id of the last event delivered to the caller; set when a stream is resumed.
    */
