Take over from peers that freeze while they serve a relayed request

The test showed a second fault: the deadline of a relayed request was counted from its arrival although the relaying entry had sent the time left, so the age was deducted twice, and a request relayed after half its time was timed out by the peer at once.

Change: relayed streams are taken over when another peer needs the rest of the caller's patience, relayed calls after 0.7 of their time; both are later than the takeover that a peer makes itself. A silent peer is not reported as a failed target.

--- a/packages/gateway/src/forwardRequest/_lib/recordOutcome.ts
+++ b/packages/gateway/src/forwardRequest/_lib/recordOutcome.ts
@@ -81,12 +81,16 @@
 /**
  * Avoids a target that was silent for so long that another was asked to take
  * over. Whatever lost the state of its connection may have lost that of the idle
- * connections too.
+ * connections too. Of a silent peer, only the idle connections are closed.
  */
 export function recordSilence(
-  target: SendPlan['target'],
+  { target, isRelay }: Pick<SendPlan, 'target' | 'isRelay'>,
   context: ForwardContext,
 ): void {
+  if (isRelay) {
+    context.peerPool.discard(target.address);
+    return;
+  }
   const { id } = target;
   const atMs = context.now();
   context.pool.discard(target.address);
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -162,7 +162,7 @@
       requestLog.silent({ silent: silent.plan, takeover: plan, obstacle });
     }
     if (plan === undefined) return;
-    recordSilence(silent.plan.target, context);
+    recordSilence(silent.plan, context);
     sendTo(plan);
   }
 
--- a/packages/gateway/src/relayDialect/index.ts
+++ b/packages/gateway/src/relayDialect/index.ts
@@ -42,6 +42,7 @@
 export interface RelayedRequest extends RelayHead {
   /** Headers of the caller, as received. */
   readonly rawHeaders: readonly string[];
+  /** Time from the arrival at the relaying entry, not from now. */
   readonly deadlineMs: number;
   readonly lastEventId: string | undefined;
 }
--- a/packages/gateway/src/runSend/_lib/remainingSilenceMs.ts
+++ b/packages/gateway/src/runSend/_lib/remainingSilenceMs.ts
@@ -39,6 +39,10 @@
 /** Share of a plain call's time after which it is sent to another target. */
 const PLAIN_CALL_SHARE = 0.4;
 
+/** The same for a call relayed to a peer, which applies {@link PLAIN_CALL_SHARE}
+ * itself. */
+const RELAYED_CALL_SHARE = 0.7;
+
 /**
  * Returns how much longer a target may stay silent before the request is sent
  * to another one. The result is 0 or less if the time is up, and undefined if
@@ -52,8 +56,10 @@
   if (isLast) return undefined;
   if (route.repeat === 'atMostOnce') return undefined;
   if (route.repeat === 'stream' && !route.resumable) return undefined;
-  if (route.repeat === 'idempotent')
-    return timeLeftMs * PLAIN_CALL_SHARE - silenceMs;
+  if (route.repeat === 'idempotent') {
+    const share = plan.isRelay ? RELAYED_CALL_SHARE : PLAIN_CALL_SHARE;
+    return timeLeftMs * share - silenceMs;
+  }
   if (hasFirstEvent) return remainingGapMs(query);
   const { targetLatencyMs } = route;
   return (
@@ -62,9 +68,13 @@
   );
 }
 
-function remainingGapMs({ route, silenceMs, backlogMs }: StallQuery): number {
+function remainingGapMs(query: StallQuery): number {
+  const { route, plan, silenceMs, backlogMs } = query;
   const baseMs = route.gapTargetMs * GAP_FACTOR + GAP_MARGIN_MS;
   const patienceMs = callerStallTimeoutMs(route);
+  // A peer that is not frozen takes over after the base time itself.
+  if (plan.isRelay)
+    return Math.max(baseMs, patienceMs - FAILOVER_MS) - silenceMs;
   const backlogSilenceMs =
     backlogMs > 0 ? silenceMs + backlogMs + BACKLOG_MARGIN_MS : 0;
   const canWait = backlogSilenceMs <= patienceMs - FAILOVER_MS;
--- a/packages/gateway/src/runSend/_lib/sendHeaders.ts
+++ b/packages/gateway/src/runSend/_lib/sendHeaders.ts
@@ -55,7 +55,8 @@
   if (run.plan.isRelay) {
     const relayed = {
       rawHeaders: call.rawHeaders,
-      deadlineMs,
+      // The peer counts from the arrival here, as it knows the age.
+      deadlineMs: Math.floor(run.deadlineAtMs - call.arrivedAtMs),
       lastEventId,
       ageMs: now() - call.arrivedAtMs,
       attempts: run.attemptsLeft,
--- a/packages/gateway/src/runSend/_lib/test.ts
+++ b/packages/gateway/src/runSend/_lib/test.ts
@@ -53,6 +53,18 @@
     expect(remainingSilenceMs({ ...waiting, silenceMs: 900 })).to.equal(0);
   });
 
+  // Guards against two takeovers of one request, by the peer and by its sender.
+  it('leaves a peer time to take over from a silent target first', () => {
+    const plan = { ...query.plan, isRelay: true, firstEventMs: undefined };
+    const relayed = { ...query, plan };
+    expect(remainingSilenceMs(relayed)).to.equal(1600);
+    expect(remainingSilenceMs({ ...relayed, hasFirstEvent: false })).to.equal(
+      1300,
+    );
+    const call = { ...route, repeat: 'idempotent' as const };
+    expect(remainingSilenceMs({ ...relayed, route: call })).to.equal(7000);
+  });
+
   it('sets no limit for a request that must not be sent again', () => {
     const nonRepeatable = { ...route, repeat: 'atMostOnce' as const };
     expect(remainingSilenceMs({ ...query, route: nonRepeatable })).to.equal(
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -227,8 +227,7 @@
     return remainingSilenceMs({
       route: call.route,
       plan,
-      // A peer takes over from silent targets itself.
-      isLast: run.attemptsLeft <= 1 || plan.isRelay,
+      isLast: run.attemptsLeft <= 1,
       hasFirstEvent: eventTimes.eventCount() > 0,
       timeLeftMs: run.deadlineAtMs - startedAtMs,
       patienceMs: run.patienceMs - (silentSinceMs - startedAtMs),
