Prediction error by class of prompt

Cause: one histogram held the errors of short and long prompts, and each stream without a prediction counted in it as an error of 0, so it could not show whether short prompts are predicted within 50 ms.

Change: endivegate_prediction_error_ms has the label class (short, long) and leaves out sends without a prediction. The test gateway takes headers for a request and gives access to its metrics.

--- a/packages/gateway/src/createGatewayMetrics/index.ts
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -18,8 +18,12 @@
     readonly rule: string;
     readonly elapsedMs: number;
   }) => void;
-  /** Records the observed minus the predicted time to first event. */
-  readonly observePredictionError: (errorMs: number) => void;
+  /** Records the observed minus the predicted time to first event, by the class of
+   * the prompt. */
+  readonly observePredictionError: (sample: {
+    readonly class: 'short' | 'long';
+    readonly errorMs: number;
+  }) => void;
   /** Counts a response in which a target said that it is leaving, asked for a
    * pause or named a limit. */
   readonly targetAnnounced: (labels: { announcement: string }) => void;
@@ -86,7 +90,8 @@
   });
   const predictionError = new Histogram({
     name: 'endivegate_prediction_error_ms',
-    help: 'Observed less predicted time to the first event.',
+    help: 'Observed less predicted time to the first event, by class of prompt.',
+    labelNames: ['class'],
     buckets: PREDICTION_ERROR_BUCKETS_MS,
     registers,
   });
@@ -143,8 +148,8 @@
     answered: ({ rule, elapsedMs }) => {
       latency.observe({ rule }, elapsedMs);
     },
-    observePredictionError: (errorMs) => {
-      predictionError.observe(errorMs);
+    observePredictionError: ({ class: promptClass, errorMs }) => {
+      predictionError.observe({ class: promptClass }, errorMs);
     },
     targetAnnounced: (labels) => {
       announcements.inc(labels);
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -203,9 +203,12 @@
     const elapsedMs = now() - call.arrivedAtMs;
     if (elapsedMs > call.route.targetLatencyMs) markLate();
     const sendMs = now() - startedAtMs;
-    context.metrics.observePredictionError(
-      sendMs - (plan.firstEventMs ?? sendMs),
-    );
+    if (plan.firstEventMs !== undefined) {
+      context.metrics.observePredictionError({
+        class: plan.isShort ? 'short' : 'long',
+        errorMs: sendMs - plan.firstEventMs,
+      });
+    }
     log.info('request.firstEvent', {
       request: call.attemptId,
       target: target.id,
--- a/packages/gateway/src/testGateway/index.ts
+++ b/packages/gateway/src/testGateway/index.ts
@@ -1,6 +1,7 @@
 import {
   createServer,
   type IncomingMessage,
+  type OutgoingHttpHeaders,
   request as httpRequest,
   type RequestListener,
   type Server,
@@ -14,7 +15,10 @@
 } from '@endivegate/contracts/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import { createEventLog } from '../createEventLog/index.ts';
-import { createGatewayMetrics } from '../createGatewayMetrics/index.ts';
+import {
+  createGatewayMetrics,
+  type GatewayMetrics,
+} from '../createGatewayMetrics/index.ts';
 import {
   type Gateway,
   startGateway,
@@ -53,7 +57,11 @@
   /** Log lines of the gateway. */
   readonly lines: readonly string[];
   /** Requests a path; resolves at the end of the response. */
-  readonly ask: (path: string) => Promise<TestAnswer>;
+  readonly ask: (
+    path: string,
+    headers?: OutgoingHttpHeaders,
+  ) => Promise<TestAnswer>;
+  readonly metrics: GatewayMetrics;
   readonly stop: () => Promise<void>;
 }
 
@@ -220,10 +228,11 @@
   return {
     gateway,
     callerPort,
+    metrics: started.metrics,
     peerAddress: started.peerAddress,
     sends,
     lines,
-    ask: (path) => ask(callerPort, path),
+    ask: (path, headers) => ask(callerPort, path, headers),
     async stop() {
       servers.forEach((server) => {
         server.closeAllConnections();
@@ -247,7 +256,11 @@
   });
 }
 
-function ask(port: number, path: string): Promise<TestAnswer> {
+function ask(
+  port: number,
+  path: string,
+  headers: OutgoingHttpHeaders = {},
+): Promise<TestAnswer> {
   return new Promise((resolve, reject) => {
     const request = httpRequest(
       {
@@ -255,7 +268,7 @@
         port,
         path,
         agent: false,
-        headers: { host: 'api.example', 'x-request': 'a1' },
+        headers: { host: 'api.example', 'x-request': 'a1', ...headers },
       },
       (response) => {
         const chunks: Buffer[] = [];
