--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -155,7 +155,7 @@
       requestLog.silent({ silent: silent.plan, takeover: plan, obstacle });
     }
     if (plan === undefined) return;
-    recordSilence(silent.plan.target, context);
+    recordSilence(silent.plan, context);
     sendTo(plan);
   }
 
@@ -194,6 +194,7 @@
         number: sends + unsent + 1,
         attemptsLeft: route.maxAttempts - sends,
         deadlineAtMs,
+        patienceMs: timeLeftNow().patienceMs,
         resumeAfterId: lastEventId,
       },
       {
--- a/packages/gateway/src/runSend/_lib/remainingSilenceMs.ts
+++ b/packages/gateway/src/runSend/_lib/remainingSilenceMs.ts
@@ -1,6 +1,7 @@
 import type { ForwardingRoute } from '@endivegate/contracts/forwarding';
 import { callerStallTimeoutMs } from '../../callerStallTimeoutMs/index.ts';
 import type { SendPlan } from '../../planSend/index.ts';
+import { firstEventLimitMs } from './firstEventLimitMs/index.ts';
 
 /** Inputs that determine how long a target may stay silent. */
 export interface StallQuery {
@@ -11,22 +12,15 @@
   /** Whether this send has received an event. */
   readonly hasFirstEvent: boolean;
   readonly timeLeftMs: number;
+  /** Time from the start of the silence until the caller disconnects or the
+   * deadline. */
+  readonly patienceMs: number;
   /** Prefill time still pending at the target, which delays its events. */
   readonly backlogMs: number;
   /** Time since the target last sent an event, or since the send started. */
   readonly silenceMs: number;
 }
 
-/**
- * A first event delayed beyond this multiple of the prediction counts as lost.
- */
-const FIRST_EVENT_FACTOR = 3;
-
-/**
- * Added to that limit: how long work stalls when one of its engines is lost.
- */
-const FIRST_EVENT_MARGIN_MS = 1500;
-
 /**
  * A gap above this multiple of the route's gap target has made the stream late.
  */
@@ -45,32 +39,42 @@
 /** Share of a plain call's time after which it is sent to another target. */
 const PLAIN_CALL_SHARE = 0.4;
 
+/** The same for a call relayed to a peer, which applies {@link PLAIN_CALL_SHARE}
+ * itself. */
+const RELAYED_CALL_SHARE = 0.7;
+
 /**
  * Returns how much longer a target may stay silent before the request is sent
  * to another one. The result is 0 or less if the time is up, and undefined if
  * the request must not be sent again.
  *
- * A stream that waits for the prefill of other prompts stays at its target if
- * that prefill is expected to finish before the caller's stall timeout.
+ * A stream that has begun and waits for the prefill of other prompts stays at its
+ * target if that prefill is expected to finish before the caller's stall timeout.
  */
 export function remainingSilenceMs(query: StallQuery): number | undefined {
   const { route, plan, isLast, hasFirstEvent, timeLeftMs, silenceMs } = query;
   if (isLast) return undefined;
   if (route.repeat === 'atMostOnce') return undefined;
   if (route.repeat === 'stream' && !route.resumable) return undefined;
-  if (route.repeat === 'idempotent')
-    return timeLeftMs * PLAIN_CALL_SHARE - silenceMs;
+  if (route.repeat === 'idempotent') {
+    const share = plan.isRelay ? RELAYED_CALL_SHARE : PLAIN_CALL_SHARE;
+    return timeLeftMs * share - silenceMs;
+  }
   if (hasFirstEvent) return remainingGapMs(query);
-  const expectedMs = Math.max(
-    plan.firstEventMs ?? 0,
-    silenceMs + query.backlogMs - plan.partPrefillMs,
+  const { targetLatencyMs } = route;
+  return (
+    firstEventLimitMs({ plan, targetLatencyMs, patienceMs: query.patienceMs }) -
+    silenceMs
   );
-  return expectedMs * FIRST_EVENT_FACTOR + FIRST_EVENT_MARGIN_MS - silenceMs;
 }
 
-function remainingGapMs({ route, silenceMs, backlogMs }: StallQuery): number {
+function remainingGapMs(query: StallQuery): number {
+  const { route, plan, silenceMs, backlogMs } = query;
   const baseMs = route.gapTargetMs * GAP_FACTOR + GAP_MARGIN_MS;
   const patienceMs = callerStallTimeoutMs(route);
+  // A peer that is not frozen takes over after the base time itself.
+  if (plan.isRelay)
+    return Math.max(baseMs, patienceMs - FAILOVER_MS) - silenceMs;
   const backlogSilenceMs =
     backlogMs > 0 ? silenceMs + backlogMs + BACKLOG_MARGIN_MS : 0;
   const canWait = backlogSilenceMs <= patienceMs - FAILOVER_MS;
--- a/packages/gateway/src/runSend/_lib/test.ts
+++ b/packages/gateway/src/runSend/_lib/test.ts
@@ -26,10 +26,15 @@
 
 const query = {
   route,
-  plan: { firstEventMs: 100, partPrefillMs: 30 } as SendPlan,
+  plan: {
+    firstEventMs: 100,
+    slotWaitMs: 0,
+    helpers: [],
+  } as unknown as SendPlan,
   isLast: false,
   hasFirstEvent: true,
   timeLeftMs: 10_000,
+  patienceMs: 2000,
   backlogMs: 0,
   silenceMs: 0,
 };
@@ -52,6 +57,25 @@
     expect(remainingSilenceMs(tooBusy)).to.equal(0);
   });
 
+  // The limit before the first event grew with the silence and never expired.
+  it('does not extend the limit before the first event by the silence or a backlog', () => {
+    const waiting = { ...query, hasFirstEvent: false, backlogMs: 500 };
+    expect(remainingSilenceMs(waiting)).to.equal(900);
+    expect(remainingSilenceMs({ ...waiting, silenceMs: 900 })).to.equal(0);
+  });
+
+  // Guards against two takeovers of one request, by the peer and by its sender.
+  it('leaves a peer time to take over from a silent target first', () => {
+    const plan = { ...query.plan, isRelay: true, firstEventMs: undefined };
+    const relayed = { ...query, plan };
+    expect(remainingSilenceMs(relayed)).to.equal(1600);
+    expect(remainingSilenceMs({ ...relayed, hasFirstEvent: false })).to.equal(
+      1300,
+    );
+    const call = { ...route, repeat: 'idempotent' as const };
+    expect(remainingSilenceMs({ ...relayed, route: call })).to.equal(7000);
+  });
+
   it('sets no limit for a request that must not be sent again', () => {
     const nonRepeatable = { ...route, repeat: 'atMostOnce' as const };
     expect(remainingSilenceMs({ ...query, route: nonRepeatable })).to.equal(
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -129,7 +129,7 @@
       },
       {
         obstacle: () => sendObstacle(plan, context),
-        onSent: handlers.onSent,
+        onSent,
         onTargetHead: (targetHead) => {
           if (plan.isRelay) return;
           context.reachProbe.noteReceived();
@@ -144,6 +144,14 @@
     if (!isOver) sending = started;
   }
 
+  /** The target's silence begins here: what this entry needed until then, to
+   * reserve memory or to connect, does not count. */
+  function onSent(): void {
+    eventTimes.restart(now());
+    stallDetector.reset();
+    handlers.onSent();
+  }
+
   function onHead(received: ResponseHead): void {
     head = received;
     isStream = call.route.repeat === 'stream' && received.status === HTTP_OK;
@@ -197,9 +205,12 @@
     const elapsedMs = now() - call.arrivedAtMs;
     if (elapsedMs > call.route.targetLatencyMs) markLate();
     const sendMs = now() - startedAtMs;
-    context.metrics.observePredictionError(
-      sendMs - (plan.firstEventMs ?? sendMs),
-    );
+    if (plan.firstEventMs !== undefined) {
+      context.metrics.observePredictionError({
+        class: plan.isShort ? 'short' : 'long',
+        errorMs: sendMs - plan.firstEventMs,
+      });
+    }
     log.info('request.firstEvent', {
       request: call.attemptId,
       target: target.id,
@@ -216,15 +227,17 @@
   }
 
   function remainingMs(backlogMs: number): number | undefined {
+    const silenceMs = eventTimes.silenceMs(now());
+    const silentSinceMs = now() - silenceMs;
     return remainingSilenceMs({
       route: call.route,
       plan,
-      // A peer takes over from silent targets itself.
-      isLast: run.attemptsLeft <= 1 || plan.isRelay,
+      isLast: run.attemptsLeft <= 1,
       hasFirstEvent: eventTimes.eventCount() > 0,
       timeLeftMs: run.deadlineAtMs - startedAtMs,
+      patienceMs: run.patienceMs - (silentSinceMs - startedAtMs),
       backlogMs,
-      silenceMs: eventTimes.silenceMs(now()),
+      silenceMs,
     });
   }
 
