Queue for requests without capacity, schedule of returns, memory margin (core)

Cause: a prompt that fits no memory is sent all the same, workspaces have no share, and refused callers return after a random delay.

Change: admissionQueue orders waiting requests by the service of their workspace (start-time fair queueing) and the cost of delay, keeps up to half of the memory free for the first long prompt, leaves short prompts a lane, and refuses what is predicted too late. scheduleReturn gives refused callers times at which capacity becomes free, each entry one part of it. memoryMargin follows the rejections of targets. Nothing uses them yet.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -1,5 +1,7 @@
 /** Decision logic of the forwarding gateway: pure functions and one reducer. */
+export * from './admissionQueue/index.ts';
 export * from './availableTargets/index.ts';
+export * from './capacityForecast/index.ts';
 export * from './collectBytes/index.ts';
 export * from './crashSuspects/index.ts';
 export * from './decideAdmission/index.ts';
@@ -8,6 +10,7 @@
 export * from './engineLoad/index.ts';
 export * from './engineTimes/index.ts';
 export * from './gatewayReduce/index.ts';
+export * from './memoryMargin/index.ts';
 export * from './partSuspects/index.ts';
 export * from './peerList/index.ts';
 export * from './peerTimes/index.ts';
@@ -16,6 +19,7 @@
 export * from './planPrompt/index.ts';
 export * from './ranksFirst/index.ts';
 export * from './retryBudget/index.ts';
+export * from './returnSchedule/index.ts';
 export * from './routeTable/index.ts';
 export * from './sampleEntries/index.ts';
 export * from './storeWatchers/index.ts';
