Let prompts without capacity wait at their entry (setting admission.queue, off)

Cause: a prompt that fits no memory was sent all the same, and a short prompt that is late for lack of a slot was refused with a random delay.

Change: gateway/admissionControl holds a queue for each service. The plan says whether the targets have room (`fits`); where the queue is on, prompts that do not fit at the engines of least cost are placed by free memory before they wait. Refusals carry a scheduled Retry-After. The margin of memory follows rejections by targets. On a planned stop nothing that waits starts after 0.4 of the grace period; it is refused. With the setting off nothing changes.

--- a/packages/core/src/forwarding/engineLoad/index.ts
+++ b/packages/core/src/forwarding/engineLoad/index.ts
@@ -149,11 +149,25 @@
  * allLoads(state, performance.now()).get('engine-1') ?? NO_LOAD;
  */
 export function allLoads(state: LoadState, nowMs: number): LoadByTarget {
+  return sumLoads(allFlights(state, nowMs), nowMs);
+}
+
+/**
+ * Lists the requests that this entry and its peers have in flight.
+ *
+ * @param state - Current load.
+ * @param nowMs - Current monotonic time.
+ * @returns The requests, without those of peers that have gone silent.
+ */
+export function allFlights(
+  state: LoadState,
+  nowMs: number,
+): readonly InFlightRequest[] {
   const { loadLifetimeMs } = peerTimes(state.peers.size + 1);
   const heard = [...state.peers.values()]
     .filter((peer) => nowMs - peer.atMs < loadLifetimeMs)
     .flatMap((peer) => peer.flights);
-  return sumLoads([...state.flights.values(), ...heard], nowMs);
+  return [...state.flights.values(), ...heard];
 }
 
 function nextLoad(state: LoadState, event: LoadEvent): LoadState {
--- a/packages/core/src/forwarding/planPrompt/_lib/memoryPlacement.ts
+++ b/packages/core/src/forwarding/planPrompt/_lib/memoryPlacement.ts
@@ -23,6 +23,8 @@
   readonly primary: EngineCandidate;
   readonly reservations: readonly PlannedReservation[];
   readonly tokensAtPrimary: number;
+  /** Whether the chosen engines have room for the prompt. */
+  readonly fits: boolean;
   /** Expected loss, in requests. */
   readonly cost: number;
 }
@@ -47,6 +49,7 @@
       primary: fitting.candidate,
       reservations: [],
       tokensAtPrimary: tokens,
+      fits: true,
       cost: fitting.cost,
     };
   }
@@ -61,7 +64,13 @@
   );
   if (helperCount < 0) {
     const cost = NO_MEMORY_COST + decodingCost(primary);
-    return { primary, reservations: [], tokensAtPrimary: tokens, cost };
+    return {
+      primary,
+      reservations: [],
+      tokensAtPrimary: tokens,
+      fits: false,
+      cost,
+    };
   }
   const tokensPerHelper = Math.ceil(demand.promptTokens / (helperCount + 1));
   return {
@@ -70,14 +79,19 @@
       .slice(1, helperCount + 1)
       .map(({ target }) => ({ target, tokens: tokensPerHelper })),
     tokensAtPrimary: tokens - tokensPerHelper * helperCount,
+    fits: true,
     cost: decodingCost(primary) + helperCount * RESERVATION_COST,
   };
 }
 
 /** Free memory of an engine, less the margin for other entries. */
-function freeTokens(candidate: EngineCandidate, view: EngineView): number {
+export function freeTokens(
+  candidate: Pick<EngineCandidate, 'load'>,
+  view: EngineView,
+): number {
+  const { memoryUtilisation = MEMORY_UTILISATION } = view;
   return (
-    view.cost.memoryTokens * MEMORY_UTILISATION - candidate.load.memoryTokens
+    view.cost.memoryTokens * memoryUtilisation - candidate.load.memoryTokens
   );
 }
 
--- a/packages/core/src/forwarding/planPrompt/_lib/types.ts
+++ b/packages/core/src/forwarding/planPrompt/_lib/types.ts
@@ -20,6 +20,9 @@
   readonly targets: readonly RosterTarget[];
   readonly loads: LoadByTarget;
   readonly nowMs: number;
+  /** Fraction of an engine's memory available to the planner. If given, prompts
+   * that do not fit at the engines of least cost are placed by free memory. */
+  readonly memoryUtilisation?: number | undefined;
 }
 
 /** Memory to reserve at a helper for a part of a prompt. */
--- a/packages/core/src/forwarding/planPrompt/index.ts
+++ b/packages/core/src/forwarding/planPrompt/index.ts
@@ -11,6 +11,7 @@
 } from './_lib/costs.ts';
 import { selectShortLane } from './_lib/lanes.ts';
 import {
+  freeTokens,
   placeMemory,
   estimateSlotWaitMs,
   estimateFirstPassMs,
@@ -37,6 +38,8 @@
   readonly target: RosterTarget;
   /** Memory to reserve at helpers when no engine has room for the whole prompt. */
   readonly reservations: readonly PlannedReservation[];
+  /** Whether the engines have room for the prompt now. */
+  readonly fits: boolean;
   /** Tokens that the prompt and its answer occupy at `target`. */
   readonly memoryTokens: number;
   /** Engines other than `target` that prefill one part each. */
@@ -127,13 +130,24 @@
   const candidates = view.targets.map((target) =>
     toCandidate(target, view, lane),
   );
-  const plans = partCounts
+  const counts = partCounts
     .filter((parts) => parts === 1 || prefillMs / parts >= MIN_PART_MS)
-    .filter((parts) => parts <= candidates.length)
-    .map((parts) =>
-      planSplit({ demand, view, candidates, prefillMs, parts }, options),
-    );
-  return plans.toSorted((a, b) => a.cost - b.cost)[0]?.plan;
+    .filter((parts) => parts <= candidates.length);
+  const cheapestOf = (
+    choose: (parts: number) => readonly EngineCandidate[],
+  ): PromptPlan | undefined =>
+    counts
+      .map((parts) => {
+        const query = { demand, view, prefillMs, parts };
+        return planSplit({ ...query, candidates: choose(parts) }, options);
+      })
+      .toSorted((a, b) => a.cost - b.cost)[0]?.plan;
+  const plan = cheapestOf(() => candidates);
+  if (view.memoryUtilisation === undefined || plan?.fits !== false) return plan;
+  const byFreeTokens = candidates.toSorted(
+    (a, b) => freeTokens(b, view) - freeTokens(a, view),
+  );
+  return cheapestOf((parts) => byFreeTokens.slice(0, parts));
 }
 
 /**
@@ -217,6 +231,7 @@
     plan: {
       target: placement.primary.target,
       reservations: placement.reservations,
+      fits: placement.fits,
       memoryTokens: placement.tokensAtPrimary,
       helpers: engines
         .filter((candidate) => candidate !== placement.primary)
--- a/packages/gateway/src/createGatewayMetrics/index.ts
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -34,6 +34,15 @@
   readonly connected: () => void;
   /** Counts a call to the store by its end. */
   readonly storeCalled: (labels: { call: string; end: string }) => void;
+  /** Sets the number of requests that wait for capacity. */
+  readonly queued: (requests: number) => void;
+  /** Records a request that has left the queue, by its end there. */
+  readonly dequeued: (sample: {
+    readonly end: string;
+    readonly waitedMs: number;
+  }) => void;
+  /** Counts a request that is refused for lack of capacity. */
+  readonly queueRefused: (labels: { reason: string }) => void;
   /** Sets the number of dropped log lines since the start. */
   readonly droppedLines: (lines: number) => void;
 }
@@ -124,6 +133,24 @@
     labelNames: ['call', 'end'],
     registers,
   });
+  const queueLength = new Gauge({
+    name: 'endivegate_queued_requests',
+    help: 'Requests that wait at this entry for capacity of targets.',
+    registers,
+  });
+  const queueWait = new Histogram({
+    name: 'endivegate_queue_wait_ms',
+    help: 'Time that requests waited for capacity, by their end in the queue.',
+    labelNames: ['end'],
+    buckets: LATENCY_BUCKETS_MS,
+    registers,
+  });
+  const queueRefusals = new Counter({
+    name: 'endivegate_queue_refusals_total',
+    help: 'Requests refused for lack of capacity, by reason.',
+    labelNames: ['reason'],
+    registers,
+  });
   const dropped = new Gauge({
     name: 'endivegate_dropped_log_lines',
     help: 'Log lines that were left out since the start.',
@@ -164,6 +191,15 @@
     storeCalled: (labels) => {
       storeCalls.inc(labels);
     },
+    queued: (requests) => {
+      queueLength.set(requests);
+    },
+    dequeued: ({ end, waitedMs }) => {
+      queueWait.observe({ end }, waitedMs);
+    },
+    queueRefused: (labels) => {
+      queueRefusals.inc(labels);
+    },
     droppedLines: (lines) => {
       dropped.set(lines);
     },
--- /dev/null
+++ b/packages/gateway/src/forwardRequest/_lib/admitSend.ts
@@ -0,0 +1,68 @@
+import { decideAdmission } from '@endivegate/core/forwarding';
+import type { SendPlan } from '../../planSend/index.ts';
+import type { ForwardCall, ForwardContext } from '../types.ts';
+import type { NotAdmitted } from './requestLog.ts';
+import type { TimeLeft } from './timeLeft.ts';
+
+/** A send that is planned, and what follows from its admission. */
+export interface AdmitQuery {
+  readonly call: ForwardCall;
+  readonly plan: SendPlan;
+  readonly left: TimeLeft;
+  /** Whether no byte of the request has been sent before. */
+  readonly isFirst: boolean;
+  /** Whether the request has no other send open. */
+  readonly isAlone: boolean;
+  readonly deadlineAtMs: number;
+  /** Plans the send again, with the load of that time. */
+  readonly planNow: (left: TimeLeft) => SendPlan | undefined;
+  readonly timeLeftNow: () => TimeLeft;
+  /** Sends as planned, at once or later; without a plan, decides anew. */
+  readonly send: (plan?: SendPlan) => void;
+  readonly refuse: (refusal: SendRefusal) => void;
+}
+
+/** A refusal of a send, with what the caller is told. */
+export interface SendRefusal extends NotAdmitted {
+  readonly message: string;
+}
+
+/**
+ * Sends a request, lets it wait for capacity, or refuses it. Where the queue is off,
+ * only short prompts that are predicted to miss their latency target are refused,
+ * before their first send.
+ *
+ * @param query - The planned send.
+ * @param context - Queue and state of the gateway.
+ * @returns A function that ends the wait, if there is one.
+ */
+export function admitSend(
+  query: AdmitQuery,
+  context: ForwardContext,
+): (() => void) | undefined {
+  const { plan, left, isFirst } = query;
+  const { firstEventMs } = plan;
+  if (firstEventMs === undefined) {
+    query.send(plan);
+    return undefined;
+  }
+  const refuse = (message: string, retryAfterMs: number): void => {
+    const admission = { type: 'refuse', retryAfterMs } as const;
+    query.refuse({ plan, left, admission, message });
+  };
+  const { admission } = context;
+  if (admission !== undefined && query.isAlone) {
+    return admission.offer(query, refuse);
+  }
+  const { isShort, slotWaitMs } = plan;
+  const decision = decideAdmission({
+    isShort,
+    firstEventMs,
+    slotWaitMs,
+    ...left,
+  });
+  if (isFirst && decision.type === 'refuse') {
+    refuse('all places are taken', decision.retryAfterMs);
+  } else query.send(plan);
+  return undefined;
+}
--- a/packages/gateway/src/forwardRequest/_lib/recordOutcome.ts
+++ b/packages/gateway/src/forwardRequest/_lib/recordOutcome.ts
@@ -20,6 +20,7 @@
   const { dispatch, state } = context.runtime;
   const atMs = context.now();
   const { id } = plan.target;
+  context.admission?.sendEnded(plan, end);
   switch (end.type) {
     case 'answered':
       dispatch({
--- a/packages/gateway/src/forwardRequest/_lib/replies.ts
+++ b/packages/gateway/src/forwardRequest/_lib/replies.ts
@@ -1,5 +1,5 @@
 import type { Reply } from '../../createReply/index.ts';
-import { endToEndHeaders } from '../../httpDialect/index.ts';
+import { endToEndHeaders, type TargetHead } from '../../httpDialect/index.ts';
 import type { BufferedResponse } from '../../runSend/index.ts';
 import { RELAY_HEADERS } from '../../relayDialect/index.ts';
 import type { ResponseHead } from '../../sendRequest/index.ts';
@@ -32,6 +32,17 @@
   reply.fail({ status: UNAVAILABLE, message, retryAfterMs });
 }
 
+/** Passes on a peer's refusal, with the pause that it asks for. */
+export function replyRefusedByPeer(
+  reply: Reply,
+  peer: Pick<TargetHead, 'pause'> | undefined,
+  defaultMs: number,
+): void {
+  const pauseMs =
+    peer?.pause.type === 'requested' ? peer.pause.pauseMs : defaultMs;
+  replyRefused(reply, 'refused by the entry that it was relayed to', pauseMs);
+}
+
 /** Says that the request failed and may have run. */
 export function replyBrokenOff(reply: Reply): void {
   reply.fail({
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -1,5 +1,4 @@
 import {
-  decideAdmission,
   decideNext,
   isCrasher,
   type NextStep,
@@ -18,6 +17,7 @@
 } from '../runSend/index.ts';
 import type { ResponseHead } from '../sendRequest/index.ts';
 import type { StreamEvent } from '../splitEvents/index.ts';
+import { admitSend, type SendRefusal } from './_lib/admitSend.ts';
 import { fingerprintOf } from './_lib/fingerprintOf.ts';
 import { hasRetryBudget } from './_lib/hasRetryBudget.ts';
 import { type TimeLeft, timeLeft } from './_lib/timeLeft.ts';
@@ -26,6 +26,7 @@
   beginStream,
   replyBrokenOff,
   replyRefused,
+  replyRefusedByPeer,
   replyTimedOut,
   replyWhole,
 } from './_lib/replies.ts';
@@ -77,6 +78,8 @@
   /** Error of a target, delivered if no other send gives a better answer. */
   let heldAnswer: BufferedResponse | undefined;
   const openSends = createOpenSends();
+  /** Ends the wait for capacity, if there is one. */
+  let stopWaiting: (() => void) | undefined;
 
   const deadlineTimer = setTimeout(
     onDeadline,
@@ -96,7 +99,7 @@
   }
   sendOnce();
 
-  function sendOnce(): void {
+  function sendOnce(admitted?: SendPlan): void {
     const state = runtime.state();
     if (state.suspects.size > 0 && isCrasher(state.suspects, fingerprint())) {
       giveUp('the request crashed several targets');
@@ -108,9 +111,24 @@
       return;
     }
     const left = timeLeftNow();
-    const plan = planNow(left);
+    const plan = admitted ?? planNow(left);
     if (plan === undefined) giveUp('no usable target is left');
-    else if (!refuseIfLate(plan, left)) sendTo(plan);
+    else if (plan === admitted) sendTo(plan);
+    else admit(plan, left);
+  }
+
+  function admit(plan: SendPlan, left: TimeLeft): void {
+    const isFirst = sends === 0;
+    const isAlone = !openSends.isAny();
+    const query = { call, plan, left, isFirst, isAlone, deadlineAtMs };
+    const functions = { planNow, timeLeftNow, send: sendOnce, refuse };
+    stopWaiting = admitSend({ ...query, ...functions }, context);
+  }
+
+  function refuse(refusal: SendRefusal): void {
+    requestLog.notAdmitted(refusal);
+    finish('refused');
+    replyRefused(reply, refusal.message, refusal.admission.retryAfterMs);
   }
 
   function timeLeftNow(): TimeLeft {
@@ -149,6 +167,7 @@
       ...left,
       nowMs: now(),
       dataCentre: context.dataCentre,
+      memoryUtilisation: context.admission?.memoryUtilisation(),
     });
   }
 
@@ -169,25 +188,9 @@
   /** A stream that has begun is taken over only where a slot is free. */
   function planTakeover(): SendPlan | undefined {
     const plan = planNow(timeLeftNow());
-    return plan === undefined || (answerBegun && plan.slotWaitMs > 0)
-      ? undefined
-      : plan;
-  }
-
-  /**
-   * Before the first send, refuses a request that is predicted to miss its
-   * latency target. Returns whether it was refused.
-   */
-  function refuseIfLate(plan: SendPlan, left: TimeLeft): boolean {
-    if (sends > 0 || plan.firstEventMs === undefined) return false;
-    const { isShort, firstEventMs, slotWaitMs } = plan;
-    const query = { isShort, firstEventMs, slotWaitMs, ...left };
-    const admission = decideAdmission(query);
-    if (admission.type === 'send') return false;
-    requestLog.notAdmitted({ plan, left, admission });
-    finish('refused');
-    replyRefused(reply, 'all places are taken', admission.retryAfterMs);
-    return true;
+    const hasRoom = plan?.fits === true || context.admission === undefined;
+    const mustWait = answerBegun && (plan?.slotWaitMs ?? 0) > 0;
+    return hasRoom && !mustWait ? plan : undefined;
   }
 
   function sendTo(plan: SendPlan): void {
@@ -278,11 +281,7 @@
     const isRefusal = end.type === 'refused' && !mayHaveRun && !answerBegun;
     if (!isRefusal || openSends.isAny()) return false;
     finish('refused');
-    const delayMs =
-      target?.pause.type === 'requested'
-        ? target.pause.pauseMs
-        : RETRY_AFTER_MS;
-    replyRefused(reply, 'refused by the entry that it was relayed to', delayMs);
+    replyRefusedByPeer(reply, target, RETRY_AFTER_MS);
     return true;
   }
 
@@ -401,6 +400,7 @@
 
   function finish(end: string): void {
     isOver = true;
+    stopWaiting?.();
     openSends.cancelAll();
     clearTimeout(deadlineTimer);
     stopListening();
--- a/packages/gateway/src/forwardRequest/types.ts
+++ b/packages/gateway/src/forwardRequest/types.ts
@@ -2,6 +2,7 @@
   ForwardingRoute,
   ForwardingService,
 } from '@endivegate/contracts/forwarding';
+import type { AdmissionControl } from '../admissionControl/index.ts';
 import type { ConnectionPool } from '../createConnectionPool/index.ts';
 import type { EventLog } from '../createEventLog/index.ts';
 import type { GatewayMetrics } from '../createGatewayMetrics/index.ts';
@@ -44,6 +45,8 @@
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
   readonly bounds: GatewayBounds;
+  /** Queue of requests without capacity; undefined where it is off. */
+  readonly admission?: AdmissionControl | undefined;
   readonly dataCentre: string;
   /** Name of this entry. */
   readonly entryName: string;
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -24,6 +24,11 @@
   readonly onConfig: (listener: (table: RouteTable) => void) => void;
   /** Registers a listener for requests that this entry sends. */
   readonly onSendStarted: (listener: (flight: InFlightRequest) => void) => void;
+  /** Registers a listener for requests that have ended; `ended` is undefined if a
+   * peer reports its load. */
+  readonly onLoadFreed: (
+    listener: (ended: InFlightRequest | undefined) => void,
+  ) => void;
   /** Registers a listener for the effects of events. */
   readonly onEffect: (listener: (effect: GatewayEffect) => void) => void;
 }
@@ -49,11 +54,16 @@
   let table: RouteTable | undefined;
   const configListeners: ((table: RouteTable) => void)[] = [];
   const loadListeners: ((flight: InFlightRequest) => void)[] = [];
+  const freedListeners: ((ended: InFlightRequest | undefined) => void)[] = [];
   const effectListeners: ((effect: GatewayEffect) => void)[] = [];
 
   return {
     state: () => state,
     dispatch(event) {
+      const ended =
+        event.type === 'load.ended'
+          ? state.load.flights.get(event.flightId)
+          : undefined;
       const step = gatewayReduce(state, event);
       state = step.state;
       step.effects.forEach((effect) => {
@@ -69,6 +79,11 @@
           listener(event.flight);
         });
       }
+      if (ended !== undefined || event.type === 'load.received') {
+        freedListeners.forEach((listener) => {
+          listener(ended);
+        });
+      }
     },
     table: () => table,
     applyConfig(config, source) {
@@ -92,6 +107,9 @@
     onSendStarted(listener) {
       loadListeners.push(listener);
     },
+    onLoadFreed(listener) {
+      freedListeners.push(listener);
+    },
     onEffect(listener) {
       effectListeners.push(listener);
     },
--- a/packages/gateway/src/planSend/index.ts
+++ b/packages/gateway/src/planSend/index.ts
@@ -31,6 +31,8 @@
   readonly patienceMs: number;
   readonly nowMs: number;
   readonly dataCentre: string;
+  /** See `EngineView`; only given where requests wait for memory. */
+  readonly memoryUtilisation?: number | undefined;
 }
 
 /** Where a request is sent: a target, or a peer. */
@@ -55,6 +57,8 @@
   /** Memory to reserve at helpers before sending the request. */
   readonly reservations: readonly PlannedReservation[];
   readonly memoryTokens: number;
+  /** Whether the targets have room for the prompt now. */
+  readonly fits: boolean;
   readonly contextTokens: number;
   readonly isShort: boolean;
   /** Weight of meeting the latency target, relative to other prompts. */
@@ -106,7 +110,13 @@
       patienceMs: query.patienceMs,
       gapTargetMs: query.route.gapTargetMs,
     },
-    { cost: service.engine, targets, loads, nowMs },
+    {
+      cost: service.engine,
+      targets,
+      loads,
+      nowMs,
+      memoryUtilisation: query.memoryUtilisation,
+    },
     query.excludedIds.size > 0 ? { partCounts: RESEND_PART_COUNTS } : {},
   );
   return plan === undefined
@@ -151,6 +161,7 @@
     slotWaitMs: 0,
     reservations: [],
     memoryTokens: 0,
+    fits: true,
     contextTokens: 0,
     value: 1,
     isShort: false,
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -9,6 +9,7 @@
   type Connect,
   createConnectionPool,
 } from '../createConnectionPool/index.ts';
+import { createAdmissionControl } from '../admissionControl/index.ts';
 import { probeAddress } from '../probeAddress/index.ts';
 import type { EventLog } from '../createEventLog/index.ts';
 import { createCallerServer } from '../createCallerServer/index.ts';
@@ -40,6 +41,8 @@
   readonly orders: OrderPort;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
+  /** Whether requests without capacity wait in a queue; false by default. */
+  readonly queuesRequests?: boolean | undefined;
   /** Opens connections to targets; `connect` of `node:net` by default. */
   readonly connectTarget?: Connect;
   /** Monotonic time in ms. */
@@ -83,6 +86,10 @@
 /** Share of the grace period after which open responses are cut off. */
 const GRACE_SHARE = 0.9;
 
+/** Share of the grace period after which waiting requests are refused, so that those
+ * that start before can end. */
+const QUEUE_GRACE_SHARE = 0.4;
+
 const LEAVE_CHECK_INTERVAL_MS = 50;
 
 const TICK_INTERVAL_MS = 200;
@@ -121,6 +128,10 @@
   });
   const reachProbe = startReachProbe({ runtime, now, probe });
   const peerPool = createConnectionPool();
+  const admission =
+    options.queuesRequests === true
+      ? createAdmissionControl({ runtime, log, metrics, now })
+      : undefined;
   let isLeaving = false;
 
   const callerServer = createCallerServer(
@@ -134,6 +145,7 @@
       log,
       metrics,
       bounds,
+      admission,
       dataCentre: options.dataCentre,
       entryName: options.name,
       targetDeaths: createTargetDeaths({ runtime, log, metrics, now, probe }),
@@ -232,6 +244,7 @@
     const sinceMs = now();
     log.info('leaving', { openRequests: callerServer.openRequests() });
     peers.broadcast();
+    admission?.startUntil(sinceMs + bounds.graceMs * QUEUE_GRACE_SHARE);
     const check = setInterval(() => {
       const elapsedMs = now() - sinceMs;
       const isDrained =
@@ -248,6 +261,7 @@
   }
 
   function stop(): void {
+    admission?.close();
     clearInterval(ticker);
     clearInterval(limitTicker);
     callerServer.server.close();
--- a/packages/gateway/src/testGateway/index.ts
+++ b/packages/gateway/src/testGateway/index.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type {
+  EngineCost,
   ForwardingConfig,
   ForwardingRoute,
   ListedTarget,
@@ -53,7 +54,10 @@
   /** Log lines of the gateway. */
   readonly lines: readonly string[];
   /** Requests a path; resolves at the end of the response. */
-  readonly ask: (path: string) => Promise<TestAnswer>;
+  readonly ask: (
+    path: string,
+    headers?: Readonly<Record<string, string>>,
+  ) => Promise<TestAnswer>;
   readonly stop: () => Promise<void>;
 }
 
@@ -63,6 +67,9 @@
   readonly targets: readonly RequestListener[];
   /** Differences from a resumable stream route. */
   readonly route?: Partial<ForwardingRoute>;
+  /** Makes the targets engines, and requests with a size prompts. */
+  readonly engine?: EngineCost;
+  readonly queuesRequests?: boolean;
 }
 
 const defaultRoute: ForwardingRoute = {
@@ -84,15 +91,19 @@
  * Builds a configuration with a single route.
  *
  * @param route - Differences from a resumable stream route.
+ * @param engine - Cost model of the targets, if they are engines.
  * @returns The configuration, with version 1.
  */
 export function testConfig(
   route: Partial<ForwardingRoute> = {},
+  engine?: EngineCost,
 ): ForwardingConfig {
   return {
     version: 1,
     routes: [{ ...defaultRoute, ...route }],
-    services: [{ name: 'plain', healthPath: '/h', maxConnections: 100 }],
+    services: [
+      { name: 'plain', healthPath: '/h', maxConnections: 100, engine },
+    ],
     workspaces: [],
     limits: {
       maxHeaderBytes: 2000,
@@ -200,6 +211,7 @@
     ),
   );
   const started = await testGatewayOptions({
+    queuesRequests: options.queuesRequests,
     log: createEventLog({
       entryId: 'e1',
       write: (text, done) => {
@@ -215,7 +227,10 @@
     atMs: 0,
     targets: testTargets(servers.map((server) => `${HOST}:${portOf(server)}`)),
   });
-  gateway.runtime.applyConfig(testConfig(options.route), 'test');
+  gateway.runtime.applyConfig(
+    testConfig(options.route, options.engine),
+    'test',
+  );
 
   return {
     gateway,
@@ -223,7 +238,7 @@
     peerAddress: started.peerAddress,
     sends,
     lines,
-    ask: (path) => ask(callerPort, path),
+    ask: (path, headers) => ask(callerPort, path, headers),
     async stop() {
       servers.forEach((server) => {
         server.closeAllConnections();
@@ -247,7 +262,11 @@
   });
 }
 
-function ask(port: number, path: string): Promise<TestAnswer> {
+function ask(
+  port: number,
+  path: string,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<TestAnswer> {
   return new Promise((resolve, reject) => {
     const request = httpRequest(
       {
@@ -255,7 +274,7 @@
         port,
         path,
         agent: false,
-        headers: { host: 'api.example', 'x-request': 'a1' },
+        headers: { host: 'api.example', 'x-request': 'a1', ...headers },
       },
       (response) => {
         const chunks: Buffer[] = [];
