--- a/packages/core/src/forwarding/planPrompt/test.ts
+++ b/packages/core/src/forwarding/planPrompt/test.ts
@@ -77,6 +77,31 @@
     expect(new Set(ids).size).to.equal(ids.length);
   });
 
+  // With the queue, a prompt may wait only if no engine has memory for it.
+  it('says that a prompt does not fit, and finds the one engine that has memory', () => {
+    const loads = (free: number): LoadByTarget =>
+      new Map(
+        targets.map(({ id }, index) => [
+          id,
+          {
+            ...NO_LOAD,
+            memoryTokens: index === 7 ? cost.memoryTokens - free : 315_000,
+            // Makes the engine with memory the dearest one.
+            prefillMs: index === 7 ? 5_000 : 0,
+          },
+        ]),
+      );
+    const withQueue = { memoryUtilisation: 0.92 };
+    const fits = (free: number) =>
+      planPrompt(short, { ...viewOf(loads(free)), ...withQueue }, options);
+    expect(fits(0)?.fits).to.equal(false);
+    expect(fits(315_000)).to.deep.include({ fits: true });
+    expect(fits(315_000)?.target.id).to.equal('t7');
+    const wider = { ...viewOf(loads(30_000)), memoryUtilisation: 0.98 };
+    expect(planPrompt(short, wider, options)?.fits).to.equal(true);
+    expect(fits(30_000)?.fits).to.equal(false);
+  });
+
   it('keeps short prompts away from engines that are busy with prefill', () => {
     const loads: LoadByTarget = new Map([
       ['t0', { ...NO_LOAD, prefillMs: 500, prefillingValue: 15 }],
--- a/packages/gateway/src/admissionControl/_lib/serviceCapacity.ts
+++ b/packages/gateway/src/admissionControl/_lib/serviceCapacity.ts
@@ -95,7 +95,9 @@
     shortMemoryTokens: flights
       .filter((flight) => flight.isShort && ids.has(flight.targetId))
       .reduce((sum, flight) => sum + flight.memoryTokens, 0),
-    fits,
+    // Spares the planning of what cannot have room.
+    fits: (request) =>
+      request.memoryTokens <= forecast.freeMemoryTokens && fits(request),
     expectedAtMs: (request, ahead) =>
       request.memoryTokens > forecast.totalMemoryTokens
         ? Infinity
--- a/packages/gateway/src/admissionControl/index.ts
+++ b/packages/gateway/src/admissionControl/index.ts
@@ -21,6 +21,7 @@
 import type { AdmitQuery } from '../forwardRequest/_lib/admitSend.ts';
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
 import type { SendPlan } from '../planSend/index.ts';
+import { createDrainTimer } from './_lib/drainTimer.ts';
 import { createQueueLog, type RefusalReason } from './_lib/queueLog.ts';
 import {
   createServiceCapacity,
@@ -79,14 +80,6 @@
   state: AdmissionQueueState;
 }
 
-/** Load changes that no event tells of, such as the end of a pause, are noticed
- * within this time. */
-const DRAIN_INTERVAL_MS = 25;
-
-/** Entries look at freed capacity at different times within this interval, which is
- * twice the time until peers hear of a send. */
-const DRAIN_SPREAD_MS = 8;
-
 const UNAVAILABLE = 503;
 
 /**
@@ -112,16 +105,11 @@
   let hold = INITIAL_HOLD;
   let lastStartMs = Infinity;
   let offers = 0;
-  let ticker: NodeJS.Timeout | undefined;
-  let soon: NodeJS.Timeout | undefined;
+  const timer = createDrainTimer({ drain: drainAll, now, random });
 
   runtime.onLoadFreed((ended) => {
     if (ended !== undefined) hold = noteHold(hold, ended, now());
-    if (waiting.size === 0 || soon !== undefined) return;
-    soon = setTimeout(() => {
-      soon = undefined;
-      drainAll();
-    }, random() * DRAIN_SPREAD_MS);
+    if (waiting.size > 0) timer.soon();
   });
 
   function queueOf(service: ForwardingService): ServiceQueue {
@@ -180,7 +168,7 @@
     drain(queue);
     if (waiting.has(id))
       queueLog.queued({ query, request, capacity, waiting: waiting.size });
-    updateTicker();
+    updateTimer();
     return () => {
       leave(queue, request);
     };
@@ -188,7 +176,7 @@
 
   function drainAll(): void {
     queues.forEach(drain);
-    updateTicker();
+    updateTimer();
   }
 
   /** Takes all steps that are due. */
@@ -268,7 +256,7 @@
       end: 'left',
       waiting: waiting.size,
     });
-    updateTicker();
+    updateTimer();
   }
 
   function refuse(
@@ -293,14 +281,9 @@
     refuseOffer(`no capacity in time: ${reason}`, scheduled.retryAfterMs);
   }
 
-  /** The timer runs only while requests wait. */
-  function updateTicker(): void {
+  function updateTimer(): void {
     metrics.queued(waiting.size);
-    if (waiting.size > 0) ticker ??= setInterval(drainAll, DRAIN_INTERVAL_MS);
-    else {
-      clearInterval(ticker);
-      ticker = undefined;
-    }
+    timer.setActive(waiting.size > 0);
   }
 
   function memoryUtilisation(): number {
@@ -313,7 +296,7 @@
         endWait(queue, request, 'stopping');
       });
     });
-    updateTicker();
+    updateTimer();
   }
 
   return {
@@ -337,7 +320,7 @@
     },
     close() {
       refuseAll(() => true);
-      clearTimeout(soon);
+      timer.close();
     },
   };
 }
--- a/packages/gateway/src/admissionControl/test.ts
+++ b/packages/gateway/src/admissionControl/test.ts
@@ -180,6 +180,50 @@
     await Promise.all(answers);
   });
 
+  it('refuses a short prompt at once that no slot is predicted for in time', async () => {
+    await begin({ route: { ...route, targetLatencyMs: 8 } });
+    const prompt = { 'x-prompt-tokens': '1000' };
+    const fill = Array.from({ length: 4 }, (_, index) =>
+      fleet.ask('/1', { ...prompt, 'x-request': `f${index}` }),
+    );
+    await until(() => open.length === 4);
+    const late = await fleet.ask('/2', {
+      ...prompt,
+      'x-request': 'a2',
+    });
+    expect(late.body).to.include('tooLate');
+    expect(fleet.sends).to.have.length(4);
+    open.forEach((response) => response.end());
+    await Promise.all(fill);
+  });
+
+  it('lets what waits start after a planned stop has begun, within its grace period', async () => {
+    await begin();
+    const [, second] = await askTwo();
+    await until(() => hasLogged('request.queued'));
+    fleet.gateway.leave(() => undefined);
+    open[0]?.end();
+    await until(() => open.length === 2);
+    open[1]?.end();
+    expect(await second).to.deep.include({ status: 200, isWhole: true });
+  });
+
+  it('counts waiting requests and refusals by reason', async () => {
+    await begin();
+    const [, second] = await askTwo();
+    await until(() => hasLogged('request.queued'));
+    const before = await fleet.metricsText();
+    expect(before).to.include('endivegate_queued_requests 1');
+    fleet.gateway.stop();
+    await second;
+    const after = await fleet.metricsText();
+    expect(after).to.include('endivegate_queued_requests 0');
+    expect(after).to.include(
+      'endivegate_queue_refusals_total{reason="stopping"} 1',
+    );
+    expect(after).to.include('endivegate_queue_wait_ms_count{end="refused"} 1');
+  });
+
   it('sends to another target with memory instead of waiting', async () => {
     await begin({ targets: [hold, hold] });
     const answers = await askTwo();
--- a/packages/gateway/src/testGateway/index.ts
+++ b/packages/gateway/src/testGateway/index.ts
@@ -58,6 +58,7 @@
     path: string,
     headers?: Readonly<Record<string, string>>,
   ) => Promise<TestAnswer>;
+  readonly metricsText: () => Promise<string>;
   readonly stop: () => Promise<void>;
 }
 
@@ -239,6 +240,7 @@
     sends,
     lines,
     ask: (path, headers) => ask(callerPort, path, headers),
+    metricsText: started.metrics.text,
     async stop() {
       servers.forEach((server) => {
         server.closeAllConnections();
