Queue: a request that may have run is not refused with 503; resends wait half their time

Cause: found while reading the wiring: a stream that had begun, broke, and found no capacity to go on was ended as refused. And a request that is sent again waited to its end (1.3 s of 1.5 s in the new test), because expected capacity counts targets that it was sent to before.

Change: such a request is given up (cut off, or 502), and a resend waits for at most half of its time. Expected capacity still counts targets that the request may not use again.

--- a/packages/gateway/src/admissionControl/_lib/toQueued.ts
+++ b/packages/gateway/src/admissionControl/_lib/toQueued.ts
@@ -7,6 +7,9 @@
 import type { TimeLeft } from '../../forwardRequest/_lib/timeLeft.ts';
 import type { SendPlan } from '../../planSend/index.ts';
 
+/** Fraction of its time for which a request that is sent again waits. */
+const RESEND_WAIT_SHARE = 0.5;
+
 /** Describes a planned send to the queue. */
 export function toQueued(
   query: AdmitQuery,
@@ -21,6 +24,10 @@
     plan.isShort && query.isFirst
       ? Math.min(latestOnTimeStartMs, patienceEndMs)
       : patienceEndMs;
+  // Expected capacity includes targets that the request was sent to before, and is
+  // too early for it. Half of its time is left to the caller.
+  const waitShare = query.isFirst ? 1 : RESEND_WAIT_SHARE;
+  const waitMs = Math.max(expiresAtMs - nowMs, 0) * waitShare;
   return {
     id,
     workspace: call.workspace ?? '',
@@ -32,7 +39,7 @@
     bodyBytes: call.body.length,
     queuedAtMs: nowMs,
     latestOnTimeStartMs,
-    expiresAtMs: Math.min(expiresAtMs, lastStartMs),
+    expiresAtMs: Math.min(nowMs + waitMs, lastStartMs),
   };
 }
 
--- a/packages/gateway/src/admissionControl/test.ts
+++ b/packages/gateway/src/admissionControl/test.ts
@@ -208,6 +208,25 @@
     expect(await second).to.deep.include({ status: 200, isWhole: true });
   });
 
+  // A 503 says that the request has not run; this one has.
+  it('cuts a stream off that has begun and finds no capacity to go on', async () => {
+    const breakLater: RequestListener = (request, response) => {
+      hold(request, response);
+      if (request.url !== '/2') return;
+      setTimeout(() => request.socket.resetAndDestroy(), 50);
+    };
+    await begin({ targets: [breakLater, breakLater] });
+    void fleet.ask('/1', LONG);
+    await until(() => open.length === 1);
+    const answer = await fleet.ask('/2', {
+      ...LONGER,
+      'x-request': 'a2',
+      'x-deadline-ms': '1500',
+    });
+    expect(answer).to.deep.equal({ status: 200, body: EVENT, isWhole: false });
+    expect(fleet.sends).to.have.length(2);
+  });
+
   it('counts waiting requests and refusals by reason', async () => {
     await begin();
     const [, second] = await askTwo();
--- a/packages/gateway/src/forwardRequest/_lib/admitSend.ts
+++ b/packages/gateway/src/forwardRequest/_lib/admitSend.ts
@@ -13,6 +13,8 @@
   readonly isFirst: boolean;
   /** Whether the request has no other send open. */
   readonly isAlone: boolean;
+  /** Whether an earlier send may have run, so that the request is not refused. */
+  readonly mayHaveBegun: boolean;
   readonly deadlineAtMs: number;
   /** Plans the send again, with the load of that time. */
   readonly planNow: (left: TimeLeft) => SendPlan | undefined;
@@ -20,6 +22,8 @@
   /** Sends as planned, at once or later; without a plan, decides anew. */
   readonly send: (plan?: SendPlan) => void;
   readonly refuse: (refusal: SendRefusal) => void;
+  /** Ends a request that may have run. */
+  readonly giveUp: (reason: string) => void;
 }
 
 /** A refusal of a send, with what the caller is told. */
@@ -47,6 +51,10 @@
     return undefined;
   }
   const refuse = (message: string, retryAfterMs: number): void => {
+    if (query.mayHaveBegun) {
+      query.giveUp(message);
+      return;
+    }
     const admission = { type: 'refuse', retryAfterMs } as const;
     query.refuse({ plan, left, admission, message });
   };
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -78,7 +78,6 @@
   /** Error of a target, delivered if no other send gives a better answer. */
   let heldAnswer: BufferedResponse | undefined;
   const openSends = createOpenSends();
-  /** Ends the wait for capacity, if there is one. */
   let stopWaiting: (() => void) | undefined;
 
   const deadlineTimer = setTimeout(
@@ -118,11 +117,12 @@
   }
 
   function admit(plan: SendPlan, left: TimeLeft): void {
-    const isFirst = sends === 0;
     const isAlone = !openSends.isAny();
-    const query = { call, plan, left, isFirst, isAlone, deadlineAtMs };
-    const functions = { planNow, timeLeftNow, send: sendOnce, refuse };
-    stopWaiting = admitSend({ ...query, ...functions }, context);
+    const mayHaveBegun = mayHaveRun || answerBegun;
+    const state = { isFirst: sends === 0, isAlone, mayHaveBegun };
+    const functions = { planNow, timeLeftNow, send: sendOnce, refuse, giveUp };
+    const query = { call, plan, left, deadlineAtMs, ...state, ...functions };
+    stopWaiting = admitSend(query, context);
   }
 
   function refuse(refusal: SendRefusal): void {
