--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -1,6 +1,8 @@
 /** Decision logic of the forwarding gateway: pure functions and one reducer. */
+export * from './admissionQueue/index.ts';
 export * from './availableTargets/index.ts';
 export * from './coldTargets/index.ts';
+export * from './capacityForecast/index.ts';
 export * from './collectBytes/index.ts';
 export * from './decideAdmission/index.ts';
 export * from './decideNext/index.ts';
@@ -9,6 +11,7 @@
 export * from './engineTimes/index.ts';
 export * from './evacuations/index.ts';
 export * from './gatewayReduce/index.ts';
+export * from './memoryMargin/index.ts';
 export * from './partSuspects/index.ts';
 export * from './peerList/index.ts';
 export * from './peerProtocol/index.ts';
@@ -18,6 +21,7 @@
 export * from './planPrompt/index.ts';
 export * from './ranksFirst/index.ts';
 export * from './retryBudget/index.ts';
+export * from './returnSchedule/index.ts';
 export * from './routeTable/index.ts';
 export * from './sampleEntries/index.ts';
 export * from './storeWatchers/index.ts';
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -1,5 +1,4 @@
 import {
-  decideAdmission,
   decideNext,
   mainObstacle,
   type NextStep,
@@ -18,6 +17,7 @@
 } from '../runSend/index.ts';
 import type { ResponseHead } from '../sendRequest/index.ts';
 import type { StreamEvent } from '../splitEvents/index.ts';
+import { admitSend, type SendRefusal } from './_lib/admitSend.ts';
 import { hasRetryBudget } from './_lib/hasRetryBudget.ts';
 import { type TimeLeft, timeLeft } from './_lib/timeLeft.ts';
 import { createOpenSends, type OpenSend } from './_lib/openSends.ts';
@@ -25,6 +25,7 @@
   beginStream,
   replyBrokenOff,
   replyRefused,
+  replyRefusedByPeer,
   replyTimedOut,
   replyWhole,
 } from './_lib/replies.ts';
@@ -75,6 +76,7 @@
   /** Error of a target, delivered if no other send gives a better answer. */
   let heldAnswer: BufferedResponse | undefined;
   const openSends = createOpenSends();
+  let stopWaiting: (() => void) | undefined;
 
   const deadlineTimer = setTimeout(
     onDeadline,
@@ -94,16 +96,32 @@
   }
   sendOnce();
 
-  function sendOnce(): void {
+  function sendOnce(admitted?: SendPlan): void {
     const blocked = partGuard.refusal();
     if (blocked !== undefined) {
       giveUp(blocked);
       return;
     }
     const left = timeLeftNow();
-    const plan = planNow(left);
+    const plan = admitted ?? planNow(left);
     if (plan === undefined) giveUp('no usable target is left');
-    else if (!refuseIfLate(plan, left)) sendTo(plan);
+    else if (plan === admitted) sendTo(plan);
+    else admit(plan, left);
+  }
+
+  function admit(plan: SendPlan, left: TimeLeft): void {
+    const isAlone = !openSends.isAny();
+    const mayHaveBegun = mayHaveRun || answerBegun;
+    const state = { isFirst: sends === 0, isAlone, mayHaveBegun };
+    const functions = { planNow, timeLeftNow, send: sendOnce, refuse, giveUp };
+    const query = { call, plan, left, deadlineAtMs, ...state, ...functions };
+    stopWaiting = admitSend(query, context);
+  }
+
+  function refuse(refusal: SendRefusal): void {
+    requestLog.notAdmitted(refusal);
+    finish('refused');
+    replyRefused(reply, refusal.message, refusal.admission.retryAfterMs);
   }
 
   function timeLeftNow(): TimeLeft {
@@ -142,6 +160,7 @@
       ...left,
       nowMs: now(),
       dataCentre: context.dataCentre,
+      memoryUtilisation: context.admission?.memoryUtilisation(),
     });
   }
 
@@ -162,25 +181,9 @@
   /** A stream that has begun is taken over only where a slot is free. */
   function planTakeover(): SendPlan | undefined {
     const plan = planNow(timeLeftNow());
-    return plan === undefined || (answerBegun && plan.slotWaitMs > 0)
-      ? undefined
-      : plan;
-  }
-
-  /**
-   * Before the first send, refuses a request that is predicted to miss its
-   * latency target. Returns whether it was refused.
-   */
-  function refuseIfLate(plan: SendPlan, left: TimeLeft): boolean {
-    if (sends > 0 || plan.firstEventMs === undefined) return false;
-    const { isShort, firstEventMs, slotWaitMs } = plan;
-    const query = { isShort, firstEventMs, slotWaitMs, ...left };
-    const admission = decideAdmission(query);
-    if (admission.type === 'send') return false;
-    requestLog.notAdmitted({ plan, left, admission });
-    finish('refused');
-    replyRefused(reply, 'all places are taken', admission.retryAfterMs);
-    return true;
+    const hasRoom = plan?.fits === true || context.admission === undefined;
+    const mustWait = answerBegun && (plan?.slotWaitMs ?? 0) > 0;
+    return hasRoom && !mustWait ? plan : undefined;
   }
 
   function sendTo(plan: SendPlan): void {
@@ -272,11 +275,7 @@
     const isRefusal = end.type === 'refused' && !mayHaveRun && !answerBegun;
     if (!isRefusal || openSends.isAny()) return false;
     finish('refused');
-    const delayMs =
-      target?.pause.type === 'requested'
-        ? target.pause.pauseMs
-        : RETRY_AFTER_MS;
-    replyRefused(reply, 'refused by the entry that it was relayed to', delayMs);
+    replyRefusedByPeer(reply, target, RETRY_AFTER_MS);
     return true;
   }
 
@@ -393,6 +392,7 @@
 
   function finish(end: string): void {
     isOver = true;
+    stopWaiting?.();
     openSends.cancelAll();
     clearTimeout(deadlineTimer);
     stopListening();
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -10,6 +10,7 @@
   type Connect,
   createConnectionPool,
 } from '../createConnectionPool/index.ts';
+import { createAdmissionControl } from '../admissionControl/index.ts';
 import { probeAddress } from '../probeAddress/index.ts';
 import { createEvacuationWatch } from './_lib/evacuationWatch.ts';
 import { informedEntries } from './_lib/informedEntries.ts';
@@ -45,6 +46,8 @@
   readonly orders: OrderPort;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
+  /** Whether requests without capacity wait in a queue; false by default. */
+  readonly queuesRequests?: boolean | undefined;
   /** Opens connections to targets; `connect` of `node:net` by default. */
   readonly connectTarget?: Connect;
   /** Monotonic time in ms. */
@@ -88,6 +91,10 @@
 /** Share of the grace period after which open responses are cut off. */
 const GRACE_SHARE = 0.9;
 
+/** Share of the grace period after which waiting requests are refused, so that those
+ * that start before can end. */
+const QUEUE_GRACE_SHARE = 0.4;
+
 const LEAVE_CHECK_INTERVAL_MS = 50;
 
 const TICK_INTERVAL_MS = 200;
@@ -133,6 +140,10 @@
     now,
     probe,
   });
+  const admission =
+    options.queuesRequests === true
+      ? createAdmissionControl({ runtime, log, metrics, now })
+      : undefined;
   let isLeaving = false;
 
   const callerServer = createCallerServer(
@@ -146,6 +157,7 @@
       log,
       metrics,
       bounds,
+      admission,
       dataCentre: options.dataCentre,
       entryName: options.name,
       targetDeaths,
@@ -274,6 +286,7 @@
     const sinceMs = now();
     log.info('leaving', { openRequests: callerServer.openRequests() });
     peers.broadcast();
+    admission?.startUntil(sinceMs + bounds.graceMs * QUEUE_GRACE_SHARE);
     const check = setInterval(() => {
       const elapsedMs = now() - sinceMs;
       const isDrained =
@@ -290,6 +303,7 @@
   }
 
   function stop(): void {
+    admission?.close();
     clearInterval(ticker);
     clearInterval(limitTicker);
     callerServer.server.close();
--- a/packages/gateway/src/testGateway/index.ts
+++ b/packages/gateway/src/testGateway/index.ts
@@ -9,6 +9,7 @@
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type {
+  EngineCost,
   ForwardingConfig,
   ForwardingRoute,
   ListedTarget,
@@ -62,6 +63,7 @@
     headers?: OutgoingHttpHeaders,
   ) => Promise<TestAnswer>;
   readonly metrics: GatewayMetrics;
+  readonly metricsText: () => Promise<string>;
   readonly stop: () => Promise<void>;
 }
 
@@ -71,6 +73,9 @@
   readonly targets: readonly RequestListener[];
   /** Differences from a resumable stream route. */
   readonly route?: Partial<ForwardingRoute>;
+  /** Makes the targets engines, and requests with a size prompts. */
+  readonly engine?: EngineCost;
+  readonly queuesRequests?: boolean;
 }
 
 const defaultRoute: ForwardingRoute = {
@@ -92,15 +97,19 @@
  * Builds a configuration with a single route.
  *
  * @param route - Differences from a resumable stream route.
+ * @param engine - Cost model of the targets, if they are engines.
  * @returns The configuration, with version 1.
  */
 export function testConfig(
   route: Partial<ForwardingRoute> = {},
+  engine?: EngineCost,
 ): ForwardingConfig {
   return {
     version: 1,
     routes: [{ ...defaultRoute, ...route }],
-    services: [{ name: 'plain', healthPath: '/h', maxConnections: 100 }],
+    services: [
+      { name: 'plain', healthPath: '/h', maxConnections: 100, engine },
+    ],
     workspaces: [],
     limits: {
       maxHeaderBytes: 2000,
@@ -208,6 +217,7 @@
     ),
   );
   const started = await testGatewayOptions({
+    queuesRequests: options.queuesRequests,
     log: createEventLog({
       entryId: 'e1',
       write: (text, done) => {
@@ -223,7 +233,10 @@
     atMs: 0,
     targets: testTargets(servers.map((server) => `${HOST}:${portOf(server)}`)),
   });
-  gateway.runtime.applyConfig(testConfig(options.route), 'test');
+  gateway.runtime.applyConfig(
+    testConfig(options.route, options.engine),
+    'test',
+  );
 
   return {
     gateway,
@@ -233,6 +246,7 @@
     sends,
     lines,
     ask: (path, headers) => ask(callerPort, path, headers),
+    metricsText: started.metrics.text,
     async stop() {
       servers.forEach((server) => {
         server.closeAllConnections();
