--- a/packages/core/src/forwarding/coldTargets/_lib/members.ts
+++ b/packages/core/src/forwarding/coldTargets/_lib/members.ts
@@ -4,7 +4,7 @@
  * does not make the shares of either side grow. */
 const MEMBER_MS = 600_000;
 
-/** An address at which no entry was ever heard may be out of date. */
+/** An address at which no entry ever reported may be out of date. */
 const UNHEARD_MEMBER_MS = 60_000;
 
 /** A leaving entry sends nothing new, and all entries know of it by then. */
@@ -14,7 +14,7 @@
  * has arrived. */
 const SETTLING_MS = 3000;
 
-/** Part of the fleet that an entry has to hear from before it gets shares. */
+/** Part of the fleet from which an entry has to receive a message before it gets shares. */
 const MIN_HEARD_PART = 0.5;
 
 /** Adds reports on entries, and removes entries that were silent for too long. */
--- a/packages/core/src/forwarding/coldTargets/types.ts
+++ b/packages/core/src/forwarding/coldTargets/types.ts
@@ -45,7 +45,7 @@
 export interface MemberReport {
   /** Address for traffic between entries, which identifies it. */
   readonly address: string;
-  /** Undefined if the entry has not been heard of, only its address. */
+  /** Undefined if the entry is known only by its address. */
   readonly dataCentre: string | undefined;
   /** Monotonic time of its last message; undefined if there was none. */
   readonly heardAtMs: number | undefined;
--- a/packages/core/src/forwarding/evacuations/index.ts
+++ b/packages/core/src/forwarding/evacuations/index.ts
@@ -23,7 +23,7 @@
  * those entries repeat them that report what they received. */
 const READER_REPORT_MS = 60_000;
 
-/** Peers that missed a removal are told of it for this long. */
+/** Peers that missed a removal receive it for this long. */
 const REMOVAL_REPORT_MS = 30_000;
 
 /** Evacuations before the first list is read. */
@@ -107,7 +107,7 @@
 }
 
 /**
- * Lists what other entries are told: evacuations in force and recent removals.
+ * Lists what is reported to other entries: evacuations in force and recent removals.
  *
  * @param state - Known facts.
  * @param nowMs - Current monotonic time.
@@ -182,7 +182,7 @@
   }));
 }
 
-/** Logs what changed. Peers are told what this entry read in the store, and the
+/** Logs what changed. Peers receive what this entry read in the store, and the
  * removal of what a peer still reports. */
 function finish(
   before: EvacuationsState,
--- a/packages/core/src/forwarding/evacuations/types.ts
+++ b/packages/core/src/forwarding/evacuations/types.ts
@@ -13,7 +13,7 @@
   readonly isEvacuated: boolean;
 }
 
-/** A fact as another process tells it. */
+/** A fact as reported by another process. */
 export interface EvacuationReport extends EvacuationFact {
   /** Time since an entry learned of it. */
   readonly ageMs: number;
@@ -73,7 +73,7 @@
   /** Time has passed. */
   | { readonly type: 'evacuations.ticked'; readonly atMs: number };
 
-/** Changes to log, and whether peers are to be told. */
+/** Changes to log, and whether to report to peers. */
 export type EvacuationsEffect =
   | {
       readonly type: 'evacuations.changed';
--- a/packages/core/src/forwarding/peerProtocol/index.ts
+++ b/packages/core/src/forwarding/peerProtocol/index.ts
@@ -29,7 +29,7 @@
 const RELAYS_AND_LIMITS = 1;
 
 /**
- * Tells whether a request may be relayed to a peer.
+ * Checks whether a request may be relayed to a peer.
  *
  * @param peer - The peer.
  * @returns False also if it is not known.
@@ -42,7 +42,7 @@
 }
 
 /**
- * Tells whether a peer divides the limits that targets name. Relays and limits were
+ * Checks whether a peer divides the limits that targets name. Relays and limits were
  * added by the same build.
  *
  * @param peer - The peer.
--- a/packages/core/src/forwarding/peerProtocol/test.ts
+++ b/packages/core/src/forwarding/peerProtocol/test.ts
@@ -36,7 +36,7 @@
   readonly hasRelays: boolean;
 }
 
-/** What one entry hears of the other. */
+/** What one entry receives from the other. */
 type Heard =
   /** A status from the process itself. */
   | { readonly type: 'own' }
--- a/packages/core/src/forwarding/returnSchedule/test.ts
+++ b/packages/core/src/forwarding/returnSchedule/test.ts
@@ -93,7 +93,7 @@
     expect(delay).to.be.at.least(950);
   });
 
-  // A storm whose callers are all told the limit returns as one peak.
+  // A storm whose callers all get the limit as their delay returns as one peak.
   it('spreads a storm beyond all capacity below the limit of its callers', () => {
     const delays = delaysOf(times(400));
     const late = delays.filter((delay) => delay > 1800);
--- a/packages/core/src/forwarding/targetAvailability/types.ts
+++ b/packages/core/src/forwarding/targetAvailability/types.ts
@@ -16,7 +16,7 @@
   readonly untilMs: number;
 }
 
-/** Tells whether one condition forbids a request to a target at a time. */
+/** Checks whether one condition forbids a request to a target at a time. */
 export type TargetCondition = (
   target: RosterTarget,
   nowMs: number,
--- a/packages/gateway/src/admissionControl/_lib/drainTimer.ts
+++ b/packages/gateway/src/admissionControl/_lib/drainTimer.ts
@@ -15,12 +15,12 @@
   readonly random: () => number;
 }
 
-/** Changes that no event tells of, such as the end of a pause, are noticed within
+/** Changes that no event reports, such as the end of a pause, are noticed within
  * this time. */
 const DRAIN_INTERVAL_MS = 25;
 
 /** Entries look at freed capacity at different times within this interval, which is
- * twice the time until peers hear of a send. */
+ * twice the time until peers learn of a send. */
 const DRAIN_SPREAD_MS = 8;
 
 /** Looking at the queue takes at most one part in this many of the processor, since
--- a/packages/gateway/src/coldTargetTicker/index.ts
+++ b/packages/gateway/src/coldTargetTicker/index.ts
@@ -29,7 +29,7 @@
 }
 
 /**
- * Creates the function that tells the cold targets of the time, the targets and the
+ * Creates the function that passes to the cold targets the time, the targets and the
  * other entries. It does nothing while no service asks for a warm-up.
  *
  * @param options - State, bound and description of this entry.
--- a/packages/gateway/src/createPeerLink/_lib/peerExtensions.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerExtensions.ts
@@ -17,7 +17,7 @@
 export interface DescribeContext {
   /** Monotonic time of the sender. */
   readonly nowMs: number;
-  /** Whether to tell what was received too, for entries that start later. */
+  /** Whether to report what was received too, for entries that start later. */
   readonly includeReceived: boolean;
 }
 
@@ -33,7 +33,7 @@
   /** Schema of the value; a value that it rejects is dropped. */
   readonly schema: Schema;
   /** Values to report, each sent in a datagram of its own; none if there is nothing
-   * to tell. Each has to fit into 1,000 bytes. */
+   * to report. Each has to fit into 1,000 bytes. */
   readonly describe: (
     state: GatewayState,
     context: DescribeContext,
--- a/packages/gateway/src/createPeerLink/_lib/test.ts
+++ b/packages/gateway/src/createPeerLink/_lib/test.ts
@@ -198,7 +198,7 @@
     );
   });
 
-  // Guards against a later build's message being dropped with all that it tells.
+  // Guards against a later build's message being dropped with all that it reports.
   it('ignores and counts unknown keys, and applies the known ones', () => {
     const { messages, malformed, unknownKeys } = read(
       encodeWith({ evac: [['a', 1]], later: { x: 1 }, toString: 2 }),
--- a/packages/gateway/src/forwardRequest/_lib/admitSend.ts
+++ b/packages/gateway/src/forwardRequest/_lib/admitSend.ts
@@ -26,7 +26,7 @@
   readonly giveUp: (reason: string) => void;
 }
 
-/** A refusal of a send, with what the caller is told. */
+/** A refusal of a send, with what it means for the caller. */
 export interface SendRefusal extends NotAdmitted {
   readonly message: string;
 }
--- a/packages/gateway/src/shareStore/_lib/storeNews.ts
+++ b/packages/gateway/src/shareStore/_lib/storeNews.ts
@@ -16,7 +16,7 @@
 });
 
 /** Keys that later builds add are optional, and those that this build does not know
- * are dropped: entries of two builds hear one watcher. */
+ * are dropped: entries of two builds follow one watcher. */
 const newsSchema = z.object({
   name: z.string(),
   weight: z.number(),
--- a/packages/gateway/src/shareStore/_lib/test.ts
+++ b/packages/gateway/src/shareStore/_lib/test.ts
@@ -26,7 +26,7 @@
 ];
 
 describe('storeNews', () => {
-  // Guards against entries of earlier builds that do not hear the watchers.
+  // Guards against entries of earlier builds that do not receive updates from the watchers.
   it('has all keys that earlier builds require', () => {
     const sent = decode(encodeNews(news)) as Record<string, unknown>;
     expect(Object.keys(sent)).to.include.members(OLD_KEYS);
