--- a/packages/core/src/forwarding/decideNext/index.ts
+++ b/packages/core/src/forwarding/decideNext/index.ts
@@ -28,6 +28,8 @@
       readonly reason: string;
       /** Set if the send was aborted because the target sent too much. */
       readonly oversized?: OversizedPart;
+      /** Set if the send was aborted because the response is not a valid one. */
+      readonly isMalformed?: true;
     };
 
 /** State of a request at the end of a send. */
--- a/packages/gateway/src/partGuard/index.ts
+++ b/packages/gateway/src/partGuard/index.ts
@@ -142,6 +142,11 @@
   }
 
   function sendEnded({ target, sentAtMs }: EndedSend, end: SendEnd): void {
+    // A target that sends too much, or what is no answer, is alive.
+    const isAborted =
+      end.type === 'broken' &&
+      (end.oversized !== undefined || end.isMalformed === true);
+    if (isAborted) return;
     if (end.type === 'broken' && sentAtMs !== undefined) {
       context.targetDeaths.sendBroke({
         attemptId: call.attemptId,
--- a/packages/gateway/src/sendRequest/index.ts
+++ b/packages/gateway/src/sendRequest/index.ts
@@ -67,6 +67,9 @@
 const MIN_REDIRECT_STATUS = 300;
 const MS_PER_S = 1000;
 
+/** Start of the error codes of Node's HTTP parser. */
+const PARSE_ERROR_PREFIX = 'HPE_';
+
 /** Maximum size of the body of a refusal, which is discarded. */
 const MAX_REFUSAL_BYTES = 1024 * 1024;
 
@@ -149,12 +152,21 @@
         oversized: 'framing',
       });
     });
-    request.on('error', (error) => {
-      finish({ type: 'broken', reason: error.message });
+    request.on('error', (error: NodeJS.ErrnoException) => {
+      const isMalformed = error.code?.startsWith(PARSE_ERROR_PREFIX) === true;
+      finish({
+        type: 'broken',
+        reason: error.message,
+        ...(isMalformed ? { isMalformed } : {}),
+      });
     });
     request.on('upgrade', (_response, upgraded) => {
       upgraded.destroy();
-      finish({ type: 'broken', reason: 'response switches protocols' });
+      finish({
+        type: 'broken',
+        reason: 'response switches protocols',
+        isMalformed: true,
+      });
     });
     request.on('response', (response) => {
       currentResponse = response;
@@ -183,7 +195,7 @@
     if (status !== MISDIRECTED) handlers.onTargetHead(head);
     const problem = responseProblem(status, head, response, outgoing.attemptId);
     if (problem !== undefined) {
-      finish({ type: 'broken', reason: problem });
+      finish({ type: 'broken', reason: problem, isMalformed: true });
       return;
     }
     const isRefusal = head.notExecuted || status === MISDIRECTED;
--- a/packages/gateway/src/sendRequest/test.ts
+++ b/packages/gateway/src/sendRequest/test.ts
@@ -107,6 +107,7 @@
     expect(end).to.deep.equal({
       type: 'broken',
       reason: 'response to another request',
+      isMalformed: true,
     });
   });
 
@@ -136,6 +137,7 @@
     expect(end).to.deep.equal({
       type: 'broken',
       reason: 'response with an invalid status',
+      isMalformed: true,
     });
   });
 
@@ -150,6 +152,7 @@
     expect(end).to.deep.equal({
       type: 'broken',
       reason: 'response switches protocols',
+      isMalformed: true,
     });
   });
 
