--- a/packages/gateway/src/shareStore/_lib/storeNews.ts
+++ b/packages/gateway/src/shareStore/_lib/storeNews.ts
@@ -15,8 +15,9 @@
   ageMs: z.number(),
 });
 
-/** Keys that later builds add are optional, and those that this build does not know
- * are dropped: entries of two builds follow one watcher. */
+/** Keys that later builds add are optional, those that this build does not know are
+ * dropped, and a malformed optional key does not affect the rest: entries of two builds
+ * follow one watcher. */
 const newsSchema = z.object({
   name: z.string(),
   weight: z.number(),
@@ -32,7 +33,7 @@
   configVersion: z.number(),
   changes: z.array(targetChangeSchema),
   /** Evacuations in force and recent removals; absent if there are none. */
-  evacuations: z.array(evacuationSchema).optional(),
+  evacuations: z.array(evacuationSchema).optional().catch(undefined),
 });
 
 /** All targets that a watcher knows, for an entry that missed news. Added keys are
@@ -43,7 +44,7 @@
   holdMs: z.number(),
   targets: z.array(listedTargetSchema),
   /** Evacuations at the revision; absent if the sender does not know of them. */
-  evacuations: z.array(evacuationSchema).optional(),
+  evacuations: z.array(evacuationSchema).optional().catch(undefined),
 });
 
 /** A change of the list of targets. */
