--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -178,11 +178,12 @@
     sendTo(plan);
   }
 
-  /** A stream that has begun is taken over only where a slot is free. */
+  /** A request is taken over only where a slot is free: targets that are merely full would
+   * get more load. */
   function planTakeover(): SendPlan | undefined {
     const plan = planNow(timeLeftNow());
     const hasRoom = plan?.fits === true || context.admission === undefined;
-    const mustWait = answerBegun && (plan?.slotWaitMs ?? 0) > 0;
+    const mustWait = (plan?.slotWaitMs ?? 0) > 0;
     return hasRoom && !mustWait ? plan : undefined;
   }
 
