Plan split prompts by how engines read their parts

The load counted parts in order of arrival and dropped them with the request. So prompts were stacked on engines that seemed free: predictions of 0.7 s became 10 s, and short prompts waited 1 to 4 s behind parts that nobody knew of.

A split prompt does not queue behind others; in place of that it costs the prompts that wait at its engines, each once.

--- a/packages/core/src/forwarding/engineLoad/index.ts
+++ b/packages/core/src/forwarding/engineLoad/index.ts
@@ -27,6 +27,9 @@
   readonly startedAtMs: number;
   /** Whether its first token has arrived. */
   readonly isDecoding: boolean;
+  /** Set once the request has ended while other targets than its own still read parts
+   * of its prompt. `targetId` is then the first of these targets. */
+  readonly isAbandoned?: true;
 }
 
 /** Load of a target from one or more entries. */
@@ -39,6 +42,8 @@
   readonly prefillMs: number;
   /** Value of the requests sent to this target whose prefill has not ended. */
   readonly prefillingValue: number;
+  /** Requests of which it has to read a part, its own included. */
+  readonly waiting: readonly InFlightRequest[];
   /** Number of requests that are decoding. */
   readonly decodingRequests: number;
   /** Value of the requests that are decoding. */
@@ -80,7 +85,13 @@
     }
   /** The request is late, so a further delay costs less. */
   | { readonly type: 'load.late'; readonly flightId: string }
-  | { readonly type: 'load.ended'; readonly flightId: string }
+  | {
+      readonly type: 'load.ended';
+      readonly flightId: string;
+      readonly atMs: number;
+      /** Whether its helpers go on reading parts that were sent to them. */
+      readonly leavesParts: boolean;
+    }
   | {
       readonly type: 'load.received';
       readonly atMs: number;
@@ -101,6 +112,7 @@
   shortRequests: 0,
   prefillMs: 0,
   prefillingValue: 0,
+  waiting: [],
   decodingRequests: 0,
   decodingValue: 0,
   contextTokens: 0,
@@ -198,11 +210,8 @@
         flights: new Map(state.flights).set(event.flightId, late),
       };
     }
-    case 'load.ended': {
-      const flights = new Map(state.flights);
-      flights.delete(event.flightId);
-      return { ...state, flights };
-    }
+    case 'load.ended':
+      return endFlight(state, event);
     case 'load.received': {
       const peers = new Map(state.peers);
       event.reports.forEach(({ peer, flights }) => {
@@ -211,10 +220,62 @@
       return { ...state, peers };
     }
     case 'load.ticked':
-      return expirePeers(state, event.atMs);
+      return expirePeers(withoutReadParts(state, event.atMs), event.atMs);
   }
 }
 
+/**
+ * Removes a request that has ended. Engines drop a request whose connection closes, but
+ * its helpers read their parts to the end, ahead of the prompts of other requests.
+ */
+function endFlight(
+  state: LoadState,
+  event: Extract<LoadEvent, { type: 'load.ended' }>,
+): LoadState {
+  const flight = state.flights.get(event.flightId);
+  const flights = new Map(state.flights);
+  flights.delete(event.flightId);
+  const parts =
+    flight !== undefined && event.leavesParts ? abandonedParts(flight) : [];
+  parts.forEach((part) => flights.set(event.flightId, part));
+  return withoutReadParts({ ...state, flights }, event.atMs);
+}
+
+function abandonedParts(flight: InFlightRequest): readonly InFlightRequest[] {
+  const [targetId, ...helperIds] = flight.helperIds;
+  if (flight.isDecoding || targetId === undefined) return [];
+  return [
+    {
+      ...flight,
+      targetId,
+      helperIds,
+      memoryTokens: 0,
+      contextTokens: 0,
+      reservations: [],
+      value: 0,
+      gapTargetMs: 0,
+      isAbandoned: true,
+    },
+  ];
+}
+
+/** Removes the abandoned parts that all their targets have read. */
+function withoutReadParts(state: LoadState, atMs: number): LoadState {
+  const isAnyAbandoned = [...state.flights.values()].some(
+    (flight) => flight.isAbandoned === true,
+  );
+  if (!isAnyAbandoned) return state;
+  const endsAtMs = prefillEndsAtMs(allFlights(state, atMs));
+  const kept = [...state.flights].filter(
+    ([, flight]) =>
+      flight.isAbandoned !== true ||
+      [flight.targetId, ...flight.helperIds].some(
+        (id) => (endsAtMs.get(id) ?? 0) > atMs,
+      ),
+  );
+  return { ...state, flights: new Map(kept) };
+}
+
 function expirePeers(state: LoadState, atMs: number): LoadState {
   const kept = [...state.peers].filter(
     ([, peer]) => atMs - peer.atMs < PEER_EXPIRY_MS,
@@ -232,7 +293,6 @@
   const add = (targetId: string, load: Partial<TargetLoad>): void => {
     loads.set(targetId, addLoads(loads.get(targetId) ?? NO_LOAD, load));
   };
-  const prefillEndsAtMs = new Map<string, number>();
   /** Time by which the first events of an engine's requests are overdue, which
    * shows that it has more work than this entry knows of. */
   const overdueMsAt = (targetId: string, endsAtMs: number): number => {
@@ -241,32 +301,43 @@
       ? Math.max(nowMs - endsAtMs - FIRST_EVENT_DELAY_MS, 0)
       : 0;
   };
-  const enqueuePart = (targetId: string, flight: InFlightRequest): void => {
-    const freeAtMs = prefillEndsAtMs.get(targetId) ?? -Infinity;
-    const beginsAtMs = Math.max(freeAtMs, flight.startedAtMs);
-    prefillEndsAtMs.set(targetId, beginsAtMs + flight.partPrefillMs);
-  };
-  flights
-    .toSorted((a, b) => a.startedAtMs - b.startedAtMs)
-    .forEach((flight) => {
-      add(flight.targetId, loadOfFlight(flight));
-      flight.reservations.forEach(({ targetId, tokens }) => {
-        add(targetId, { contextTokens: tokens, memoryTokens: tokens });
-      });
-      if (flight.isDecoding) return;
-      enqueuePart(flight.targetId, flight);
-      flight.helperIds.forEach((helperId) => {
-        enqueuePart(helperId, flight);
+  flights.forEach((flight) => {
+    add(flight.targetId, loadOfFlight(flight));
+    if (!flight.isDecoding) {
+      [flight.targetId, ...flight.helperIds].forEach((id) => {
+        add(id, { waiting: [flight] });
       });
+    }
+    flight.reservations.forEach(({ targetId, tokens }) => {
+      add(targetId, { contextTokens: tokens, memoryTokens: tokens });
     });
-  prefillEndsAtMs.forEach((endsAtMs, targetId) => {
+  });
+  prefillEndsAtMs(flights).forEach((endsAtMs, targetId) => {
     const overdueMs = Math.min(overdueMsAt(targetId, endsAtMs), MAX_OVERDUE_MS);
     add(targetId, { prefillMs: Math.max(endsAtMs - nowMs, 0) + overdueMs });
   });
   return loads;
 }
 
+/** Time at which each target has read all parts, in the order in which they were sent. */
+function prefillEndsAtMs(
+  flights: readonly InFlightRequest[],
+): ReadonlyMap<string, number> {
+  const ends = new Map<string, number>();
+  flights
+    .filter((flight) => !flight.isDecoding)
+    .toSorted((a, b) => a.startedAtMs - b.startedAtMs)
+    .forEach(({ targetId, helperIds, startedAtMs, partPrefillMs }) => {
+      [targetId, ...helperIds].forEach((id) => {
+        const beginsAtMs = Math.max(ends.get(id) ?? -Infinity, startedAtMs);
+        ends.set(id, beginsAtMs + partPrefillMs);
+      });
+    });
+  return ends;
+}
+
 function loadOfFlight(flight: InFlightRequest): Partial<TargetLoad> {
+  if (flight.isAbandoned === true) return {};
   return {
     requests: 1,
     shortRequests: flight.isShort ? 1 : 0,
@@ -285,6 +356,7 @@
     shortRequests: a.shortRequests + (b.shortRequests ?? 0),
     prefillMs: a.prefillMs + (b.prefillMs ?? 0),
     prefillingValue: a.prefillingValue + (b.prefillingValue ?? 0),
+    waiting: b.waiting === undefined ? a.waiting : [...a.waiting, ...b.waiting],
     decodingRequests: a.decodingRequests + (b.decodingRequests ?? 0),
     decodingValue: a.decodingValue + (b.decodingValue ?? 0),
     contextTokens: a.contextTokens + (b.contextTokens ?? 0),
--- a/packages/core/src/forwarding/engineLoad/test.ts
+++ b/packages/core/src/forwarding/engineLoad/test.ts
@@ -85,11 +85,61 @@
     });
     const ended = run([
       started(flight),
-      { type: 'load.ended', flightId: 'f1' },
+      { type: 'load.ended', flightId: 'f1', atMs: 50, leavesParts: false },
     ]);
     expect(allLoads(ended, 50).size).to.equal(0);
   });
 
+  describe('of a request that ends while its helpers read (abandoned parts)', () => {
+    const helped = { ...flight, helperIds: ['b', 'd'] };
+    const end = (atMs: number): LoadEvent => ({
+      type: 'load.ended',
+      flightId: 'f1',
+      atMs,
+      leavesParts: true,
+    });
+
+    it('keeps the parts of the helpers, and nothing at its own target', () => {
+      const loads = allLoads(run([started(helped), end(50)]), 50);
+      expect(Object.fromEntries(loads)).to.deep.equal({
+        b: { ...NO_LOAD, prefillMs: 150, waiting: loads.get('b')?.waiting },
+        d: { ...NO_LOAD, prefillMs: 150, waiting: loads.get('d')?.waiting },
+      });
+      expect(loads.get('b')?.waiting[0]?.value).to.equal(0);
+    });
+
+    it('removes them once all helpers have read them', () => {
+      const state = run([
+        started(helped),
+        end(50),
+        { type: 'load.ticked', atMs: 199 },
+      ]);
+      expect(state.flights.size).to.equal(1);
+      const later = reduceLoad(state, { type: 'load.ticked', atMs: 200 });
+      expect(later.state.flights.size).to.equal(0);
+    });
+
+    it('keeps them while they queue behind the parts of other requests', () => {
+      const first = { ...flight, flightId: 'f0', startedAtMs: -100 };
+      const state = run([started(first), started(helped), end(50)]);
+      const ticked = reduceLoad(state, { type: 'load.ticked', atMs: 250 });
+      expect([...ticked.state.flights.keys()]).to.deep.equal(['f0', 'f1']);
+    });
+
+    it('leaves none after the first token or without helpers', () => {
+      const token: LoadEvent = { type: 'load.firstToken', flightId: 'f1' };
+      expect(run([started(helped), token, end(50)]).flights.size).to.equal(0);
+      const alone = started({ ...flight, helperIds: [] });
+      expect(run([alone, end(50)]).flights.size).to.equal(0);
+    });
+  });
+
+  it('lists a waiting request at each engine that reads a part of it', () => {
+    const loads = allLoads(run([started(flight)]), 50);
+    expect(loads.get('a')?.waiting).to.deep.equal([flight]);
+    expect(loads.get('b')?.waiting).to.deep.equal([flight]);
+  });
+
   it('assumes more prefill work at an engine whose first event is overdue', () => {
     const state = run([started(flight)]);
     expect(allLoads(state, 300).get('a')?.prefillMs).to.equal(0);
--- a/packages/core/src/forwarding/planPrompt/_lib/costs.ts
+++ b/packages/core/src/forwarding/planPrompt/_lib/costs.ts
@@ -1,4 +1,5 @@
 /** Cost functions of the planner: expected losses, in on-time requests. */
+import { LATE_VALUE_FACTOR } from '../../engineLoad/index.ts';
 import type { EngineCandidate, PromptPart } from './types.ts';
 
 /** Cost of a part of a long prompt in the short lane: it delays the short
@@ -17,9 +18,9 @@
 
 /** Fractions of a prompt's value lost when it is late, and when its caller has
  * given up. */
-const LATE_VALUE_LOSS = 0.75;
+const LATE_VALUE_LOSS = 1 - LATE_VALUE_FACTOR;
 
-const CALLER_GONE_VALUE_LOSS = 0.25;
+const CALLER_GONE_VALUE_LOSS = LATE_VALUE_FACTOR;
 
 /** Fractions of a caller's patience between which the probability that it gives
  * up rises from 0 to 1. */
@@ -33,9 +34,9 @@
 
 const GAP_RAMP_END = 1;
 
-/** Delay at which a prompt that waits for the prefill of another part is
- * certain to be late. */
-const PREFILL_DELAY_RAMP_END_MS = 600;
+/** Delay at which a prompt that waits for the prefill of another part is certain
+ * to be late. */
+const PREFILL_DELAY_RAMP_END_MS = 1500;
 
 /** Cost of a target that failed recently. */
 const AVOIDED_TARGET_COST = 200;
@@ -57,15 +58,17 @@
 const MS_PER_S = 1000;
 
 /**
- * Estimates the time until a part is prefilled: the prefill queued before it, half
- * a pass on average, and its own prefill.
+ * Estimates the time until a part is prefilled: half a pass on average, and its own
+ * prefill. An engine reads the parts of a split prompt ahead of all that it has to
+ * read, those of earlier split prompts included, and a whole prompt after it.
  */
 export function estimatePartEndMs(
   part: PromptPart,
   candidate: EngineCandidate,
 ): number {
   const { target, load, passMs } = candidate;
-  return (load.prefillMs + part.prefillMs) * target.slowdown + passMs / 2;
+  const queuedMs = part.isSplit ? 0 : load.prefillMs;
+  return (queuedMs + part.prefillMs) * target.slowdown + passMs / 2;
 }
 
 /**
@@ -77,9 +80,7 @@
  */
 export function latenessCost(part: PromptPart, endMs: number): number {
   const latencyShare = endMs / Math.max(part.latencyBudgetMs, 1);
-  const lateLoss =
-    LATE_VALUE_LOSS *
-    linearRamp(latencyShare, LATENCY_RAMP_START, LATENCY_RAMP_END);
+  const lateLoss = LATE_VALUE_LOSS * estimateLateShare(part, endMs);
   const callerGoneLoss =
     CALLER_GONE_VALUE_LOSS *
     linearRamp(endMs / part.patienceMs, PATIENCE_RAMP_START, PATIENCE_RAMP_END);
@@ -94,6 +95,15 @@
   return part.value * (lateLoss + callerGoneLoss + delayCost);
 }
 
+/** Probability that a prompt whose first event is predicted after `endMs` is late. */
+export function estimateLateShare(
+  part: Pick<PromptPart, 'latencyBudgetMs'>,
+  endMs: number,
+): number {
+  const latencyShare = endMs / Math.max(part.latencyBudgetMs, 1);
+  return linearRamp(latencyShare, LATENCY_RAMP_START, LATENCY_RAMP_END);
+}
+
 /** Expected loss of the target's streams when a part lengthens one of their gaps. */
 export function decodingDelayCost(
   prefillMs: number,
@@ -109,16 +119,16 @@
   return load.decodingValue * lateShare;
 }
 
-/** Expected loss of the prompts that wait at a target when a part is added. */
+/** Expected loss of the prompts that wait at targets when each gets one more part. A
+ * prompt that waits at several of them is lost only once. */
 export function prefillDelayCost(
   prefillMs: number,
-  candidate: EngineCandidate,
+  candidates: readonly EngineCandidate[],
 ): number {
-  const { target, load } = candidate;
-  return (
-    load.prefillingValue *
-    linearRamp(prefillMs * target.slowdown, 0, PREFILL_DELAY_RAMP_END_MS)
-  );
+  const slowdown = Math.max(...candidates.map(({ target }) => target.slowdown));
+  const waiting = new Set(candidates.flatMap(({ load }) => load.waiting));
+  const value = [...waiting].reduce((sum, flight) => sum + flight.value, 0);
+  return value * linearRamp(prefillMs * slowdown, 0, PREFILL_DELAY_RAMP_END_MS);
 }
 
 /** Expected loss when a part is placed outside the lane for its prompt length. */
--- a/packages/core/src/forwarding/planPrompt/index.ts
+++ b/packages/core/src/forwarding/planPrompt/index.ts
@@ -5,6 +5,7 @@
   avoidanceCost,
   laneCost,
   latenessCost,
+  estimateLateShare,
   estimatePartEndMs,
   prefillDelayCost,
   decodingDelayCost,
@@ -51,6 +52,10 @@
   readonly firstEventMs: number;
   /** Expected wait for a slot of `target`; 0 when one is free. */
   readonly slotWaitMs: number;
+  /** Probability that the first event misses the latency target. */
+  readonly lateShare: number;
+  /** Expected loss of other prompts that it delays, in on-time requests. */
+  readonly delayCost: number;
 }
 
 /** Options of {@link planPrompt}. */
@@ -166,7 +171,7 @@
   return (
     latenessCost(part, estimatePartEndMs(part, candidate)) +
     decodingDelayCost(part.prefillMs, candidate) +
-    (part.isSplit ? prefillDelayCost(part.prefillMs, candidate) : 0) +
+    (part.isSplit ? prefillDelayCost(part.prefillMs, [candidate]) : 0) +
     laneCost(part, candidate)
   );
 }
@@ -207,25 +212,20 @@
   const engines = chosen.map((one) => one.candidate);
   const placement = placeMemory(demand, engines, view);
   const endMs = Math.max(
-    ...engines.map((candidate) =>
-      estimatePartEndMs(
-        { ...part, isSplit: candidate !== placement.primary },
-        candidate,
-      ),
-    ),
+    ...engines.map((candidate) => estimatePartEndMs(part, candidate)),
   );
   const firstEventMs = endMs + estimateFirstPassMs(placement, view);
-  const engineCost = engines.reduce(
-    (sum, candidate) =>
-      sum +
-      decodingDelayCost(part.prefillMs, candidate) +
-      (candidate === placement.primary
-        ? 0
-        : prefillDelayCost(part.prefillMs, candidate)) +
-      laneCost(part, candidate) +
-      avoidanceCost(candidate, view.nowMs) +
-      COST_PER_ENGINE,
-    0,
+  const delayCost =
+    (part.isSplit ? prefillDelayCost(part.prefillMs, engines) : 0) +
+    sumBy(
+      engines,
+      (candidate) =>
+        decodingDelayCost(part.prefillMs, candidate) +
+        laneCost(part, candidate),
+    );
+  const engineCost = sumBy(
+    engines,
+    (candidate) => avoidanceCost(candidate, view.nowMs) + COST_PER_ENGINE,
   );
   return {
     plan: {
@@ -240,11 +240,21 @@
       isShort: part.isShort,
       firstEventMs,
       slotWaitMs: estimateSlotWaitMs(placement, demand, view),
+      lateShare: estimateLateShare(part, firstEventMs),
+      delayCost,
     },
-    cost: latenessCost(part, firstEventMs) + engineCost + placement.cost,
+    cost:
+      latenessCost(part, firstEventMs) +
+      delayCost +
+      engineCost +
+      placement.cost,
   };
 }
 
+function sumBy<T>(items: readonly T[], valueOf: (item: T) => number): number {
+  return items.reduce((sum, item) => sum + valueOf(item), 0);
+}
+
 function toCandidate(
   target: RosterTarget,
   view: EngineView,
--- a/packages/core/src/forwarding/planPrompt/test.ts
+++ b/packages/core/src/forwarding/planPrompt/test.ts
@@ -1,7 +1,11 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import type { EngineCost } from '@endivegate/contracts/forwarding';
-import { type LoadByTarget, NO_LOAD } from '../engineLoad/index.ts';
+import {
+  type InFlightRequest,
+  type LoadByTarget,
+  NO_LOAD,
+} from '../engineLoad/index.ts';
 import type { RosterTarget } from '../targetRoster/index.ts';
 import { type EngineView, planPrompt, type PromptDemand } from './index.ts';
 
@@ -183,6 +187,59 @@
     expect(planPrompt(short, none, options)).to.equal(undefined);
   });
 
+  describe('with other split prompts (parts of the newest one are read first)', () => {
+    const flight: InFlightRequest = {
+      flightId: 'other',
+      targetId: 't19',
+      helperIds: ['t18'],
+      partPrefillMs: 1000,
+      memoryTokens: 154_000,
+      contextTokens: 154_000,
+      value: 16,
+      isShort: false,
+      reservations: [],
+      gapTargetMs: 1000,
+      startedAtMs: 0,
+      isDecoding: false,
+    };
+    const busy = { ...NO_LOAD, prefillMs: 1000, waiting: [flight] };
+    const idsOf = (loads: LoadByTarget): readonly string[] => {
+      const plan = planPrompt(long, viewOf(loads), options);
+      return [plan!.target, ...plan!.helpers].map(({ id }) => id);
+    };
+
+    it('leaves engines that read for another one alone', () => {
+      const busyIds = ['t16', 't17', 't18', 't19'];
+      const ids = idsOf(new Map(busyIds.map((id) => [id, busy])));
+      expect(ids.filter((id) => busyIds.includes(id))).to.deep.equal([]);
+    });
+
+    it('does not expect its parts to queue behind those of another one', () => {
+      const all = new Map(targets.map(({ id }) => [id, busy]));
+      const plan = planPrompt(long, viewOf(all), options);
+      const idle = planPrompt(long, viewOf(), options);
+      expect(plan!.firstEventMs * plan!.helpers.length).to.be.closeTo(
+        idle!.firstEventMs * idle!.helpers.length,
+        1000,
+      );
+    });
+
+    it('counts the loss of a prompt once, however many of its engines it uses', () => {
+      const all = new Map(targets.map(({ id }) => [id, busy]));
+      const plan = planPrompt(long, viewOf(all), {
+        ...options,
+        partCounts: [10],
+      });
+      expect(plan?.delayCost).to.be.below(flight.value);
+    });
+
+    it('queues a whole prompt behind all parts', () => {
+      const all = new Map(targets.map(({ id }) => [id, busy]));
+      const plan = planPrompt(short, viewOf(all), options);
+      expect(plan?.firstEventMs).to.be.above(1000);
+    });
+  });
+
   it('plans distinct engines and finite predictions for any load', () => {
     const anyLoads = fc
       .array(
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -319,6 +319,8 @@
   const [targetHash, ageMs, partPrefillMs, memoryTokens, contextTokens] = row;
   const targetId = codec.idOf(targetHash);
   if (targetId === undefined) return [];
+  // Only the parts of a request that has ended occupy no memory.
+  const isAbandoned = memoryTokens === 0 && partPrefillMs > 0;
   return [
     {
       flightId: '',
@@ -338,6 +340,7 @@
         const helperId = codec.idOf(helperHash);
         return helperId === undefined ? [] : [{ targetId: helperId, tokens }];
       }),
+      ...(isAbandoned ? { isAbandoned } : {}),
     },
   ];
 }
--- a/packages/gateway/src/createPeerLink/_lib/test.ts
+++ b/packages/gateway/src/createPeerLink/_lib/test.ts
@@ -58,6 +58,17 @@
   decodePeerMessages(bytes, by, nowMs).messages[0]?.message;
 
 describe('peerMessage', () => {
+  it('tells the parts that a request left behind by their lack of memory', () => {
+    const left = { ...message.flights![0]!, memoryTokens: 0, value: 0 };
+    const flights = [{ ...left, isAbandoned: true as const }];
+    const bytes = encodePeerMessage({ ...message, flights }, codec, 1000);
+    expect(decodeOne(bytes, codec, 1000)?.flights).to.deep.equal(flights);
+    const plainCall = { ...left, partPrefillMs: 0, helperIds: [] };
+    const call = { ...message, flights: [plainCall] };
+    const read = decodeOne(encodePeerMessage(call, codec, 1000), codec, 1000);
+    expect(read?.flights?.[0]).not.to.have.property('isAbandoned');
+  });
+
   it('encodes the age of requests, so that clocks need not be synchronised', () => {
     const bytes = encodePeerMessage(message, codec, 1000);
     const decoded = decodeOne(bytes, codec, 50_000);
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -73,6 +73,7 @@
   let isStream = false;
   const eventTimes = createEventTimes(startedAtMs);
   let isLate = run.resumeAfterId !== undefined;
+  let wasSent = false;
   let isOver = false;
   let isPaused = false;
   let sending: RunningSend | undefined;
@@ -147,6 +148,7 @@
   /** The target's silence begins here: what this entry needed until then, to
    * reserve memory or to connect, does not count. */
   function onSent(): void {
+    wasSent = true;
     eventTimes.restart(now());
     stallDetector.reset();
     handlers.onSent();
@@ -241,18 +243,24 @@
     });
   }
 
-  function cleanUp(): void {
+  function cleanUp(end?: SendEnd): void {
     isOver = true;
     stallDetector.stop();
     releaseMemory?.();
     answerBuffer.release();
-    runtime.dispatch({ type: 'load.ended', flightId });
+    const leavesParts = wasSent && end?.type !== 'refused';
+    runtime.dispatch({
+      type: 'load.ended',
+      flightId,
+      atMs: now(),
+      leavesParts,
+    });
   }
 
   function finish(reported: SendEnd, targetHead?: TargetHead): void {
     if (isOver) return;
     const passTimeRatio = observedPassTimeRatio();
-    cleanUp();
+    cleanUp(reported);
     const end: SendEnd = isStream
       ? checkStreamEnd(reported, {
           pendingBytes: splitter.pendingBytes(),
