Short lane: fill 0.85 of an engine's slots

Cause: the lane held twice as many engines as its prompts need, so nearly every part of a long prompt delayed streams of short ones; passes stay at 60 to 70 ms of a 250 ms gap target with ten streams. Change: 0.85 in place of half of the slots.

--- a/packages/core/src/forwarding/planPrompt/_lib/lanes.ts
+++ b/packages/core/src/forwarding/planPrompt/_lib/lanes.ts
@@ -2,7 +2,7 @@
 
 /** Fraction of an engine's slots that short prompts may fill without its passes
  * coming close to their gap target. */
-const LANE_SLOT_UTILISATION = 0.5;
+const LANE_SLOT_UTILISATION = 0.85;
 
 /** Engines in the short lane beyond those that are needed. */
 const SPARE_LANE_ENGINES = 1;
