Admission by deadline slack for prompts of any length

Cause: long prompts were sent whatever was predicted. After a power loss one of 562,000 tokens was sent 1 s before its deadline and kept 17 engines busy for 1.9 s each; others followed at 6 to 16 engine-seconds a second, in a fleet that has 21. Change: a prompt is refused at once if its caller is predicted to give up first. A long prompt waits at its entry while others would lose more by its prefill than it gains by being sent now; one that can be on time gains most of its value. Not while the entry leaves, and never for sends that repeat one.

--- a/packages/gateway/src/forwardRequest/_lib/admitSend.ts
+++ b/packages/gateway/src/forwardRequest/_lib/admitSend/index.ts
@@ -1,8 +1,8 @@
 import { decideAdmission } from '@endivegate/core/forwarding';
-import type { SendPlan } from '../../planSend/index.ts';
-import type { ForwardCall, ForwardContext } from '../types.ts';
-import type { NotAdmitted } from './requestLog.ts';
-import type { TimeLeft } from './timeLeft.ts';
+import type { SendPlan } from '../../../planSend/index.ts';
+import type { ForwardCall, ForwardContext } from '../../types.ts';
+import type { NotAdmitted } from '../requestLog.ts';
+import type { TimeLeft } from '../timeLeft.ts';
 
 /** A send that is planned, and what follows from its admission. */
 export interface AdmitQuery {
@@ -32,9 +32,8 @@
 }
 
 /**
- * Sends a request, lets it wait for capacity, or refuses it. Where the queue is off,
- * only short prompts that are predicted to miss their latency target are refused,
- * before their first send.
+ * Sends a request, lets it wait, or refuses it. Where the queue is off, prompts wait
+ * and are refused as `decideAdmission` says, before their first send.
  *
  * @param query - The planned send.
  * @param context - Queue and state of the gateway.
@@ -62,15 +61,24 @@
   if (admission !== undefined && query.isAlone) {
     return admission.offer(query, refuse);
   }
-  const { isShort, slotWaitMs } = plan;
+  const waitedMs = context.now() - query.call.arrivedAtMs;
   const decision = decideAdmission({
-    isShort,
+    ...plan,
     firstEventMs,
-    slotWaitMs,
+    waitedMs,
     ...left,
   });
   if (isFirst && decision.type === 'refuse') {
-    refuse('all places are taken', decision.retryAfterMs);
-  } else query.send(plan);
-  return undefined;
+    refuse('no target can answer in time', decision.retryAfterMs);
+    return undefined;
+  }
+  const mayWait = isFirst && context.isLeaving?.() !== true;
+  if (!mayWait || decision.type !== 'wait') {
+    query.send(plan);
+    return undefined;
+  }
+  const timer = setTimeout(query.send, decision.waitMs);
+  return () => {
+    clearTimeout(timer);
+  };
 }
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -17,7 +17,7 @@
 } from '../runSend/index.ts';
 import type { ResponseHead } from '../sendRequest/index.ts';
 import type { StreamEvent } from '../splitEvents/index.ts';
-import { admitSend, type SendRefusal } from './_lib/admitSend.ts';
+import { admitSend, type SendRefusal } from './_lib/admitSend/index.ts';
 import { hasRetryBudget } from './_lib/hasRetryBudget.ts';
 import { type TimeLeft, timeLeft } from './_lib/timeLeft.ts';
 import { createOpenSends, type OpenSend } from './_lib/openSends.ts';
--- a/packages/gateway/src/forwardRequest/types.ts
+++ b/packages/gateway/src/forwardRequest/types.ts
@@ -47,6 +47,8 @@
   readonly bounds: GatewayBounds;
   /** Queue of requests without capacity; undefined where it is off. */
   readonly admission?: AdmissionControl | undefined;
+  /** Whether this entry stops, so that requests must end soon; default: no. */
+  readonly isLeaving?: () => boolean;
   readonly dataCentre: string;
   /** Name of this entry. */
   readonly entryName: string;
--- a/packages/gateway/src/planSend/index.ts
+++ b/packages/gateway/src/planSend/index.ts
@@ -63,8 +63,12 @@
   readonly fits: boolean;
   readonly contextTokens: number;
   readonly isShort: boolean;
-  /** Weight of meeting the latency target, relative to other prompts. */
+  /** Value of meeting the latency target; see `valueOfPrompt`. */
   readonly value: number;
+  /** Probability that the first event misses the latency target. */
+  readonly lateShare: number;
+  /** Expected loss of other prompts that it delays, in on-time requests. */
+  readonly delayCost: number;
 }
 
 /**
@@ -178,6 +182,8 @@
     fits: true,
     contextTokens: 0,
     value: 1,
+    lateShare: 0,
+    delayCost: 0,
     isShort: false,
   };
 }
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -158,6 +158,7 @@
       metrics,
       bounds,
       admission,
+      isLeaving: () => isLeaving,
       dataCentre: options.dataCentre,
       entryName: options.name,
       targetDeaths,
