--- a/packages/gateway/src/admissionControl/_lib/queueLog.ts
+++ b/packages/gateway/src/admissionControl/_lib/queueLog.ts
@@ -4,7 +4,7 @@
 } from '@endivegate/core/forwarding';
 import type { EventLog } from '../../createEventLog/index.ts';
 import type { GatewayMetrics } from '../../createGatewayMetrics/index.ts';
-import type { AdmitQuery } from '../../forwardRequest/_lib/admitSend.ts';
+import type { AdmitQuery } from '../../forwardRequest/_lib/admitSend/index.ts';
 import type { ServiceCapacity } from './serviceCapacity.ts';
 
 /** Why a request is refused for lack of capacity. */
--- a/packages/gateway/src/admissionControl/_lib/toQueued.ts
+++ b/packages/gateway/src/admissionControl/_lib/toQueued.ts
@@ -3,7 +3,7 @@
   type QueuedRequest,
   type ReturningRequest,
 } from '@endivegate/core/forwarding';
-import type { AdmitQuery } from '../../forwardRequest/_lib/admitSend.ts';
+import type { AdmitQuery } from '../../forwardRequest/_lib/admitSend/index.ts';
 import type { TimeLeft } from '../../forwardRequest/_lib/timeLeft.ts';
 import type { SendPlan } from '../../planSend/index.ts';
 
--- a/packages/gateway/src/admissionControl/index.ts
+++ b/packages/gateway/src/admissionControl/index.ts
@@ -18,7 +18,7 @@
 } from '@endivegate/core/forwarding';
 import type { EventLog } from '../createEventLog/index.ts';
 import type { GatewayMetrics } from '../createGatewayMetrics/index.ts';
-import type { AdmitQuery } from '../forwardRequest/_lib/admitSend.ts';
+import type { AdmitQuery } from '../forwardRequest/_lib/admitSend/index.ts';
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
 import type { SendPlan } from '../planSend/index.ts';
 import { createDrainTimer } from './_lib/drainTimer.ts';
