--- a/packages/gateway/src/forwardRequest/_lib/admitSend/index.ts
+++ b/packages/gateway/src/forwardRequest/_lib/admitSend/index.ts
@@ -77,6 +77,17 @@
     query.send(plan);
     return undefined;
   }
+  if (waitedMs < decision.waitMs) {
+    context.log.info('request.waiting', {
+      request: query.call.attemptId,
+      target: plan.target.id,
+      firstEventMs: Math.round(firstEventMs),
+      latencyBudgetMs: Math.round(left.latencyBudgetMs),
+      lateShare: Number(plan.lateShare.toFixed(2)),
+      value: Number(plan.value.toFixed(1)),
+      delayCost: Number(plan.delayCost.toFixed(1)),
+    });
+  }
   const timer = setTimeout(query.send, decision.waitMs);
   return () => {
     clearTimeout(timer);
--- a/packages/gateway/src/forwardRequest/_lib/admitSend/test.ts
+++ b/packages/gateway/src/forwardRequest/_lib/admitSend/test.ts
@@ -4,6 +4,7 @@
 import { admitSend, type AdmitQuery } from './index.ts';
 
 const plan = {
+  target: { id: 't1' },
   firstEventMs: 1200,
   slotWaitMs: 0,
   isShort: false,
@@ -34,7 +35,11 @@
       giveUp: (reason) => seen.push(`give up: ${reason}`),
       ...query,
     },
-    { now: () => 2000, ...context } as ForwardContext,
+    {
+      now: () => 100,
+      log: { info: (event: string) => seen.push(event) },
+      ...context,
+    } as unknown as ForwardContext,
   );
   return { seen, stop };
 };
@@ -42,8 +47,11 @@
 describe('admitSend (admission by deadline slack)', () => {
   it('lets a late long prompt wait, until it is stopped', () => {
     const { seen, stop } = admit();
-    expect(seen).to.deep.equal([]);
+    expect(seen).to.deep.equal(['request.waiting']);
     stop?.();
+    const again = admit({}, { now: () => 2000 });
+    expect(again.seen).to.deep.equal([]);
+    again.stop?.();
   });
 
   it('lets nothing wait while the entry leaves', () => {
