--- a/packages/core/src/forwarding/engineLoad/index.ts
+++ b/packages/core/src/forwarding/engineLoad/index.ts
@@ -88,7 +88,6 @@
   | {
       readonly type: 'load.ended';
       readonly flightId: string;
-      readonly atMs: number;
       /** Whether its helpers go on reading parts that were sent to them. */
       readonly leavesParts: boolean;
     }
@@ -236,27 +235,28 @@
   const flights = new Map(state.flights);
   flights.delete(event.flightId);
   const parts =
-    flight !== undefined && event.leavesParts ? abandonedParts(flight) : [];
-  parts.forEach((part) => flights.set(event.flightId, part));
-  return withoutReadParts({ ...state, flights }, event.atMs);
+    flight !== undefined && event.leavesParts
+      ? abandonedParts(flight)
+      : undefined;
+  if (parts !== undefined) flights.set(event.flightId, parts);
+  return { ...state, flights };
 }
 
-function abandonedParts(flight: InFlightRequest): readonly InFlightRequest[] {
+/** Returns what the helpers of a request go on reading; undefined if that is nothing. */
+function abandonedParts(flight: InFlightRequest): InFlightRequest | undefined {
   const [targetId, ...helperIds] = flight.helperIds;
-  if (flight.isDecoding || targetId === undefined) return [];
-  return [
-    {
-      ...flight,
-      targetId,
-      helperIds,
-      memoryTokens: 0,
-      contextTokens: 0,
-      reservations: [],
-      value: 0,
-      gapTargetMs: 0,
-      isAbandoned: true,
-    },
-  ];
+  if (flight.isDecoding || targetId === undefined) return undefined;
+  return {
+    ...flight,
+    targetId,
+    helperIds,
+    memoryTokens: 0,
+    contextTokens: 0,
+    reservations: [],
+    value: 0,
+    gapTargetMs: 0,
+    isAbandoned: true,
+  };
 }
 
 /** Removes the abandoned parts that all their targets have read. */
@@ -319,7 +319,7 @@
   return loads;
 }
 
-/** Time at which each target has read all parts, in the order in which they were sent. */
+/** Time at which each target has read all its parts, in whatever order. */
 function prefillEndsAtMs(
   flights: readonly InFlightRequest[],
 ): ReadonlyMap<string, number> {
--- a/packages/core/src/forwarding/engineLoad/test.ts
+++ b/packages/core/src/forwarding/engineLoad/test.ts
@@ -85,22 +85,21 @@
     });
     const ended = run([
       started(flight),
-      { type: 'load.ended', flightId: 'f1', atMs: 50, leavesParts: false },
+      { type: 'load.ended', flightId: 'f1', leavesParts: false },
     ]);
     expect(allLoads(ended, 50).size).to.equal(0);
   });
 
   describe('of a request that ends while its helpers read (abandoned parts)', () => {
     const helped = { ...flight, helperIds: ['b', 'd'] };
-    const end = (atMs: number): LoadEvent => ({
+    const end: LoadEvent = {
       type: 'load.ended',
       flightId: 'f1',
-      atMs,
       leavesParts: true,
-    });
+    };
 
     it('keeps the parts of the helpers, and nothing at its own target', () => {
-      const loads = allLoads(run([started(helped), end(50)]), 50);
+      const loads = allLoads(run([started(helped), end]), 50);
       expect(Object.fromEntries(loads)).to.deep.equal({
         b: { ...NO_LOAD, prefillMs: 150, waiting: loads.get('b')?.waiting },
         d: { ...NO_LOAD, prefillMs: 150, waiting: loads.get('d')?.waiting },
@@ -111,7 +110,7 @@
     it('removes them once all helpers have read them', () => {
       const state = run([
         started(helped),
-        end(50),
+        end,
         { type: 'load.ticked', atMs: 199 },
       ]);
       expect(state.flights.size).to.equal(1);
@@ -121,16 +120,16 @@
 
     it('keeps them while they queue behind the parts of other requests', () => {
       const first = { ...flight, flightId: 'f0', startedAtMs: -100 };
-      const state = run([started(first), started(helped), end(50)]);
+      const state = run([started(first), started(helped), end]);
       const ticked = reduceLoad(state, { type: 'load.ticked', atMs: 250 });
       expect([...ticked.state.flights.keys()]).to.deep.equal(['f0', 'f1']);
     });
 
     it('leaves none after the first token or without helpers', () => {
       const token: LoadEvent = { type: 'load.firstToken', flightId: 'f1' };
-      expect(run([started(helped), token, end(50)]).flights.size).to.equal(0);
+      expect(run([started(helped), token, end]).flights.size).to.equal(0);
       const alone = started({ ...flight, helperIds: [] });
-      expect(run([alone, end(50)]).flights.size).to.equal(0);
+      expect(run([alone, end]).flights.size).to.equal(0);
     });
   });
 
--- a/packages/gateway/src/reachProbe/index.ts
+++ b/packages/gateway/src/reachProbe/index.ts
@@ -70,7 +70,9 @@
     const { load, roster } = runtime.state();
     return [...load.flights.values()].some(
       (flight) =>
-        flight.startedAtMs <= sinceMs && roster.targets.has(flight.targetId),
+        flight.isAbandoned !== true &&
+        flight.startedAtMs <= sinceMs &&
+        roster.targets.has(flight.targetId),
     );
   }
 
--- a/packages/gateway/src/reachProbe/test.ts
+++ b/packages/gateway/src/reachProbe/test.ts
@@ -29,17 +29,36 @@
   }
 
   /** Adds a request that is open at a target since 0 ms. */
-  function addRequest({ runtime }: ReturnType<typeof start>): void {
+  function addRequest(
+    { runtime }: ReturnType<typeof start>,
+    helperIds: readonly string[] = [],
+  ): void {
     runtime.dispatch({
       type: 'load.started',
       flight: {
-        ...{ flightId: 'f', targetId: 't0', helperIds: [], reservations: [] },
+        ...{ flightId: 'f', targetId: 't0', helperIds, reservations: [] },
         ...{ partPrefillMs: 0, memoryTokens: 0, contextTokens: 0, value: 1 },
         ...{ isShort: true, gapTargetMs: 0, startedAtMs: 0, isDecoding: false },
       },
     });
   }
 
+  it('does not count parts that an ended request left to its helpers', () => {
+    const started = start('accepted');
+    const { runtime, clock, reachProbe, phase } = started;
+    addRequest(started, ['t1']);
+    runtime.dispatch({
+      type: 'load.ended',
+      flightId: 'f',
+      leavesParts: true,
+    });
+    expect(runtime.state().load.flights.size).to.equal(1);
+    clock.nowMs = 6500;
+    reachProbe.checkSilence();
+    expect(phase()).to.equal('reaching');
+    reachProbe.close();
+  });
+
   const rounds = () =>
     new Promise((resolve) => {
       setTimeout(resolve, 20);
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -249,12 +249,7 @@
     releaseMemory?.();
     answerBuffer.release();
     const leavesParts = wasSent && end?.type !== 'refused';
-    runtime.dispatch({
-      type: 'load.ended',
-      flightId,
-      atMs: now(),
-      leavesParts,
-    });
+    runtime.dispatch({ type: 'load.ended', flightId, leavesParts });
   }
 
   function finish(reported: SendEnd, targetHead?: TargetHead): void {
