Configuration: fetch from several peers, compressed, and log how it arrives

Callers got 404 for routes and 401 for keys that had been confirmed 3 to 8 s before, at single entries or at most of a data centre, after a large table.

Cause: an entry fetched from one peer at a time, the one that the first datagram named. Entries of a data centre read the same datagram of the hub, so up to 25 of them copied 417 KB each from one entry behind 20 Mbit/s: 2.8 s for 17 copies, where a fetch may take 1.5 s, so all of them failed. Meanwhile an entry ignored every other peer that reported the version, and after the failure it waited for the next datagram. Class: all replicas copy from one, and a failure holds up what does not depend on it.

Evidence: 149 fetches timed out, 25, 19, 17 and 12 within a second on one peer each; entries 7.6 s behind their own watchers, which had every version on time. Ruled out: late watchers (their logs), decoding (no processor time charged).

Change: reduceConfigSync (core) keeps every peer that reports a newer version. A peer serves six copies at a time, compressed once for each version (417,508 -> 12,270 bytes), and refuses others at once. Builds without compression are served as before. config.inForce has source, bytes, and times since the first report, of fetch and of decoding, also as endivegate_config_delay_ms; a rejection names the newest version that was reported.

--- a/packages/core/src/forwarding/gatewayReduce/index.ts
+++ b/packages/core/src/forwarding/gatewayReduce/index.ts
@@ -19,6 +19,13 @@
   initialColdTargets,
   reduceColdTargets,
 } from '../coldTargets/index.ts';
+import {
+  type ConfigSyncEffect,
+  type ConfigSyncEvent,
+  type ConfigSyncState,
+  initialConfigSync,
+  reduceConfigSync,
+} from '../configSync/index.ts';
 import {
   initialLoad,
   type LoadEvent,
@@ -73,6 +80,7 @@
   readonly targetReach: ReachState;
   readonly evacuations: EvacuationsState;
   readonly coldTargets: ColdTargetsState;
+  readonly configSync: ConfigSyncState;
 }
 
 /** Every event that changes the state of a gateway. */
@@ -85,7 +93,8 @@
   | TargetLimitsEvent
   | ReachEvent
   | EvacuationsEvent
-  | ColdTargetsEvent;
+  | ColdTargetsEvent
+  | ConfigSyncEvent;
 
 /** State changes to log. */
 export type GatewayEffect =
@@ -95,7 +104,8 @@
   | TargetLimitsEffect
   | ReachEffect
   | EvacuationsEffect
-  | ColdTargetsEffect;
+  | ColdTargetsEffect
+  | ConfigSyncEffect;
 
 /** State of a gateway before its first event. */
 export const initialGatewayState: GatewayState = {
@@ -108,6 +118,7 @@
   targetReach: initialReach,
   evacuations: initialEvacuations,
   coldTargets: initialColdTargets,
+  configSync: initialConfigSync,
 };
 
 /**
@@ -131,4 +142,5 @@
     targetReach: { initial: initialReach, reduce: reduceReach },
     evacuations: { initial: initialEvacuations, reduce: reduceEvacuations },
     coldTargets: { initial: initialColdTargets, reduce: reduceColdTargets },
+    configSync: { initial: initialConfigSync, reduce: reduceConfigSync },
   });
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -4,6 +4,7 @@
 export * from './coldTargets/index.ts';
 export * from './capacityForecast/index.ts';
 export * from './collectBytes/index.ts';
+export * from './configSync/index.ts';
 export * from './decideAdmission/index.ts';
 export * from './decideNext/index.ts';
 export * from './engineCell/index.ts';
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -9,6 +9,7 @@
 import type { Duplex } from 'node:stream';
 import {
   matchRoute,
+  newestReported,
   pickService,
   type RouteTable,
 } from '@endivegate/core/forwarding';
@@ -191,6 +192,7 @@
       reason: failure.message,
       path: request.url,
       configVersion: runtime.table()?.config.version,
+      newestVersion: newestReported(runtime.state().configSync),
     });
     context.metrics.ended({ rule: 'none', end: `rejected${failure.status}` });
     request.resume();
--- a/packages/gateway/src/createGatewayMetrics/index.ts
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { ConfigOrigin } from '../gatewayRuntime/index.ts';
 
 /** Counters and histograms of a gateway. */
 export interface GatewayMetrics {
@@ -54,6 +55,8 @@
   }) => void;
   /** Counts a request that is refused for lack of capacity. */
   readonly queueRefused: (labels: { reason: string }) => void;
+  /** Records how long a configuration took to become active; see `ConfigOrigin`. */
+  readonly configApplied: (origin: ConfigOrigin) => void;
   /** Sets the number of dropped log lines since the start. */
   readonly droppedLines: (lines: number) => void;
 }
@@ -179,6 +182,13 @@
     labelNames: ['reason'],
     registers,
   });
+  const configDelay = new Histogram({
+    name: 'endivegate_config_delay_ms',
+    help: 'Time until a configuration is active, by source and stage: behind (since this entry first heard of it), fetch, decode.',
+    labelNames: ['source', 'stage'],
+    buckets: LATENCY_BUCKETS_MS,
+    registers,
+  });
   const dropped = new Gauge({
     name: 'endivegate_dropped_log_lines',
     help: 'Log lines that were left out since the start.',
@@ -237,6 +247,14 @@
     queueRefused: (labels) => {
       queueRefusals.inc(labels);
     },
+    configApplied: ({ source, behindMs, fetchMs, decodeMs }) => {
+      const kind = source === 'store' ? 'store' : 'peer';
+      Object.entries({ behind: behindMs, fetch: fetchMs, decode: decodeMs })
+        .filter(([, delayMs]) => delayMs !== undefined)
+        .forEach(([stage, delayMs = 0]) => {
+          configDelay.observe({ source: kind, stage }, delayMs);
+        });
+    },
     droppedLines: (lines) => {
       dropped.set(lines);
     },
--- a/packages/gateway/src/createPeerLink/_lib/configFetcher.ts
+++ b/packages/gateway/src/createPeerLink/_lib/configFetcher.ts
@@ -1,15 +1,36 @@
-import type { PeerStatus } from '@endivegate/core/forwarding';
+import {
+  behindSinceMs,
+  type ConfigSource,
+  type FetchResult,
+  type PeerStatus,
+} from '@endivegate/core/forwarding';
+import type { ForwardingConfig } from '@endivegate/contracts/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import type { EventLog } from '../../createEventLog/index.ts';
+import type { FetchError, Fetched } from '../../exchangeJson/index.ts';
 import type { GatewayRuntime } from '../../gatewayRuntime/index.ts';
 import { fetchConfig } from './configExchange.ts';
 
-/** Fetches configurations from peers, one at a time. */
+/** Fetches newer configurations from peers; see `reduceConfigSync`. */
 export interface ConfigFetcher {
-  /** Whether a peer has a newer configuration than this entry. */
-  readonly isNewer: (peer: PeerStatus) => boolean;
-  /** Fetches a peer's configuration after a delay, if it is still newer by then. */
-  readonly schedule: (peer: PeerStatus, delayMs?: number) => void;
+  /**
+   * Notes the version of a peer's configuration.
+   *
+   * @param peer - Status of the peer.
+   * @param delayMs - Time to wait for the store's own notification.
+   */
+  readonly report: (peer: PeerStatus, delayMs?: number) => void;
+  readonly close: () => void;
+}
+
+/** Options of {@link createConfigFetcher}. */
+export interface CreateConfigFetcherOptions {
+  readonly runtime: GatewayRuntime;
+  readonly log: EventLog;
+  /** Name and data centre of this entry. */
+  readonly self: Pick<PeerStatus, 'name' | 'dataCentre'>;
+  /** Monotonic time in ms. */
+  readonly now: () => number;
 }
 
 /**
@@ -18,37 +39,81 @@
  */
 const CONFIG_FETCH_DELAY_MS = 250;
 
+/** How often due fetches are started while there is a newer configuration. */
+const TICK_INTERVAL_MS = 50;
+
 /** Creates the fetcher. */
-export function createConfigFetcher(options: {
-  readonly runtime: GatewayRuntime;
-  readonly log: EventLog;
-}): ConfigFetcher {
-  const { runtime, log } = options;
-  let isFetching = false;
+export function createConfigFetcher(
+  options: CreateConfigFetcherOptions,
+): ConfigFetcher {
+  const { runtime, log, self, now } = options;
+  let ticker: NodeJS.Timeout | undefined;
+  let isClosed = false;
+
+  runtime.onEffect((effect) => {
+    if (effect.type === 'configSync.fetchDue' && !isClosed) {
+      fetchFrom(effect.source);
+    }
+  });
+
+  function tick(): void {
+    if (behindSinceMs(runtime.state().configSync) === undefined) {
+      clearInterval(ticker);
+      ticker = undefined;
+    } else runtime.dispatch({ type: 'configSync.ticked', atMs: now() });
+  }
 
-  function isNewer(peer: PeerStatus): boolean {
-    return peer.configVersion > (runtime.table()?.config.version ?? 0);
+  function fetchFrom(source: ConfigSource): void {
+    fetchConfig(source.address, (fetched) => {
+      if (isClosed) return;
+      runtime.dispatch({
+        type: 'configSync.fetchEnded',
+        atMs: now(),
+        name: source.name,
+        result: applyFetched(source, fetched),
+      });
+    });
   }
 
-  function schedule(peer: PeerStatus, delayMs = CONFIG_FETCH_DELAY_MS): void {
-    if (isFetching) return;
-    isFetching = true;
-    setTimeout(() => {
-      if (!isNewer(peer)) {
-        isFetching = false;
-        return;
-      }
-      fetchConfig(peer.peerAddress, (result) => {
-        isFetching = false;
-        if (E.isLeft(result)) {
-          log.warn('config.peerFetchFailed', {
-            peer: peer.name,
-            reason: result.left,
-          });
-        } else runtime.applyConfig(result.right, `peer ${peer.name}`);
+  function applyFetched(
+    source: ConfigSource,
+    fetched: E.Either<FetchError, Fetched<ForwardingConfig>>,
+  ): FetchResult {
+    if (E.isLeft(fetched)) {
+      log.warn('config.peerFetchFailed', {
+        peer: source.name,
+        version: source.version,
+        ...fetched.left,
       });
-    }, delayMs);
+      return { type: fetched.left.type };
+    }
+    const { value: config, ...delivery } = fetched.right;
+    runtime.applyConfig(config, `peer ${source.name}`, delivery);
+    return { type: 'received', version: config.version };
   }
 
-  return { isNewer, schedule };
+  return {
+    report(peer, delayMs = CONFIG_FETCH_DELAY_MS) {
+      const { version } = runtime.state().configSync;
+      if (isClosed || peer.configVersion <= version) return;
+      runtime.dispatch({
+        type: 'configSync.reported',
+        atMs: now(),
+        report: {
+          entryName: self.name,
+          name: peer.name,
+          address: peer.peerAddress,
+          isLocal: peer.dataCentre === self.dataCentre,
+          weight: peer.weight,
+          version: peer.configVersion,
+        },
+        delayMs,
+      });
+      ticker ??= setInterval(tick, TICK_INTERVAL_MS);
+    },
+    close() {
+      isClosed = true;
+      clearInterval(ticker);
+    },
+  };
 }
--- a/packages/gateway/src/createPeerLink/_lib/peerServer.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerServer.ts
@@ -5,6 +5,9 @@
 import { readRelay } from '../../relayDialect/index.ts';
 import { CONFIG_PATH } from './configExchange.ts';
 
+/** Configurations sent at once. More would share the link, so that none ends in time. */
+const MAX_CONFIG_RESPONSES = 6;
+
 /** Options of {@link createPeerServer}. */
 export interface CreatePeerServerOptions {
   /** Returns the active configuration, or undefined without one. */
@@ -17,7 +20,9 @@
  * they relay requests while they reach no targets.
  */
 export function createPeerServer(options: CreatePeerServerOptions): Server {
-  const answerConfig = answerJson(CONFIG_PATH, options.currentConfig);
+  const answerConfig = answerJson(CONFIG_PATH, options.currentConfig, {
+    maxResponses: MAX_CONFIG_RESPONSES,
+  });
   return createServer(
     {
       maxHeaderSize: MAX_PARSED_HEADER_BYTES,
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -33,8 +33,8 @@
    * Sends the state of this entry and its requests in flight to all peers now.
    */
   readonly broadcast: () => void;
-  /** Fetches the configuration of a peer that has a newer one, unless one is being
-   * fetched already. */
+  /** Fetches the configuration of a peer if it is newer, or that of another peer that
+   * has it as well. */
   readonly fetchConfigFrom: (peer: PeerStatus) => void;
   /** Adds addresses at which to look for other entries. */
   readonly addAddresses: (addresses: readonly string[]) => void;
@@ -149,7 +149,7 @@
       send(DIRECT, message, address);
     },
   });
-  const configFetcher = createConfigFetcher({ runtime, log });
+  const configFetcher = createConfigFetcher({ runtime, log, self: own, now });
   const reportSender = createReportSender({
     runtime,
     now,
@@ -359,8 +359,9 @@
     if (limits.length > 0) {
       runtime.dispatch({ type: 'targetLimits.received', reports: limits });
     }
-    const newest = peers.find(configFetcher.isNewer);
-    if (newest !== undefined) configFetcher.schedule(newest);
+    peers.forEach((peer) => {
+      configFetcher.report(peer);
+    });
   }
 
   /** Whether a peer reports the confirmed deaths of whole requests among those of parts. */
@@ -377,7 +378,7 @@
   return {
     broadcast,
     fetchConfigFrom(peer) {
-      configFetcher.schedule(peer, SHARED_FETCH_SPREAD_MS * random());
+      configFetcher.report(peer, SHARED_FETCH_SPREAD_MS * random());
     },
     addAddresses: contacts.addAddresses,
     close() {
@@ -389,6 +390,7 @@
       batch.close();
       clearTimeout(sendTimer);
       reportSender.close();
+      configFetcher.close();
       socket.close();
       server.close();
     },
--- a/packages/gateway/src/createPeerLink/test.ts
+++ b/packages/gateway/src/createPeerLink/test.ts
@@ -1,4 +1,9 @@
 import { expect } from 'chai';
+import {
+  type AddressInfo,
+  createServer as createTcpServer,
+  type Server as TcpServer,
+} from 'node:net';
 import type {
   ForwardingConfig,
   ListedTarget,
@@ -8,10 +13,12 @@
   findBlockedParts,
   type CrashReport,
   type InFlightRequest,
+  type PeerStatus,
   requestPart,
   servingPeers,
 } from '@endivegate/core/forwarding';
 import { createEventLog } from '../createEventLog/index.ts';
+import { serveJson } from '../exchangeJson/index.ts';
 import {
   createGatewayRuntime,
   type GatewayRuntime,
@@ -65,6 +72,27 @@
   readonly crashes: readonly CrashReport[];
 }
 
+/** Status of a peer that has the configuration. */
+const holder: PeerStatus = {
+  name: 'e2',
+  peerAddress: '',
+  callerAddress: '',
+  dataCentre: 'a',
+  startedAtUnixMs: 1,
+  isReady: true,
+  isLeaving: false,
+  configVersion: config.version,
+  weight: 1,
+};
+
+/** Starts a server on a free port and returns its address. */
+async function listenLocally(server: TcpServer): Promise<string> {
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
 /** Waits until a condition holds, or until the test times out. */
 async function until(holds: () => boolean): Promise<void> {
   while (!holds()) {
@@ -146,6 +174,27 @@
     expect(first.runtime.table()?.config.version).to.equal(4);
   });
 
+  // Guards against a configuration that comes late because the peer that was asked for it
+  // first is frozen, cut off or has a slow link.
+  it('fetches a newer configuration from another peer when the first one is silent', async () => {
+    const entry = await startEntry('e1', 'a', []);
+    const silent = createTcpServer();
+    const sound = serveJson('/config', () => config);
+    const [first = '', second = ''] = await Promise.all(
+      [silent, sound].map(listenLocally),
+    );
+    entry.link.fetchConfigFrom({ ...holder, name: 'e2', peerAddress: first });
+    entry.link.fetchConfigFrom({
+      ...holder,
+      name: 'e3',
+      dataCentre: 'b',
+      peerAddress: second,
+    });
+    await until(() => entry.runtime.table()?.config.version === 4);
+    silent.close();
+    sound.close();
+  });
+
   it('shares draining targets and requests that crashed targets', async () => {
     const first = await startEntry('e1', 'a', []);
     const second = await startEntry('e2', 'b', [first.address]);
--- a/packages/gateway/src/exchangeJson/index.ts
+++ b/packages/gateway/src/exchangeJson/index.ts
@@ -1,15 +1,23 @@
 import {
   createServer,
+  type IncomingMessage,
   request as httpRequest,
   type RequestListener,
   type Server,
 } from 'node:http';
+import { gunzipSync, gzipSync } from 'node:zlib';
 import { collectBytes } from '@endivegate/core/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import { limitFraming, MAX_HEAD_BYTES } from '../limitFraming/index.ts';
 
 const HTTP_OK = 200;
 const NOT_FOUND = 404;
+const UNAVAILABLE = 503;
+
+const GZIP = 'gzip';
+
+/** Most of the ratio at the least processor time. */
+const GZIP_LEVEL = 1;
 
 /**
  * Maximum size of a value: several times a configuration, which is stored in at
@@ -17,7 +25,10 @@
  */
 const MAX_VALUE_BYTES = 16 * 1024 * 1024;
 
-const TOO_LARGE = 'response too large';
+const TOO_LARGE: FetchError = {
+  type: 'failed',
+  reason: 'response too large',
+};
 
 /** A value that a peer serves. */
 export interface JsonSource {
@@ -28,6 +39,30 @@
   readonly timeoutMs: number;
 }
 
+/** Why a value could not be fetched. */
+export type FetchError =
+  /** The peer serves as many others as it can, and has sent nothing. */
+  | { readonly type: 'busy' }
+  | { readonly type: 'failed'; readonly reason: string };
+
+/** A value that was fetched, and what that took. */
+export interface Fetched<T> {
+  readonly value: T;
+  /** Size of the response body. */
+  readonly bytes: number;
+  /** Time from the call to the last byte. */
+  readonly fetchMs: number;
+  /** Time to decompress, parse and check the value. */
+  readonly decodeMs: number;
+}
+
+/** Options of {@link answerJson}. */
+export interface AnswerJsonOptions {
+  /** Responses in progress at once, beyond which callers are told to ask another peer;
+   * unlimited by default. */
+  readonly maxResponses?: number;
+}
+
 /**
  * Creates a server from which peers fetch a value as JSON.
  *
@@ -42,11 +77,20 @@
   return createServer(answerJson(path, current));
 }
 
+/** A value and its compressed JSON. */
+interface Encoded {
+  readonly value: unknown;
+  readonly bytes: Buffer;
+}
+
 /**
- * Creates the listener of such a server.
+ * Creates the listener of such a server. Values are compressed once for all callers.
+ * A build that accepts no compression does not try another peer either, so it is
+ * always served.
  *
  * @param path - Path of the value.
  * @param current - Returns the value, or undefined while there is none.
+ * @param options - Limit of responses in progress.
  * @returns The listener.
  *
  * @example
@@ -55,15 +99,45 @@
 export function answerJson(
   path: string,
   current: () => unknown,
+  { maxResponses = Infinity }: AnswerJsonOptions = {},
 ): RequestListener {
+  let latest: Encoded | undefined;
+  let responses = 0;
+
+  function compress(value: unknown): Buffer {
+    if (latest === undefined || latest.value !== value) {
+      const text = JSON.stringify(value);
+      latest = { value, bytes: gzipSync(text, { level: GZIP_LEVEL }) };
+    }
+    return latest.bytes;
+  }
+
   return (request, response) => {
     const value = current();
     if (request.url !== path || value === undefined) {
       response.writeHead(NOT_FOUND, { connection: 'close' }).end();
       return;
     }
-    response.writeHead(HTTP_OK, { connection: 'close' });
-    response.end(JSON.stringify(value));
+    if (request.headers['accept-encoding'] !== GZIP) {
+      response.writeHead(HTTP_OK, { connection: 'close' });
+      response.end(JSON.stringify(value));
+      return;
+    }
+    if (responses >= maxResponses) {
+      response.writeHead(UNAVAILABLE, { connection: 'close' }).end();
+      return;
+    }
+    responses += 1;
+    response.once('close', () => {
+      responses -= 1;
+    });
+    const bytes = compress(value);
+    response.writeHead(HTTP_OK, {
+      connection: 'close',
+      'content-encoding': GZIP,
+      'content-length': bytes.length,
+    });
+    response.end(bytes);
   };
 }
 
@@ -80,25 +154,30 @@
 export function fetchJson<T>(
   source: JsonSource,
   decode: (value: unknown) => E.Either<string, T>,
-  done: (result: E.Either<string, T>) => void,
+  done: (result: E.Either<FetchError, Fetched<T>>) => void,
 ): void {
   const [host = '', port = ''] = source.address.split(':');
+  const startedAtMs = performance.now();
   let isOver = false;
-  const finish = (result: E.Either<string, T>): void => {
+  const finish = (result: E.Either<FetchError, Fetched<T>>): void => {
     if (isOver) return;
     isOver = true;
     clearTimeout(timer);
     call.destroy();
     done(result);
   };
+  const fail = (reason: string): void => {
+    finish(E.left({ type: 'failed', reason }));
+  };
   const timer = setTimeout(() => {
-    finish(E.left('request timed out'));
+    fail('request timed out');
   }, source.timeoutMs);
   const call = httpRequest(
     {
       host,
       port: Number(port),
       path: source.path,
+      headers: { 'accept-encoding': GZIP },
       agent: false,
       maxHeaderSize: MAX_HEAD_BYTES,
     },
@@ -108,12 +187,19 @@
         if (!body.add(chunk)) finish(E.left(TOO_LARGE));
       });
       response.on('error', (error) => {
-        finish(E.left(error.message));
+        fail(error.message);
       });
       response.on('end', () => {
-        finish(
-          readBody(response.statusCode, Buffer.from(body.bytes()), decode),
-        );
+        if (isOver) return;
+        const receivedAtMs = performance.now();
+        const bytes = Buffer.from(body.bytes());
+        const value = readBody(response, bytes, decode);
+        const times = {
+          bytes: bytes.length,
+          fetchMs: receivedAtMs - startedAtMs,
+          decodeMs: performance.now() - receivedAtMs,
+        };
+        finish(E.map((read: T) => ({ value: read, ...times }))(value));
       });
     },
   );
@@ -121,20 +207,28 @@
     finish(E.left(TOO_LARGE));
   });
   call.on('error', (error) => {
-    finish(E.left(error.message));
+    fail(error.message);
   });
   call.end();
 }
 
 function readBody<T>(
-  status: number | undefined,
+  { statusCode, headers }: IncomingMessage,
   bytes: Buffer,
   decode: (value: unknown) => E.Either<string, T>,
-): E.Either<string, T> {
-  if (status !== HTTP_OK) return E.left(`unexpected status ${status ?? 0}`);
+): E.Either<FetchError, T> {
+  if (statusCode === UNAVAILABLE) return E.left({ type: 'busy' });
+  const failed = (reason: string): FetchError => ({ type: 'failed', reason });
+  if (statusCode !== HTTP_OK) {
+    return E.left(failed(`unexpected status ${statusCode ?? 0}`));
+  }
   try {
-    return decode(JSON.parse(bytes.toString('utf8')));
+    const isCompressed = headers['content-encoding'] === GZIP;
+    const text = isCompressed
+      ? gunzipSync(bytes, { maxOutputLength: MAX_VALUE_BYTES })
+      : bytes;
+    return E.mapLeft(failed)(decode(JSON.parse(text.toString('utf8'))));
   } catch (error) {
-    return E.left(String(error));
+    return E.left(failed(String(error)));
   }
 }
--- a/packages/gateway/src/exchangeJson/test.ts
+++ b/packages/gateway/src/exchangeJson/test.ts
@@ -1,18 +1,41 @@
 import { expect } from 'chai';
-import type { Server } from 'node:http';
+import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { gzipSync } from 'node:zlib';
 import * as E from 'fp-ts/lib/Either.js';
 import {
   type EndlessScript,
   startEndlessServer,
 } from '../testEndlessServer/index.ts';
-import { fetchJson, serveJson } from './index.ts';
+import {
+  answerJson,
+  type FetchError,
+  type Fetched,
+  fetchJson,
+  type JsonSource,
+  serveJson,
+} from './index.ts';
 
 const MIB = 1024 * 1024;
 
 /** A peer may write the limit of a body, and what the kernel buffers. */
 const MAX_WRITTEN_BYTES = 48 * MIB;
 
+/** Fetches a value; a left is the reason why there is none. */
+async function fetchValue<T>(
+  source: JsonSource,
+  decode: (value: unknown) => E.Either<string, T>,
+): Promise<E.Either<string, T>> {
+  const fetched = await new Promise<E.Either<FetchError, Fetched<T>>>(
+    (resolve) => {
+      fetchJson(source, decode, resolve);
+    },
+  );
+  if (E.isRight(fetched)) return E.right(fetched.right.value);
+  const { left: error } = fetched;
+  return E.left(error.type === 'busy' ? 'busy' : error.reason);
+}
+
 describe('exchangeJson', () => {
   let server: Server | undefined;
 
@@ -32,13 +55,8 @@
     const { port } = source.address() as AddressInfo;
     const decode = (value: unknown): E.Either<string, number> =>
       typeof value === 'number' ? E.right(value) : E.left('not a number');
-    return new Promise((resolve) => {
-      fetchJson(
-        { address: `127.0.0.1:${port}`, path, timeoutMs: 1000 },
-        decode,
-        resolve,
-      );
-    });
+    const address = `127.0.0.1:${port}`;
+    return fetchValue({ address, path, timeoutMs: 1000 }, decode);
   }
 
   it('fetches the current value of a peer', async () => {
@@ -82,13 +100,10 @@
   Object.entries(endless).forEach(([what, script]) => {
     it(`gives up a peer that sends ${what} without end`, async () => {
       const peer = await startEndlessServer(script);
-      const result = await new Promise<E.Either<string, unknown>>((resolve) => {
-        fetchJson(
-          { address: peer.address, path: '/value', timeoutMs: 10_000 },
-          (value) => E.right(value),
-          resolve,
-        );
-      });
+      const result = await fetchValue(
+        { address: peer.address, path: '/value', timeoutMs: 10_000 },
+        (value) => E.right(value),
+      );
       await peer.idle();
       peer.stop();
       expect(result).to.deep.equal(E.left('response too large'));
@@ -106,13 +121,103 @@
       source.listen(0, '127.0.0.1', resolve);
     });
     const { port } = source.address() as AddressInfo;
-    const result = await new Promise<E.Either<string, unknown>>((resolve) => {
-      fetchJson(
-        { address: `127.0.0.1:${port}`, path: '/value', timeoutMs: 10_000 },
-        (value) => E.right(value),
-        resolve,
-      );
-    });
+    const result = await fetchValue(
+      { address: `127.0.0.1:${port}`, path: '/value', timeoutMs: 10_000 },
+      (value) => E.right(value),
+    );
     expect(E.isRight(result) && result.right === text).to.equal(true);
   });
+
+  // Guards against a table that takes the link of a small entry for seconds, because it
+  // is sent to many peers at once.
+  it('compresses a value once for all peers', async () => {
+    const value = Array.from({ length: 1600 }, (_, index) => ({
+      prefix: `/route-${index}/`,
+      shares: [{ service: 'chat', weight: 1 }],
+    }));
+    let encodings = 0;
+    const counted = {
+      toJSON: () => {
+        encodings += 1;
+        return value;
+      },
+    };
+    server = serveJson('/value', () => counted);
+    const address = await listenLocally(server);
+    const fetched = await Promise.all(
+      Array.from(
+        { length: 5 },
+        () =>
+          new Promise<E.Either<FetchError, Fetched<unknown>>>((resolve) => {
+            const source = { address, path: '/value', timeoutMs: 10_000 };
+            fetchJson(source, E.right, resolve);
+          }),
+      ),
+    );
+    expect(encodings).to.equal(1);
+    fetched.forEach((result) => {
+      if (E.isLeft(result)) throw new Error(JSON.stringify(result.left));
+      expect(result.right.value).to.deep.equal(value);
+      expect(result.right.bytes * 8).to.be.below(JSON.stringify(value).length);
+    });
+  });
+
+  it('serves builds that accept no compression', async () => {
+    server = serveJson('/value', () => [7]);
+    const response = await fetch(
+      `http://${await listenLocally(server)}/value`,
+      {
+        headers: { 'accept-encoding': 'identity' },
+      },
+    );
+    expect(response.headers.get('content-encoding')).to.equal(null);
+    expect(await response.json()).to.deep.equal([7]);
+  });
+
+  it('gives up a peer whose value is too large once decompressed', async () => {
+    const bytes = gzipSync(Buffer.alloc(64 * MIB, ' '));
+    const result = await fetchFrom(
+      createServer((_request, response) => {
+        response.writeHead(200, { 'content-encoding': 'gzip' }).end(bytes);
+      }),
+    );
+    expect(E.isLeft(result) && result.left).to.include('ERR_BUFFER_TOO_LARGE');
+  });
+
+  // Guards against many peers that share a slow link, so that none is served in time.
+  it('refuses peers beyond the limit, and serves them later', async () => {
+    const held: (() => void)[] = [];
+    const answer = answerJson('/value', () => 7, { maxResponses: 1 });
+    const peer = createServer((request, response) => {
+      if (request.headers['x-held'] === undefined) answer(request, response);
+      else {
+        const end = response.end.bind(response);
+        response.end = ((...args: Parameters<typeof end>) => {
+          held.push(() => end(...args));
+          return response;
+        }) as typeof response.end;
+        answer(request, response);
+      }
+    });
+    const address = await listenLocally(peer);
+    const open = fetch(`http://${address}/value`, {
+      headers: { 'x-held': '1', 'accept-encoding': 'gzip' },
+    });
+    while (held.length === 0) await new Promise(setImmediate);
+    const source = { address, path: '/value', timeoutMs: 1000 };
+    expect(await fetchValue(source, E.right)).to.deep.equal(E.left('busy'));
+    held.forEach((end) => {
+      end();
+    });
+    expect(await (await open).json()).to.equal(7);
+    expect(await fetchValue(source, E.right)).to.deep.equal(E.right(7));
+    peer.close();
+  });
 });
+
+async function listenLocally(server: Server): Promise<string> {
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -1,4 +1,5 @@
 import {
+  behindSinceMs,
   buildRouteTable,
   type InFlightRequest,
   type GatewayEffect,
@@ -19,10 +20,15 @@
   readonly dispatch: (event: GatewayEvent) => void;
   /** Returns the active configuration; undefined before the first one. */
   readonly table: () => RouteTable | undefined;
-  /** Activates a configuration if it is newer than the active one. */
-  readonly applyConfig: (config: ForwardingConfig, source: string) => void;
+  /** Activates a configuration if it is newer than the active one. The source is
+   * `store`, or names the peer. */
+  readonly applyConfig: (
+    config: ForwardingConfig,
+    source: string,
+    delivery?: ConfigDelivery,
+  ) => void;
   /** Registers a listener for newly activated configurations. */
-  readonly onConfig: (listener: (table: RouteTable) => void) => void;
+  readonly onConfig: (listener: ConfigListener) => void;
   /** Registers a listener for requests that this entry sends. */
   readonly onSendStarted: (listener: (flight: InFlightRequest) => void) => void;
   /** Registers a listener for requests that have ended; `ended` is undefined if a
@@ -34,6 +40,33 @@
   readonly onEffect: (listener: (effect: GatewayEffect) => void) => void;
 }
 
+/** What it took to receive a configuration. */
+export interface ConfigDelivery {
+  /** Size as received. */
+  readonly bytes?: number;
+  /** Time from the call to the last byte; absent if the store notified this entry. */
+  readonly fetchMs?: number;
+  /** Time to decode and check it. */
+  readonly decodeMs?: number;
+}
+
+/** How an active configuration was received. */
+export interface ConfigOrigin extends ConfigDelivery {
+  readonly source: string;
+  /** Time since this entry first heard of a configuration newer than the one before;
+   * absent if it had not heard of any. */
+  readonly behindMs?: number;
+}
+
+/** Called with each newly activated configuration. */
+export type ConfigListener = (table: RouteTable, origin: ConfigOrigin) => void;
+
+/** Options of {@link createGatewayRuntime}. */
+export interface CreateGatewayRuntimeOptions {
+  /** Monotonic time in ms; `performance.now` by default. */
+  readonly now?: () => number;
+}
+
 /** Limits of a deployment. */
 export interface GatewayBounds {
   readonly retry: Omit<RetryBudgetOptions, 'entries' | 'uptimeMs'>;
@@ -50,15 +83,19 @@
  * Creates the runtime of a gateway.
  *
  * @param log - Logs changes of targets, peers and the configuration.
+ * @param options - The clock.
  * @returns The runtime.
  *
  * @example
  * createGatewayRuntime(log).dispatch({ type: 'roster.ticked', atMs: 0 });
  */
-export function createGatewayRuntime(log: EventLog): GatewayRuntime {
+export function createGatewayRuntime(
+  log: EventLog,
+  { now = () => performance.now() }: CreateGatewayRuntimeOptions = {},
+): GatewayRuntime {
   let state = initialGatewayState;
   let table: RouteTable | undefined;
-  const configListeners: ((table: RouteTable) => void)[] = [];
+  const configListeners: ConfigListener[] = [];
   const loadListeners: ((flight: InFlightRequest) => void)[] = [];
   const freedListeners: ((ended: InFlightRequest | undefined) => void)[] = [];
   const effectListeners: ((effect: GatewayEffect) => void)[] = [];
@@ -92,19 +129,25 @@
       }
     },
     table: () => table,
-    applyConfig(config, source) {
-      const version = table?.config.version ?? 0;
-      if (config.version <= version) return;
-      table = buildRouteTable(config);
-      log.info('config.inForce', {
-        version: config.version,
-        before: version,
+    applyConfig(config, source, delivery = {}) {
+      const { version: before } = state.configSync;
+      const { version } = config;
+      if (version <= before) return;
+      const sinceMs = behindSinceMs(state.configSync, version);
+      const applied = buildRouteTable(config);
+      table = applied;
+      state = gatewayReduce(state, {
+        type: 'configSync.applied',
+        version,
+      }).state;
+      const origin: ConfigOrigin = {
+        ...delivery,
         source,
-        routes: config.routes.length,
-        workspaces: config.workspaces.length,
-      });
+        ...(sinceMs === undefined ? {} : { behindMs: now() - sinceMs }),
+      };
+      logConfig(log, applied, { before, origin });
       configListeners.forEach((listener) => {
-        if (table !== undefined) listener(table);
+        listener(applied, origin);
       });
     },
     onConfig(listener) {
@@ -122,6 +165,29 @@
   };
 }
 
+function logConfig(
+  log: EventLog,
+  { config }: RouteTable,
+  change: { readonly before: number; readonly origin: ConfigOrigin },
+): void {
+  const { source, bytes, behindMs, fetchMs, decodeMs } = change.origin;
+  log.info('config.inForce', {
+    version: config.version,
+    before: change.before,
+    source,
+    routes: config.routes.length,
+    workspaces: config.workspaces.length,
+    bytes,
+    behindMs: rounded(behindMs),
+    fetchMs: rounded(fetchMs),
+    decodeMs: rounded(decodeMs),
+  });
+}
+
+function rounded(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value);
+}
+
 function logEffect(log: EventLog, effect: GatewayEffect): void {
   switch (effect.type) {
     case 'roster.changed':
@@ -192,6 +258,15 @@
     case 'evacuations.outdated':
       log.warn('entry.resumed', { stoppedMs: Math.round(effect.stoppedMs) });
       return;
+    case 'configSync.fetchDue':
+      log.info('config.fetchDue', {
+        peer: effect.source.name,
+        version: effect.source.version,
+      });
+      return;
+    case 'configSync.storeReadDue':
+      log.warn('config.storeReadDue', {});
+      return;
     case 'evacuations.reportDue':
     case 'partSuspects.reportDue':
     case 'targetReach.probeDue':
--- a/packages/gateway/src/shareStore/_lib/snapshotExchange.ts
+++ b/packages/gateway/src/shareStore/_lib/snapshotExchange.ts
@@ -1,6 +1,11 @@
 import type { Server } from 'node:http';
 import * as E from 'fp-ts/lib/Either.js';
-import { fetchJson, serveJson } from '../../exchangeJson/index.ts';
+import {
+  type Fetched,
+  type FetchError,
+  fetchJson,
+  serveJson,
+} from '../../exchangeJson/index.ts';
 import { snapshotSchema, type TargetSnapshot } from './storeNews.ts';
 
 const SNAPSHOT_PATH = '/targets';
@@ -23,10 +28,12 @@
  */
 export function fetchSnapshot(
   address: string,
-  done: (result: E.Either<string, TargetSnapshot>) => void,
+  done: (result: E.Either<FetchError, TargetSnapshot>) => void,
 ): void {
   const source = { address, path: SNAPSHOT_PATH, timeoutMs: FETCH_TIMEOUT_MS };
-  fetchJson(source, decodeSnapshot, done);
+  fetchJson(source, decodeSnapshot, (result) => {
+    done(E.map(({ value }: Fetched<TargetSnapshot>) => value)(result));
+  });
 }
 
 function decodeSnapshot(value: unknown): E.Either<string, TargetSnapshot> {
--- a/packages/gateway/src/shareStore/index.ts
+++ b/packages/gateway/src/shareStore/index.ts
@@ -351,7 +351,7 @@
         if (E.isLeft(result)) {
           log.warn('storeNews.fetchFailed', {
             peer: peer.name,
-            reason: result.left,
+            ...result.left,
           });
           // Datagrams may arrive from a watcher that cannot be asked.
           distrustedUntilMs.set(peer.name, now() + DISTRUST_MS);
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -119,7 +119,10 @@
   const now = options.now ?? (() => performance.now());
   const unixNow = options.unixNow ?? Date.now;
   const startedAtUnixMs = unixNow();
-  const runtime = createGatewayRuntime(log);
+  const runtime = createGatewayRuntime(log, { now });
+  runtime.onConfig((_table, origin) => {
+    metrics.configApplied(origin);
+  });
   const { connectTarget } = options;
   const probe: typeof probeAddress = (address, done) => {
     probeAddress(address, done, connectTarget);
