Report a configuration to all peers as soon as it is active

Where both watchers of a group lose the store, its entries hear of a new configuration from the others' heartbeats: up to 0.9 s on 72 entries, with 0.25 s before the fetch, on top of the watch. An entry that reads it from the store now tells everyone at once; one that fetched it tells through the hub, so that it is soon asked in place of the first ones.

The test closes the link right after the configuration is applied: before, the peer never learns of the version.

--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -185,6 +185,11 @@
     contacts.contact();
   }, CONTACT_INTERVAL_MS);
   scheduleHeartbeat();
+  // Peers that do not follow the store, or cannot, learn of it at once.
+  runtime.onConfig((_table, { source }) => {
+    if (source === 'store') broadcast();
+    else broadcastBatched();
+  });
   runtime.onSendStarted((flight) => {
     bypassHub ||= !flight.isShort;
     sendTimer ??= setTimeout(() => {
--- a/packages/gateway/src/createPeerLink/test.ts
+++ b/packages/gateway/src/createPeerLink/test.ts
@@ -195,6 +195,20 @@
     sound.close();
   });
 
+  // Guards against a data centre whose watchers have lost the store, and which hears of a
+  // configuration of the others only with their next heartbeats.
+  it('reports a configuration from the store to the peers at once', async () => {
+    const first = await startEntry('e1', 'a', []);
+    const second = await startEntry('e2', 'b', [first.address]);
+    await until(() => peersOf(first).length === 1);
+    first.runtime.applyConfig(config, 'store');
+    await new Promise(setImmediate);
+    first.link.close();
+    await until(
+      () => second.runtime.state().peers.get('e1')?.configVersion === 4,
+    );
+  });
+
   it('shares draining targets and requests that crashed targets', async () => {
     const first = await startEntry('e1', 'a', []);
     const second = await startEntry('e2', 'b', [first.address]);
