--- a/packages/core/src/forwarding/storeWatchers/index.ts
+++ b/packages/core/src/forwarding/storeWatchers/index.ts
@@ -29,9 +29,20 @@
  * answered either. */
 const MAX_OVERDUE_MS = 200;
 
-/** Time in which others notice that all watchers lost the store and have taken
- * over: a beat, the random delay of a takeover, and the first answer. */
-export const TAKEOVER_MS = 1000;
+/** Entries that could take over a watch begin within this time, in random order,
+ * so that most hear of the first one and stay out. */
+export const TAKEOVER_SPREAD_MS = 300;
+
+/** Time for a report that an answer is overdue, and for the list of an entry that takes
+ * over. */
+const HANDOVER_MS = 300;
+
+/** Time in which entries that do not watch have fetched a configuration from one that
+ * does. */
+const CONFIG_FETCH_MS = 400;
+
+/** Shortest wait of a watch that is shared, however short the configured bounds are. */
+const MIN_SHARED_WATCH_MS = 500;
 
 /** Groups up to this size do not share watches: every entry has its own. */
 const MAX_OWN_WATCHES = 16;
@@ -49,10 +60,44 @@
   return groupSize > MAX_OWN_WATCHES;
 }
 
+/** Whether an answer to a watcher is so late that others take over. */
+export function isOverdue({
+  overdueMs,
+}: Pick<WatcherBeat, 'overdueMs'>): boolean {
+  return overdueMs >= MAX_OVERDUE_MS;
+}
+
+/** Times from which {@link sharedWatchMs} follows. */
+export interface SharedWatchBudget {
+  /** Time within which a change must take effect at all entries. */
+  readonly applyMs: number;
+  /** Time until a call that the store does not answer has failed. */
+  readonly storeTimeoutMs: number;
+}
+
+/**
+ * Returns the longest wait of a shared watch. A change that is written just after all
+ * watchers lost the store takes effect at all entries in time: the wait, the failure of
+ * the call, the takeover by another entry, and the fetches from that one.
+ *
+ * @param budget - The bound of changes and the timeout of calls.
+ * @returns Time in milliseconds.
+ *
+ * @example
+ * sharedWatchMs({ applyMs: 3000, storeTimeoutMs: 900 }); // 900
+ */
+export function sharedWatchMs(budget: SharedWatchBudget): number {
+  const takeoverMs = MAX_OVERDUE_MS + TAKEOVER_SPREAD_MS + HANDOVER_MS;
+  return Math.max(
+    budget.applyMs - budget.storeTimeoutMs - takeoverMs - CONFIG_FETCH_MS,
+    MIN_SHARED_WATCH_MS,
+  );
+}
+
 /** A watcher that still follows the store. */
 export function isSoundWatcher(beat: WatcherBeat, nowMs: number): boolean {
   const silenceMs = nowMs - beat.heardAtMs;
-  return silenceMs < BEAT_TIMEOUT_MS && beat.overdueMs < MAX_OVERDUE_MS;
+  return silenceMs < BEAT_TIMEOUT_MS && !isOverdue(beat);
 }
 
 /**
--- a/packages/core/src/forwarding/storeWatchers/test.ts
+++ b/packages/core/src/forwarding/storeWatchers/test.ts
@@ -1,6 +1,11 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { type WatcherBeat, watchesStore } from './index.ts';
+import {
+  sharedWatchMs,
+  TAKEOVER_SPREAD_MS,
+  type WatcherBeat,
+  watchesStore,
+} from './index.ts';
 
 const beat = (name: string, more: Partial<WatcherBeat> = {}): WatcherBeat => ({
   name,
@@ -89,4 +94,15 @@
       { seed: 1, numRuns: 200 },
     );
   });
+
+  // Guards against times that each keep the bound of a change, and together exceed it.
+  it('leaves time for a takeover and the fetches after it', () => {
+    const storeTimeoutMs = 900;
+    const waitMs = sharedWatchMs({ applyMs: 3000, storeTimeoutMs });
+    const fetchMs = 400;
+    const spentMs =
+      waitMs + storeTimeoutMs + 200 + TAKEOVER_SPREAD_MS + fetchMs;
+    expect(3000 - spentMs).to.be.at.least(300);
+    expect(sharedWatchMs({ applyMs: 1000, storeTimeoutMs })).to.equal(500);
+  });
 });
--- a/packages/gateway/src/shareStore/index.ts
+++ b/packages/gateway/src/shareStore/index.ts
@@ -3,11 +3,13 @@
   BEAT_INTERVAL_MS,
   evacuationReports,
   type EvacuationReport,
+  isOverdue,
   isSoundWatcher,
   LAPSED_ENTRY_GRACE_MS,
   type Peer,
   probeIntervalMs,
   sharesWatches,
+  TAKEOVER_SPREAD_MS,
   type WatcherBeat,
   watchesStore,
 } from '@endivegate/core/forwarding';
@@ -38,10 +40,6 @@
 
 const TICK_INTERVAL_MS = 100;
 
-/** Entries that could take over a watch begin within this time, in random order,
- * so that most hear of the first one and stay out. */
-const TAKEOVER_SPREAD_MS = 300;
-
 /** An entry stops watching when it was not needed for this long. */
 const STEP_DOWN_MS = 1000;
 
@@ -88,6 +86,8 @@
   let failingSinceMs: number | undefined;
   let nextStartAtMs: number | undefined;
   let unneededSinceMs: number | undefined;
+  /** Whether the others know that an answer to this watcher is overdue. */
+  let hasToldOverdue = false;
   let isFetching = false;
   let isStopped = false;
 
@@ -134,6 +134,7 @@
   }
 
   function tick(): void {
+    tellIfOverdue();
     const atMs = now();
     const members = group();
     const isNeeded = watchesStore({
@@ -157,6 +158,14 @@
     if (atMs - unneededSinceMs >= STEP_DOWN_MS) end('enough others watch');
   }
 
+  /** Tells the others at once, so that they take over before the next beat. */
+  function tellIfOverdue(): void {
+    if (stopWatch === undefined || position === undefined) return;
+    const isLate = isOverdue({ overdueMs: overdueMs() });
+    if (isLate && !hasToldOverdue) tell(position, position, []);
+    hasToldOverdue = isLate;
+  }
+
   function start(): void {
     log.info('storeWatch.started', { ...position });
     unneededSinceMs = undefined;
