Look up the outcome of a key on a connection of its own

A service that writes an earlier response once more on a kept connection could give a look-up the outcome of another key: the response names none. A call that had run would run again, or its caller be told another answer.

Calls and streams were safe: every response must name their attempt. A look-up now has a connection of its own, as the query of an attempt has.

The test counts two connections for two look-ups; before, one.

--- a/packages/daemon/src/adapters/createServiceHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createServiceHttpPort/index.ts
@@ -12,7 +12,7 @@
   type TargetError,
 } from '@endivegate/contracts';
 import * as E from 'fp-ts/lib/Either.js';
-import { Agent, request, type Dispatcher } from 'undici';
+import { Agent, Client, request, type Dispatcher } from 'undici';
 import { toTargetError } from '../_lib/classifyError.ts';
 import { MAX_BODY_BYTES, readBody, readTextBody } from '../_lib/readBody.ts';
 import {
@@ -56,7 +56,8 @@
   options: CreateServiceHttpPortOptions = {},
 ): ServiceHttpPort {
   const settings = { ...DEFAULTS, ...options };
-  const agent = new Agent({ connect: { timeout: settings.connectTimeoutMs } });
+  const connect = { timeout: settings.connectTimeoutMs };
+  const agent = new Agent({ connect });
 
   return {
     call: (target, call) => async () => {
@@ -74,11 +75,14 @@
       }
     },
     lookUpKey: (target, idempotencyKey, timeoutMs) => async () => {
+      // The response names no key, so an earlier one on a kept connection would pass
+      // for it.
+      const client = new Client(target.url, { connect });
       try {
         const path = `${KEY_LOOKUP_PATH}${encodeURIComponent(idempotencyKey)}`;
         const response = await request(urlOf(target.url, path), {
           signal: timeoutSignal(timeoutMs),
-          dispatcher: agent,
+          dispatcher: client,
         });
         if (response.statusCode !== 200) {
           return E.left(await readTargetError(response));
@@ -88,6 +92,8 @@
         );
       } catch (error) {
         return E.left(toTargetError(error));
+      } finally {
+        void client.destroy();
       }
     },
     close: () => agent.destroy(),
--- a/packages/daemon/src/adapters/test.ts
+++ b/packages/daemon/src/adapters/test.ts
@@ -49,12 +49,7 @@
         write();
       });
     });
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    const address = server.address();
-    if (address === null || typeof address === 'string') throw new Error();
-    url = `http://127.0.0.1:${address.port}`;
+    url = await listen(server);
   }
 
   afterEach(() => {
@@ -136,3 +131,102 @@
     });
   });
 });
+
+describe('adapters and responses that end within their head', () => {
+  const HEADERS = 'x-attempt-id: a1\r\ncontent-type: application/json\r\n';
+  const INTERIM = 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n';
+  const heads = ['', INTERIM].flatMap((interim) =>
+    ['content-length: 0\r\n', ''].map(
+      (length) => `${interim}HTTP/1.1 200 OK\r\n${HEADERS}${length}\r\n`,
+    ),
+  );
+  /** Cut at every third byte and before the last one. */
+  const cuts = heads.flatMap((head) =>
+    [...Array(head.length).keys()]
+      .filter((length) => length % 3 === 0 || length === head.length - 1)
+      .map((length) => head.slice(0, length)),
+  );
+  const service = createServiceHttpPort();
+  const engine = createEngineHttpPort();
+  const target = (url: string) => ({ targetId: 't1', url }) as Target;
+  const call = {
+    ...{ attemptId: 'a1', method: 'GET', path: '/', timeoutMs: 5000 },
+    ...{ contentType: undefined, idempotencyKey: undefined },
+    body: Buffer.alloc(0),
+  };
+  const { signal } = new AbortController();
+  const calls: Readonly<
+    Record<string, (url: string) => Promise<E.Either<unknown, unknown>>>
+  > = {
+    'a call to a service': (url) => service.call(target(url), call)(),
+    'a look-up of a key': (url) => service.lookUpKey(target(url), 'k', 5000)(),
+    'a stream of an engine': (url) =>
+      engine.resume(target(url), 'a1', 0, signal)(),
+    'a query of an attempt': (url) =>
+      engine.queryAttempt(target(url), 'a1', 5000)(),
+    'a cancellation': (url) => engine.cancel(target(url), 'a1')(),
+    'a list of the platform': async (url) => {
+      const port = createPlatformHttpPort({ url, timeoutMs: 5000 });
+      const result = await port.get('key', { purpose: 'table' })();
+      await port.close();
+      return result;
+    },
+  };
+
+  after(async () => {
+    await Promise.all([service.close(), engine.close()]);
+  });
+
+  // Guards against an empty answer that counts as whole when a target stops within the
+  // head of its response.
+  Object.entries(calls).forEach(([what, ask]) => {
+    it(`take none for ${what}`, async () => {
+      let bytes = '';
+      const server = createServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.once('data', () => socket.end(bytes));
+      });
+      const url = await listen(server);
+      const ends = await cuts.reduce<Promise<readonly boolean[]>>(
+        async (before, cut) => {
+          const done = await before;
+          bytes = cut;
+          return [...done, E.isLeft(await ask(url))];
+        },
+        Promise.resolve([]),
+      );
+      server.close();
+      expect(ends).not.to.include(false);
+    });
+  });
+
+  // Guards against the outcome of another key, when a service writes an earlier response
+  // once more: a call would run again, or never.
+  it('look up each key on a connection of its own', async () => {
+    const stale = JSON.stringify({ type: 'unknown' });
+    let connections = 0;
+    const server = createServer((socket) => {
+      connections += 1;
+      socket.on('error', () => undefined);
+      socket.on('data', () => {
+        const head = `HTTP/1.1 200 OK\r\ncontent-length: ${stale.length}\r\n\r\n`;
+        socket.write(`${head}${stale}`);
+      });
+    });
+    const url = await listen(server);
+    await service.lookUpKey(target(url), 'k1', 5000)();
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    await service.lookUpKey(target(url), 'k2', 5000)();
+    expect(connections).to.equal(2);
+    server.close();
+  });
+});
+
+async function listen(server: Server): Promise<string> {
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const address = server.address();
+  if (address === null || typeof address === 'string') throw new Error();
+  return `http://127.0.0.1:${address.port}`;
+}
