Peers and the store: tests of responses that end within their head

A cut within the head, after interim responses too, by FIN and by reset: a fetch from a peer, a call to the store and an order end without a response.

--- a/packages/gateway/src/exchangeJson/test.ts
+++ b/packages/gateway/src/exchangeJson/test.ts
@@ -7,6 +7,7 @@
   type EndlessScript,
   startEndlessServer,
 } from '../testEndlessServer/index.ts';
+import { cutHeads, startCuttingServer } from '../testCutHead/index.ts';
 import {
   answerJson,
   type FetchError,
@@ -162,6 +163,21 @@
     });
   });
 
+  it('takes no response that ends within its head', async () => {
+    const peer = await startCuttingServer();
+    const source = { address: peer.address, path: '/value', timeoutMs: 5000 };
+    const ends = await cutHeads('').reduce<Promise<readonly boolean[]>>(
+      async (before, { bytes, end }) => {
+        const done = await before;
+        peer.answerWith(bytes, end);
+        return [...done, E.isLeft(await fetchValue(source, E.right))];
+      },
+      Promise.resolve([]),
+    );
+    peer.stop();
+    expect(ends).not.to.include(false);
+  });
+
   it('serves builds that accept no compression', async () => {
     server = serveJson('/value', () => [7]);
     const response = await fetch(
