Break off the response to a peer that does not read it

A peer serves six configurations at a time. Six callers that are frozen or cut off in the middle of a transfer kept their places until TCP gave up, and all others were told that the peer is busy. A response ends after 2 s, when its caller has given up.

Found by reading. The test fails without the limit: the second caller is refused until the test times out.

--- a/packages/gateway/src/exchangeJson/index.ts
+++ b/packages/gateway/src/exchangeJson/index.ts
@@ -61,8 +61,14 @@
   /** Responses in progress at once, beyond which callers are told to ask another peer;
    * unlimited by default. */
   readonly maxResponses?: number;
+  /** Time after which a response is broken off, so that callers that do not read leave
+   * room for others; 2 s by default. */
+  readonly responseTimeoutMs?: number;
 }
 
+/** Longer than callers wait. */
+const RESPONSE_TIMEOUT_MS = 2000;
+
 /**
  * Creates a server from which peers fetch a value as JSON.
  *
@@ -90,7 +96,7 @@
  *
  * @param path - Path of the value.
  * @param current - Returns the value, or undefined while there is none.
- * @param options - Limit of responses in progress.
+ * @param options - Limits of responses in progress.
  * @returns The listener.
  *
  * @example
@@ -99,8 +105,10 @@
 export function answerJson(
   path: string,
   current: () => unknown,
-  { maxResponses = Infinity }: AnswerJsonOptions = {},
+  options: AnswerJsonOptions = {},
 ): RequestListener {
+  const { maxResponses = Infinity, responseTimeoutMs = RESPONSE_TIMEOUT_MS } =
+    options;
   let latest: Encoded | undefined;
   let responses = 0;
 
@@ -128,7 +136,11 @@
       return;
     }
     responses += 1;
+    const timer = setTimeout(() => {
+      request.socket.destroy();
+    }, responseTimeoutMs);
     response.once('close', () => {
+      clearTimeout(timer);
       responses -= 1;
     });
     const bytes = compress(value);
--- a/packages/gateway/src/exchangeJson/test.ts
+++ b/packages/gateway/src/exchangeJson/test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai';
+import { randomBytes } from 'node:crypto';
+import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { type AddressInfo, connect } from 'node:net';
 import { gzipSync } from 'node:zlib';
 import * as E from 'fp-ts/lib/Either.js';
 import {
@@ -229,6 +231,33 @@
     expect(await fetchValue(source, E.right)).to.deep.equal(E.right(7));
     peer.close();
   });
+
+  // Guards against frozen peers that keep a configuration from all others.
+  it('breaks off a response that is not read, and serves others', async () => {
+    const value = randomBytes(8 * MIB).toString('base64');
+    const options = { maxResponses: 1, responseTimeoutMs: 50 };
+    const peer = createServer(answerJson('/value', () => value, options));
+    const address = await listenLocally(peer);
+    const [, port] = address.split(':');
+    const frozen = connect(Number(port), '127.0.0.1').pause();
+    frozen.on('error', () => undefined);
+    frozen.write(
+      'GET /value HTTP/1.1\r\nhost: p\r\naccept-encoding: gzip\r\n\r\n',
+    );
+    await once(peer, 'request');
+    const source = { address, path: '/value', timeoutMs: 10_000 };
+    const ask = async (): Promise<E.Either<string, number>> =>
+      fetchValue(source, (text) => E.right(String(text).length));
+    let result = await ask();
+    while (E.isLeft(result) && result.left === 'busy') {
+      await new Promise(setImmediate);
+      result = await ask();
+    }
+    frozen.destroy();
+    peer.closeAllConnections();
+    peer.close();
+    expect(result).to.deep.equal(E.right(value.length));
+  });
 });
 
 async function listenLocally(server: Server): Promise<string> {
