--- a/packages/core/src/forwarding/configSync/_lib/test.ts
+++ b/packages/core/src/forwarding/configSync/_lib/test.ts
@@ -55,7 +55,9 @@
     }),
   );
 
+/** Fleets to run. */
 const RUNS = Number(process.env.ENDIVEGATE_MODEL_RUNS ?? 12);
+const MAX_RUN_MS = 5000;
 
 describe('configSync in a fleet', () => {
   // Guards against a configuration that is not active at all entries in time, because
@@ -67,5 +69,5 @@
       }),
       { seed: 44, numRuns: RUNS },
     );
-  }).timeout(60_000);
+  }).timeout(RUNS * MAX_RUN_MS);
 });
