Refuse at once what cannot be named in a header

Such a request is now refused when it arrives. A target's id that cannot be written counts as a failure of that target, and nothing is sent.

Both tests fail before.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -4,6 +4,7 @@
   type RequestListener,
   type Server,
   type ServerResponse,
+  validateHeaderValue,
 } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
@@ -17,6 +18,7 @@
   CallerLimits,
   ForwardingRoute,
 } from '@endivegate/contracts/forwarding';
+import * as E from 'fp-ts/lib/Either.js';
 import {
   createReply,
   type GatewayError,
@@ -317,6 +319,12 @@
   if (!isOpen && keyHolder === undefined) {
     return rejected({ status: UNAUTHORIZED, message: 'unknown key' });
   }
+  if (!isHeaderValue(keyHolder?.name ?? '')) {
+    return rejected({
+      status: UNAVAILABLE,
+      message: 'the name of the workspace cannot be sent to targets',
+    });
+  }
   return {
     type: 'accepted',
     route,
@@ -325,6 +333,15 @@
   };
 }
 
+/** Whether a text can be the value of a header: it has no characters outside Latin-1. */
+function isHeaderValue(text: string): boolean {
+  return E.isRight(
+    E.tryCatch(() => {
+      validateHeaderValue('name', text);
+    }, String),
+  );
+}
+
 /** Limits the targets of a relayed request to those that the relaying entry leaves. */
 function withAttempts(
   route: ForwardingRoute,
--- a/packages/gateway/src/createCallerServer/test.ts
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -77,6 +77,24 @@
     expect(caller.received()).to.match(/^HTTP\/1\.1 408 /);
   });
 
+  // Guards against a request that is held until its deadline because its workspace cannot
+  // be named in a header.
+  it('refuses a request at once whose workspace has a name that cannot be sent', async () => {
+    fleet = await startTestGateway({ targets: [streamForever] });
+    const workspaces = [{ name: 'Łódź', keys: ['k1'], priority: undefined }];
+    fleet.gateway.runtime.applyConfig(
+      { ...testConfig(), version: 2, workspaces },
+      'test',
+    );
+    const caller = connectCaller(fleet.callerPort);
+    const key = 'authorization: Bearer k1\r\n';
+    caller.socket.write(HEAD.replace('\r\n\r\n', `\r\n${key}\r\n`));
+    while (!caller.received().includes('\r\n\r\n')) await settle(5);
+    caller.socket.destroy();
+    await caller.closed;
+    expect(caller.received()).to.match(/^HTTP\/1\.1 503 /);
+  });
+
   it('answers 400 to bytes that are not a request', async () => {
     fleet = await startTestGateway({ targets: [streamForever] });
     const caller = connectCaller(fleet.callerPort);
--- a/packages/gateway/src/sendRequest/index.ts
+++ b/packages/gateway/src/sendRequest/index.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Obstacle, SendEnd } from '@endivegate/core/forwarding';
+import * as E from 'fp-ts/lib/Either.js';
 import type {
   ConnectionPool,
   PooledConnection,
@@ -157,10 +158,16 @@
         if (error !== null && error !== undefined) markReset();
       });
     };
+    const opened = openRequest(outgoing, socket);
+    if (E.isLeft(opened)) {
+      context.pool.release(outgoing.address, socket, 0);
+      finish({ type: 'notSent', reason: opened.left });
+      return;
+    }
+    request = opened.right;
     socket.once('error', markReset);
     socket.prependOnceListener('end', probeForReset);
     handlers.onSent();
-    request = openRequest(outgoing, socket);
     limitFraming(request, () => {
       finish({
         type: 'broken',
@@ -309,22 +316,30 @@
   refusedAttempts.set(socket, refused.add(attemptId));
 }
 
-function openRequest(outgoing: OutgoingRequest, socket: Socket): ClientRequest {
+/** Opens a request; a left is the reason why its head cannot be written, such as a name
+ * with characters outside Latin-1. */
+function openRequest(
+  outgoing: OutgoingRequest,
+  socket: Socket,
+): E.Either<string, ClientRequest> {
   const agent = Object.assign(new Agent({ keepAlive: true }), {
     addRequest(request: ClientRequest): void {
       request.onSocket(socket);
     },
   });
-  const request = httpRequest({
-    agent,
-    method: outgoing.method,
-    path: outgoing.path,
-    setHost: false,
-    headers: outgoing.headers.flat(),
-    insecureHTTPParser: false,
-    maxHeaderSize: MAX_HEAD_BYTES,
-  });
-  return request;
+  return E.tryCatch(
+    () =>
+      httpRequest({
+        agent,
+        method: outgoing.method,
+        path: outgoing.path,
+        setHost: false,
+        headers: outgoing.headers.flat(),
+        insecureHTTPParser: false,
+        maxHeaderSize: MAX_HEAD_BYTES,
+      }),
+    String,
+  );
 }
 
 function responseProblem(
--- a/packages/gateway/src/sendRequest/test.ts
+++ b/packages/gateway/src/sendRequest/test.ts
@@ -323,6 +323,33 @@
     expect(seen).to.deep.equal(cuts.map(() => broken));
   });
 
+  // Guards against a request that is held until its deadline because its head cannot be
+  // written.
+  it('sends nothing when a header cannot be written', async () => {
+    const pool = createConnectionPool();
+    const received: Buffer[] = [];
+    const server = createServer((socket) => {
+      socket.on('data', (chunk) => received.push(chunk));
+    });
+    const sent: string[] = [];
+    const outgoing: OutgoingRequest = {
+      address: await listen(server),
+      method: 'POST',
+      path: '/a/',
+      headers: [['X-Workspace', 'Łódź']],
+      body: Buffer.alloc(0),
+      attemptId: 'a1',
+      freshConnection: false,
+    };
+    const end = await sendOne(pool, outgoing, {
+      onSent: () => sent.push('sent'),
+    });
+    pool.close();
+    server.close();
+    expect(end.type).to.equal('notSent');
+    expect([...sent, ...received]).to.deep.equal([]);
+  });
+
   describe('refusals on a kept connection', () => {
     const LENGTH = 'content-length: 0\r\n\r\n';
     const refusalOf = (id: string): string =>
