Ask a peer for its configuration at its new address

Found by reading: an entry that starts again under its name at another address, and reports the same version, was asked at the old one until four fetches had failed. The test fails before.

--- a/packages/core/src/forwarding/configSync/index.ts
+++ b/packages/core/src/forwarding/configSync/index.ts
@@ -184,9 +184,10 @@
   event: Extract<ConfigSyncEvent, { type: 'configSync.reported' }>,
 ): ConfigSyncState {
   const { atMs, report } = event;
-  const { name, version } = report;
+  const { name, address, version } = report;
   const known = state.sources.get(name);
-  if (version <= Math.max(state.version, known?.version ?? 0)) return state;
+  const isKnown = known?.address === address && version <= known.version;
+  if (isKnown || version <= state.version) return state;
   const isBehind = state.reportedAtMs.size > 0;
   const dueAtMs = atMs + event.delayMs;
   return {
@@ -197,7 +198,7 @@
       : new Map(state.reportedAtMs).set(version, atMs),
     sources: new Map(state.sources).set(name, {
       name,
-      address: report.address,
+      address,
       version,
       isLocal: report.isLocal,
       rank: scoreRendezvous(
--- a/packages/core/src/forwarding/configSync/test.ts
+++ b/packages/core/src/forwarding/configSync/test.ts
@@ -189,6 +189,13 @@
     expect(asked(events)).to.deep.equal(['p1', 'p1']);
   });
 
+  it('asks a peer at its new address', () => {
+    const moved = { ...report('p1'), address: 'other:7340' };
+    const { effects } = run([reported(0, report('p1'), 9), reported(9, moved)]);
+    expect(effects).to.have.length(1);
+    expect(effects[0]).to.have.nested.property('source.address', 'other:7340');
+  });
+
   it('ignores versions that are not newer', () => {
     const step = run([
       { type: 'configSync.applied', version: 7 },
