--- a/packages/gateway/src/shareStore/test.ts
+++ b/packages/gateway/src/shareStore/test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { createSocket } from 'node:dgram';
+import { mock } from 'node:test';
 import type { ListedTarget } from '@endivegate/contracts/forwarding';
 import { createEventLog } from '../createEventLog/index.ts';
 import {
@@ -129,6 +130,7 @@
   const newerVersions: number[] = [];
 
   let fleetPort = '';
+  let skippedMs = 0;
 
   async function startFleet(
     store: ReturnType<typeof createFakeStore>,
@@ -165,7 +167,7 @@
           store.startWatch(from, handlers, runtime),
         onNewerConfig: (peer) => newerVersions.push(peer.configVersion),
         onRestored: (era) => restoredEras.push(era),
-        now: () => performance.now(),
+        now: () => performance.now() + skippedMs,
       });
       running.push({ sharing, runtime, stopped: false });
     });
@@ -183,6 +185,8 @@
     running.length = 0;
     restoredEras.length = 0;
     newerVersions.length = 0;
+    skippedMs = 0;
+    mock.timers.reset();
   });
 
   it('has few entries watch, and tells all of them each change', async () => {
@@ -235,6 +239,32 @@
     socket.close();
   }).timeout(20_000);
 
+  // Guards against entries that rely on a watcher for another beat after the store has
+  // fallen silent.
+  it('tells at once that an answer of the store is overdue', async () => {
+    const silentAfterList: typeof store.startWatch = (_from, handlers) => {
+      queueMicrotask(() => {
+        handlers.onList([], { era: 1, revision: 1 });
+      });
+      return () => undefined;
+    };
+    const store = createFakeStore();
+    const listener = createSocket('udp4');
+    mock.timers.enable({ apis: ['setInterval'] });
+    await startFleet({ ...store, startWatch: silentAfterList }, 1);
+    await new Promise<void>((resolve) => {
+      listener.bind(Number(fleetPort), '127.0.1.2', resolve);
+    });
+    await new Promise<void>((resolve) => {
+      listener.on('message', (bytes) => {
+        if ((decodeNews(bytes)?.overdueMs ?? 0) >= 200) resolve();
+      });
+      skippedMs = 500 + 300;
+      mock.timers.tick(100);
+    });
+    listener.close();
+  }).timeout(20_000);
+
   it('lists again at all entries when the store was restored', async () => {
     const store = createFakeStore();
     await startFleet(store);
