--- /dev/null
+++ b/review/lib/case.mjs
@@ -0,0 +1,74 @@
+/** What all cases share: the record, the stand-ins of a deployment and the end. */
+import { appendFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { loopbackRange, pause, startFleet, waitUntilReady } from './entry.mjs';
+import { startProxy } from './proxy.mjs';
+import { startServer } from './server.mjs';
+import { startStore } from './store.mjs';
+
+/** Whether the disruption takes place. */
+export const isTroubled = process.env.TROUBLE !== '0';
+
+/** Opens `record.txt` in the folder of a case. */
+export function openRecord(folder) {
+  const path = join(folder, 'record.txt');
+  writeFileSync(path, '');
+  const startedAtMs = performance.now();
+  const at = (ms = performance.now()) => Math.round(ms - startedAtMs);
+  return {
+    at,
+    /** Writes a line with the time of its event, in ms from the start. */
+    write: (text, atMs) => appendFileSync(path, `${at(atMs)} ${text}\n`),
+  };
+}
+
+/**
+ * Starts a store, servers and entries on loopback addresses, and waits until the
+ * entries are ready.
+ *
+ * @param options.servers list of `{ service, zone, slots, handle, viaProxy }`
+ * @param options.entries number of entries
+ * @param options.config first configuration
+ */
+export async function startDeployment({ record, servers, entries, config }) {
+  const range = loopbackRange();
+  const store = await startStore(`${range}.200`);
+  store.put('op/config', config);
+  const started = await Promise.all(
+    servers.map((one) => startServer({ host: `${range}.201`, store, ...one })),
+  );
+  started.forEach((server) => server.register());
+  const storeProxies = await Promise.all(
+    Array.from({ length: entries }, () =>
+      startProxy(`${range}.202`, store.address),
+    ),
+  );
+  const fleet = await startFleet({
+    range,
+    count: entries,
+    storeAddressOf: (index) => storeProxies[index].address,
+  });
+  const deployment = {
+    range,
+    store,
+    servers: started,
+    storeProxies,
+    entries: fleet.entries,
+    ended: fleet.ended,
+    /** Ends all processes and exits. */
+    finish(code, text) {
+      record.write(text);
+      process.stdout.write(`${text}\n`);
+      fleet.close();
+      started.forEach((server) => server.close());
+      storeProxies.forEach((proxy) => proxy.close());
+      store.close();
+      process.exit(code);
+    },
+  };
+  if (!(await waitUntilReady(fleet.entries))) {
+    deployment.finish(2, 'the entries are not ready');
+  }
+  await pause(200);
+  return deployment;
+}
