--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -10,6 +10,7 @@
 let starts = 0;
 
 /**
+ * @param options.idPrefix start of the ids of the server's instances
  * @param options.handle called with each request that the server begins to run;
  *   it answers with `answer(status, text)`
  */
@@ -19,10 +20,14 @@
   service,
   zone,
   slots = 6,
+  idPrefix = '',
   handle,
 }) {
-  starts += 1;
-  let id = `i-${starts.toString(16).padStart(8, '0')}`;
+  const nextId = () => {
+    starts += 1;
+    return `${idPrefix}i-${starts.toString(16).padStart(8, '0')}`;
+  };
+  let id = nextId();
   let bornMs = Date.now();
   let state = 'ready';
   let sequence = 0;
@@ -121,8 +126,7 @@
       // The entry of a silent server lapses after three heartbeats.
       setTimeout(() => store.remove(`servers/${gone}`), 3 * HEARTBEAT_MS);
       setTimeout(() => {
-        starts += 1;
-        id = `i-${starts.toString(16).padStart(8, '0')}`;
+        id = nextId();
         bornMs = Date.now();
         sequence = 0;
         isUp = true;
