--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -11,17 +11,31 @@
 /** Whether the disruption takes place. */
 export const isTroubled = process.env.TROUBLE !== '0';
 
-/** Opens `record.txt` in the folder of a case. */
+/** Longest time that a script may take. */
+const LIMIT_MS = 118_000;
+
+/** Exit code of a case that could not run. */
+const COULD_NOT_RUN = 2;
+
+/** Opens `record.txt` in the folder of a case. An error of the script, or one that
+ * takes too long, ends it as a case that could not run. */
 export function openRecord(folder) {
   const path = join(folder, 'record.txt');
   writeFileSync(path, '');
   const startedAtMs = performance.now();
   const at = (ms = performance.now()) => Math.round(ms - startedAtMs);
-  return {
-    at,
-    /** Writes a line with the time of its event, in ms from the start. */
-    write: (text, atMs) => appendFileSync(path, `${at(atMs)} ${text}\n`),
+  /** Writes a line with the time of its event, in ms from the start. */
+  const write = (text, atMs) => appendFileSync(path, `${at(atMs)} ${text}\n`);
+  const giveUp = (reason) => {
+    write(reason);
+    process.stderr.write(`${reason}\n`);
+    process.exit(COULD_NOT_RUN);
   };
+  process.on('uncaughtException', (error) => {
+    giveUp(String(error.message));
+  });
+  setTimeout(() => giveUp('out of time'), LIMIT_MS).unref();
+  return { at, write };
 }
 
 /**
--- a/review/lib/entry.mjs
+++ b/review/lib/entry.mjs
@@ -154,15 +154,15 @@
   }
 
   const entries = ips.map(startOne);
-  return {
-    entries,
-    ended,
-    close() {
-      isClosing = true;
-      entries.forEach(({ child }) => child?.kill('SIGKILL'));
-      rmSync(folder, { recursive: true, force: true });
-    },
-  };
+
+  function close() {
+    isClosing = true;
+    entries.forEach(({ child }) => child?.kill('SIGKILL'));
+    rmSync(folder, { recursive: true, force: true });
+  }
+
+  process.on('exit', close);
+  return { entries, ended, close };
 }
 
 /** Sends a request on a connection of its own. Never rejects. */
