--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -81,6 +81,7 @@
   const path = `/tread/${attempt}`;
   const stream = {
     attempt,
+    entry: entry.name,
     path,
     sentAtMs: performance.now(),
     text: '',
@@ -155,6 +156,12 @@
     );
   }
 });
+streams.forEach(({ attempt, entry, status, end, text, sentAtMs }) =>
+  record.write(
+    `${attempt} sent to ${entry}: ${status ?? 'no answer'}, ${end}, ${text.split('\ndata: ').length - 1} pieces`,
+    sentAtMs,
+  ),
+);
 const whole = streams.filter(
   ({ status, end }) => status === 200 && end === 'complete',
 ).length;
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -124,6 +124,14 @@
     .forEach((line) => record.write(`log of ${name}: ${line}`)),
 );
 const all = [...sent.values()];
+const ranBy = new Map(ran.map(({ attempt, id }) => [attempt, id]));
+sent.forEach(({ entry, status, reason, sentAtMs }, attempt) =>
+  record.write(
+    `${attempt} sent to ${entry}: ${status || reason}` +
+      (ranBy.has(attempt) ? `, run by ${ranBy.get(attempt)}` : ', not run'),
+    sentAtMs,
+  ),
+);
 const served = all.filter(({ status }) => status === 200).length;
 record.write(`${served} of ${all.length} requests answered with 200`);
 if (ended.length > 0) finish(2, 'an entry ended by itself');
