Keep event ids and lease ids as text of any length

Callers got streams that ended as complete without the pieces after a target's crash. Ids of events were doubles: above 2^53 neighbouring ids became equal, so that events of the next target passed for delivered ones, and Last-Event-Id named another event than the target had sent.

Ids now stay the text that was sent and are compared as integers of any length. Where the last event has data and no id that can be ordered, the stream is broken off instead of being started again (those pieces came twice before). The store's lease ids had the same cause: they are kept digit by digit.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -26,6 +26,7 @@
 export * from './routeTable/index.ts';
 export * from './sampleEntries/index.ts';
 export * from './storeWatchers/index.ts';
+export * from './streamPosition/index.ts';
 export * from './targetAvailability/index.ts';
 export * from './targetLimits/index.ts';
 export * from './targetReach/index.ts';
--- a/packages/gateway/src/announceEntry/test.ts
+++ b/packages/gateway/src/announceEntry/test.ts
@@ -32,7 +32,9 @@
       grantLease: () => () => {
         leaseId += 1;
         calls.push(`grant ${leaseId}`);
-        return Promise.resolve(E.right({ leaseId, era: era() }));
+        return Promise.resolve(
+          E.right({ leaseId: String(leaseId), era: era() }),
+        );
       },
       renewLease: (id) => () => {
         calls.push(`renew ${id}`);
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -1,10 +1,13 @@
 import {
+  advanceStream,
   decideNext,
   mainObstacle,
   type NextStep,
   type SendEnd,
   type SendProgress,
   soonestAvailableAtMs,
+  type StreamPosition,
+  streamStart,
   takeoverObstacle,
 } from '@endivegate/core/forwarding';
 import type { Reply } from '../createReply/index.ts';
@@ -41,7 +44,8 @@
  * until it is answered, refused or past its deadline.
  *
  * Streams are forwarded event by event. If the route allows it, a broken stream
- * is resumed at another target after the last complete event. Other responses
+ * is resumed at another target after the last complete event, unless that event has no
+ * id by which later ones can be told. Other responses
  * are buffered and forwarded once complete. When a target is silent for too long,
  * the request is also sent to another one, and the first that goes on keeps it.
  * All sends are cancelled immediately when the caller disconnects.
@@ -70,7 +74,7 @@
   let mayHaveRun = false;
   let answerBegun = false;
   let isOver = false;
-  let lastEventId: number | undefined;
+  let position: StreamPosition = streamStart;
   let lastEventAtMs: number | undefined;
   let events = 0;
   /** Error of a target, delivered if no other send gives a better answer. */
@@ -199,7 +203,7 @@
         attemptsLeft: route.maxAttempts - sends,
         deadlineAtMs,
         patienceMs: timeLeftNow().patienceMs,
-        resumeAfterId: lastEventId,
+        resumeAfterId: position.type === 'after' ? position.id : undefined,
       },
       {
         onSent() {
@@ -243,7 +247,7 @@
       beginStream(reply, head);
       recordResponseTime();
     }
-    lastEventId = event.id ?? lastEventId;
+    position = advanceStream(position, event);
     lastEventAtMs = now();
     events += 1;
     return reply.write(event.bytes);
@@ -295,7 +299,7 @@
     return {
       ...counts(),
       repeat: route.repeat,
-      resumable: route.resumable,
+      resumable: route.resumable && position.type !== 'unknown',
       maxAttempts: route.maxAttempts,
       timeLeftMs: deadlineAtMs - now(),
       budgetLeft: hasRetryBudget(service.name, context),
--- a/packages/gateway/src/runSend/_lib/sendHeaders.ts
+++ b/packages/gateway/src/runSend/_lib/sendHeaders.ts
@@ -48,7 +48,7 @@
   const hasBody = call.body.length > 0 || call.method === 'POST';
   const remainingMs = Math.floor(run.deadlineAtMs - now());
   const deadlineMs = Math.max(remainingMs, MIN_DEADLINE_MS);
-  const lastEventId = run.resumeAfterId?.toString() ?? call.caller.lastEventId;
+  const lastEventId = run.resumeAfterId ?? call.caller.lastEventId;
   const bodyHeaders = hasBody
     ? [['Content-Length', String(call.body.length)] as const]
     : [];
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -1,6 +1,7 @@
 import {
   allLoads,
   estimatePassMs,
+  orderEvent,
   type OversizedPart,
   type SendEnd,
   type TargetLoad,
@@ -44,6 +45,9 @@
 
 const HTTP_OK = 200;
 
+const UNORDERED_EVENT =
+  'event of a resumed stream that cannot be ordered after the last one';
+
 /**
  * Sends a request to a target as planned: reserves helper memory if the plan
  * requires it, records the request in the gateway's load, and reports when the
@@ -198,9 +202,15 @@
     if (gapMs === undefined) recordFirstEvent();
     else if (gapMs > call.route.gapTargetMs) markLate();
     stallDetector.reset();
-    const wasDelivered =
-      event.id !== undefined && event.id <= (run.resumeAfterId ?? -1);
-    return wasDelivered || handlers.onEvent(event, head);
+    const order =
+      run.resumeAfterId === undefined
+        ? 'new'
+        : orderEvent(event, run.resumeAfterId);
+    if (order === 'unknown') {
+      sending?.cancel();
+      finish({ type: 'broken', reason: UNORDERED_EVENT });
+    }
+    return order !== 'new' || handlers.onEvent(event, head);
   }
 
   function recordFirstEvent(): void {
--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -247,7 +247,7 @@
           attemptsLeft: 2,
           deadlineAtMs: 1000,
           patienceMs: 1000,
-          resumeAfterId: 1,
+          resumeAfterId: '1',
         },
         {
           onSent: () => undefined,
--- a/packages/gateway/src/runSend/types.ts
+++ b/packages/gateway/src/runSend/types.ts
@@ -19,7 +19,7 @@
   /**
    * Id of the last event delivered to the caller; set when a stream is resumed.
    */
-  readonly resumeAfterId: number | undefined;
+  readonly resumeAfterId: string | undefined;
 }
 
 /** A complete response that is not a stream. */
--- a/packages/gateway/src/splitEvents/index.ts
+++ b/packages/gateway/src/splitEvents/index.ts
@@ -1,11 +1,8 @@
-import { collectBytes } from '@endivegate/core/forwarding';
+import { collectBytes, type EventMark } from '@endivegate/core/forwarding';
 
-/**
- * A complete server-sent event: its bytes, and its id if it has a numeric one.
- */
-export interface StreamEvent {
+/** A complete server-sent event. Its id stays the text that was sent. */
+export interface StreamEvent extends EventMark {
   readonly bytes: Buffer;
-  readonly id: number | undefined;
 }
 
 /** Splits the body of an event stream into events. */
@@ -100,7 +97,13 @@
   };
 }
 
+/** Of several ids, the last one applies. */
 function parseEvent(bytes: Buffer): StreamEvent {
-  const id = /^id: ?(\d+)/m.exec(bytes.toString('latin1'))?.[1];
-  return { bytes, id: id === undefined ? undefined : Number(id) };
+  const text = bytes.toString('latin1');
+  const id = [...text.matchAll(/^id(?:: ?(.*))?$/gm)].at(-1);
+  return {
+    bytes,
+    id: id === undefined ? undefined : (id[1] ?? ''),
+    hasData: /^data(?::|$)/m.test(text),
+  };
 }
--- a/packages/gateway/src/splitEvents/test.ts
+++ b/packages/gateway/src/splitEvents/test.ts
@@ -18,8 +18,8 @@
               splitter.push(Buffer.from(STREAM.slice(bounds[index], to))),
             );
           expect(events.map((event) => event.id)).to.deep.equal([
-            1,
-            2,
+            '1',
+            '2',
             undefined,
           ]);
           const text = events.map((event) => event.bytes.toString()).join('');
--- a/packages/gateway/src/storePort/index.ts
+++ b/packages/gateway/src/storePort/index.ts
@@ -54,7 +54,7 @@
 
 /** A granted lease. Its id is valid only in the era of its grant. */
 export interface Lease {
-  readonly leaseId: number;
+  readonly leaseId: string;
   readonly era: number;
 }
 
@@ -79,12 +79,12 @@
   /** Grants a lease; keys attached to it are deleted when it expires. */
   readonly grantLease: (ttlMs: number) => TE.TaskEither<StoreError, Lease>;
   /** Returns the era of the store. */
-  readonly renewLease: (leaseId: number) => TE.TaskEither<StoreError, number>;
+  readonly renewLease: (leaseId: string) => TE.TaskEither<StoreError, number>;
   /** Writes a key attached to a lease, replacing any existing value. Returns the
    * era of the store. */
   readonly put: (entry: {
     readonly key: string;
     readonly value: Buffer;
-    readonly leaseId: number;
+    readonly leaseId: string;
   }) => TE.TaskEither<StoreError, number>;
 }
