Tell peers what crashes targets under names of any length

A request that crashed targets went on doing so in ten and more client attempts after its third crash; bookings that ran there were lost. Reports on deaths allowed 128 characters a text, and one longer text made the receiver drop the whole report. Ids of targets have up to 192 bytes, names of deaths more.

Evidence: peers.malformed with path 5 at every receiver; with short ids the case holds.

Names that are longer than builds of protocol version 1 read are replaced by a hash where deaths are recorded, so that all entries compare the same name. Receivers bound no name and read row by row, and a report that exceeds a packet is divided instead of cut. Lists of prompt parts with a long id, and evacuations of data centres with long names, were dropped for the same reason.

--- a/packages/gateway/src/createPeerLink/_lib/evacuationExtension.ts
+++ b/packages/gateway/src/createPeerLink/_lib/evacuationExtension.ts
@@ -4,13 +4,12 @@
   type EvacuationReport,
 } from '@endivegate/core/forwarding';
 import { z } from 'zod';
+import { chunkRows } from './chunkRows.ts';
 import type { ExtensionDefinition } from './peerExtensions.ts';
 
-/** Evacuations in one datagram; names of data centres are short. */
+/** Evacuations in one datagram. */
 const MAX_ROWS = 12;
 
-const MAX_NAME_LENGTH = 64;
-
 const rowsSchema = z.array(
   z.tuple([
     /** Data centre. */
@@ -34,13 +33,8 @@
   schema: rowsSchema,
   describe({ evacuations }, { nowMs, includeReceived }) {
     if (!includeReceived && !isReadingStore(evacuations, nowMs)) return [];
-    const rows = evacuationReports(evacuations, nowMs)
-      .filter(({ dataCentre }) => dataCentre.length <= MAX_NAME_LENGTH)
-      .map(encodeRow);
-    return Array.from(
-      { length: Math.ceil(rows.length / MAX_ROWS) },
-      (_, index) => rows.slice(index * MAX_ROWS, (index + 1) * MAX_ROWS),
-    );
+    const rows = evacuationReports(evacuations, nowMs).map(encodeRow);
+    return chunkRows(rows, { maxRows: MAX_ROWS });
   },
   apply: (rows, { nowMs }) => [
     {
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -205,7 +205,10 @@
   }
   const [self, flights, draining, crashes, addresses, ...reports] = parsed.data;
   const [partRows, limitRows, isCutOff, extensionMap] = reports;
-  const parts = decodePartRows(partRows, nowMs);
+  const { report: parts, malformed: malformedParts } = decodePartRows(
+    partRows,
+    nowMs,
+  );
   const limits = decodeLimitRows(limitRows, nowMs);
   const extensions = readExtensions(extensionMap, registry);
   const { protocolVersion } = extensions;
@@ -234,11 +237,9 @@
     ...(limits === undefined ? {} : { limits }),
   };
   const paths = [
-    ...unreadable(PARTS_INDEX, partRows, parts),
+    ...malformedParts.map((path) => pathBelow(PARTS_INDEX, path)),
     ...unreadable(LIMITS_INDEX, limitRows, limits),
-    ...extensions.malformed.map((path) =>
-      path === '' ? `${EXTENSIONS_INDEX}` : `${EXTENSIONS_INDEX}.${path}`,
-    ),
+    ...extensions.malformed.map((path) => pathBelow(EXTENSIONS_INDEX, path)),
   ];
   return {
     messages: [{ message, row: parsed.data, extensions: extensions.received }],
@@ -247,6 +248,10 @@
   };
 }
 
+function pathBelow(index: number, path: string): string {
+  return path === '' ? `${index}` : `${index}.${path}`;
+}
+
 /** Path of an optional element that was sent and could not be read. */
 function unreadable(
   index: number,
--- a/packages/gateway/src/createPeerLink/_lib/reportSender.ts
+++ b/packages/gateway/src/createPeerLink/_lib/reportSender.ts
@@ -6,6 +6,8 @@
   type PartReport,
 } from '@endivegate/core/forwarding';
 import type { GatewayRuntime } from '../../gatewayRuntime/index.ts';
+import { chunkRows } from './chunkRows.ts';
+import { splitPartReport } from './partRows.ts';
 import { type ExtensionRegistry, PEER_EXTENSIONS } from './peerExtensions.ts';
 
 /** What an entry reports to its peers besides its own state. */
@@ -65,9 +67,13 @@
       nowMs,
       includeAllBlocks: includeReceived,
     });
-    if (parts !== undefined) options.send({ parts }, nowMs);
+    if (parts !== undefined) {
+      splitPartReport(parts).forEach((part) => {
+        options.send({ parts: part }, nowMs);
+      });
+    }
     const limits = limitReports(targetLimits, { includeReceived });
-    chunksOf(limits, MAX_LIMIT_ROWS).forEach((rows) => {
+    chunkRows(limits, { maxRows: MAX_LIMIT_ROWS }).forEach((rows) => {
       options.send({ limits: rows }, nowMs);
     });
     const context = { nowMs, includeReceived };
@@ -115,9 +121,3 @@
       effect.source === 'response')
   );
 }
-
-function chunksOf<T>(items: readonly T[], size: number): readonly T[][] {
-  return Array.from({ length: Math.ceil(items.length / size) }, (_, index) =>
-    items.slice(index * size, (index + 1) * size),
-  );
-}
--- a/packages/gateway/src/createPeerLink/_lib/test.ts
+++ b/packages/gateway/src/createPeerLink/_lib/test.ts
@@ -3,6 +3,7 @@
 import { z } from 'zod';
 import { createBatch } from './batch.ts';
 import { createHubSelector } from './hubSelector.ts';
+import { splitPartReport } from './partRows.ts';
 import { defineExtension } from './peerExtensions.ts';
 import {
   decodePeerMessages,
@@ -161,23 +162,53 @@
     });
   });
 
-  it('stays within a packet, and keeps blocks before deaths', () => {
-    const long = Array.from({ length: 12 }, (_, n) => `${n}`.repeat(10));
-    const many: PeerMessage['parts'] = {
-      deaths: Array.from({ length: 8 }, (_, n) => ({
+  // Rows beyond one packet were left out of each of its repetitions.
+  it('tells all rows in messages of one packet each, blocks first', () => {
+    const long = Array.from({ length: 12 }, (_, n) => `${n}`.repeat(16));
+    const many: NonNullable<PeerMessage['parts']> = {
+      deaths: Array.from({ length: 20 }, (_, n) => ({
         ...parts.deaths[0]!,
-        id: `t${n}@1790000000000#1`,
+        id: `${'t'.repeat(115)}${n}#1`,
+        process: 't'.repeat(117),
         parts: long,
       })),
       sounds: Array.from({ length: 8 }, () => parts.sounds[0]!),
       blocks: Array.from({ length: 8 }, () => parts.blocks[0]!),
     };
     const own = { ...message, flights: undefined, addresses: [] };
-    const bytes = encodePeerMessage({ ...own, parts: many }, codec, 1000);
-    expect(bytes.length).to.be.below(1300);
-    const decoded = decodeOne(bytes, codec, 1000)?.parts;
-    expect(decoded?.blocks).to.have.length(8);
-    expect(decoded?.deaths.length).to.be.within(1, 7);
+    const messages = splitPartReport(many).map((part) =>
+      encodePeerMessage({ ...own, parts: part }, codec, 1000),
+    );
+    messages.forEach((bytes) => {
+      expect(bytes.length).to.be.below(1300);
+    });
+    const decoded = messages.map((bytes) => decodeOne(bytes, codec, 1000));
+    expect(decoded[0]?.parts?.blocks).to.have.length(8);
+    expect(decoded.flatMap((one) => one?.parts?.deaths ?? [])).to.deep.equal(
+      many.deaths,
+    );
+  });
+
+  // One row that could not be read took the whole report with it.
+  it('reads the rows around an unreadable one, and says where it is', () => {
+    const row = rowOf(encodePeerMessage({ ...message, parts }, codec, 1000));
+    const [deaths, sounds, blocks] = row[5] as unknown[][];
+    const rows = [['torn', ...(deaths ?? [])], sounds, [...(blocks ?? []), 7]];
+    const bytes = encode([...row.slice(0, 5), rows]);
+    const read = decodePeerMessages(bytes, codec, 1000);
+    expect(read.messages[0]?.message.parts).to.deep.equal(parts);
+    expect(read.malformed.map(({ path }) => path)).to.deep.equal([
+      '5.0.0',
+      '5.2.1',
+    ]);
+  });
+
+  it('reads names of any length', () => {
+    const name = 'n'.repeat(4000);
+    const death = { ...parts.deaths[0]!, service: name, process: name };
+    const named = { ...parts, deaths: [death] };
+    const bytes = encodePeerMessage({ ...message, parts: named }, codec, 1000);
+    expect(decodeOne(bytes, codec, 1000)?.parts).to.deep.equal(named);
   });
 });
 
--- a/packages/gateway/src/createPeerLink/_lib/warmExtension.ts
+++ b/packages/gateway/src/createPeerLink/_lib/warmExtension.ts
@@ -1,5 +1,6 @@
 import { coldReports } from '@endivegate/core/forwarding';
 import { z } from 'zod';
+import { chunkRows } from './chunkRows.ts';
 import type { ExtensionDefinition } from './peerExtensions.ts';
 
 const rowsSchema = z.array(
@@ -15,7 +16,7 @@
   ]),
 );
 
-/** Rows in one datagram, so that it stays within 1,000 bytes. */
+/** Rows in one datagram. */
 const MAX_ROWS = 20;
 
 /** Cold targets that an entry knows of. */
@@ -28,10 +29,7 @@
         Math.max(Math.floor(nowMs - atMs), 0),
       ],
     );
-    const datagrams = Math.ceil(rows.length / MAX_ROWS);
-    return Array.from({ length: datagrams }, (_, index) =>
-      rows.slice(index * MAX_ROWS, (index + 1) * MAX_ROWS),
-    );
+    return chunkRows(rows, { maxRows: MAX_ROWS });
   },
   apply: (rows, { nowMs }) => [
     {
--- a/packages/gateway/src/httpDialect/index.ts
+++ b/packages/gateway/src/httpDialect/index.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import { shortName } from '../shortName/index.ts';
 
 /** Prompt and output sizes declared by the caller. */
 export interface DeclaredPrompt {
@@ -150,14 +151,15 @@
 /** Longest list of part ids that is read: the first ones are shared by most. */
 export const MAX_SHARED_PARTS = 12;
 
-const MAX_PART_ID_LENGTH = 32;
+/** Builds of protocol version 1 ignore lists with longer ids. */
+const MAX_PART_ID_BYTES = 32;
 
 /**
  * Reads a list of a prompt's parts, as comma-separated `id` or `id:tokens`.
  *
  * @param text - Value of the header; undefined if the request has none.
- * @returns Ids of all parts but the last one, without repeats; empty if the list
- * cannot be read.
+ * @returns Ids of all parts but the last one, without repeats, long ones as their short
+ * names; empty if the list cannot be read.
  *
  * @example
  * readSharedParts('5c1e07a2:800,91bd3f06:410,e4402b7d:250');
@@ -167,12 +169,11 @@
   const ids = text
     .split(',')
     .map((part) => part.split(':', 1)[0]?.trim() ?? '');
-  const isReadable = ids.every(
-    (id) => id !== '' && id.length <= MAX_PART_ID_LENGTH,
-  );
-  return isReadable
-    ? [...new Set(ids.slice(0, -1))].slice(0, MAX_SHARED_PARTS)
-    : [];
+  return ids.includes('')
+    ? []
+    : [...new Set(ids.slice(0, -1))]
+        .slice(0, MAX_SHARED_PARTS)
+        .map((id) => shortName(id, MAX_PART_ID_BYTES));
 }
 
 /**
--- a/packages/gateway/src/httpDialect/test.ts
+++ b/packages/gateway/src/httpDialect/test.ts
@@ -33,11 +33,19 @@
   });
 
   it('returns none of a list that cannot be read', () => {
-    [undefined, '', 'a1:1,,b2:1', `${'a'.repeat(40)}:1,b2:1`].forEach(
-      (text) => {
-        expect(readSharedParts(text)).to.deep.equal([]);
-      },
-    );
+    [undefined, '', 'a1:1,,b2:1'].forEach((text) => {
+      expect(readSharedParts(text)).to.deep.equal([]);
+    });
+  });
+
+  // A list with one long id was ignored as a whole.
+  it('shortens long ids, each to a name of its own', () => {
+    const ids = ['a', 'b'].map((digit) => digit.repeat(64));
+    const read = readSharedParts(`${ids.join(':1,')}:1,c1:1`);
+    expect(new Set(read).size).to.equal(2);
+    read.forEach((name) => {
+      expect(name.length).to.be.at.most(32);
+    });
   });
 });
 
--- a/packages/gateway/src/partGuard/index.ts
+++ b/packages/gateway/src/partGuard/index.ts
@@ -13,6 +13,7 @@
 import { fingerprintOf } from '../forwardRequest/_lib/fingerprintOf.ts';
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 import { MAX_SHARED_PARTS } from '../httpDialect/index.ts';
+import { reportedService } from './_lib/reportedService.ts';
 
 /** Keeps requests that crash targets, or have parts that do, from being sent. */
 export interface PartGuard {
@@ -71,7 +72,7 @@
 ): PartGuard {
   const { runtime, metrics, now } = context;
   const { sharedParts } = call.caller;
-  const service = call.service.name;
+  const service = reportedService(call.service.name);
   const fingerprint = fingerprintOf(call);
   let hasBegun = false;
 
--- a/packages/gateway/src/targetDeaths/index.ts
+++ b/packages/gateway/src/targetDeaths/index.ts
@@ -4,6 +4,7 @@
   pickProbedTargets,
   processKey,
   requestPart,
+  type TargetProcess,
 } from '@endivegate/core/forwarding';
 import { xxHash32 } from 'js-xxhash';
 import type { EventLog } from '../createEventLog/index.ts';
@@ -11,6 +12,8 @@
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
 import type { SendDestination } from '../planSend/index.ts';
 import { probeAddress } from '../probeAddress/index.ts';
+import { reportedService } from '../partGuard/_lib/reportedService.ts';
+import { shortName } from '../shortName/index.ts';
 
 /** A send whose connection broke before its answer was complete. */
 export interface BrokenSend {
@@ -55,6 +58,10 @@
 
 const REPROBE_DELAY_MS = 100;
 
+/** With the hash of a request, names of processes and sends fit into rows of builds of
+ * protocol version 1, which read 128 characters. */
+const MAX_PROCESS_BYTES = 117;
+
 /**
  * Creates the check for dead targets. A target whose connection broke is dead if it
  * refuses a new connection while another target accepts one, or if it is listed as
@@ -78,7 +85,7 @@
     const { target } = send;
     const listed = runtime.state().roster.targets.get(target.id);
     if (listed === undefined || listed.draining) return;
-    const process = processKey(target);
+    const process = processName(target);
     const sends = waiting.get(process);
     waiting.set(process, [...(sends ?? []), send]);
     if (sends !== undefined) return;
@@ -90,13 +97,13 @@
     probe(target.address, (result) => {
       if (result === 'accepted') retryProbe(target, number);
       else if (result === 'refused') probeOthers(target, number);
-      else settle(processKey(target), isReplaced(target));
+      else settle(processName(target), isReplaced(target));
     });
   }
 
   function retryProbe(target: SendDestination, number: number): void {
     if (number >= MAX_PROBES || isReplaced(target)) {
-      settle(processKey(target), isReplaced(target));
+      settle(processName(target), isReplaced(target));
       return;
     }
     setTimeout(() => {
@@ -149,7 +156,7 @@
     number: number,
     isDead: boolean,
   ): void {
-    if (isDead) settle(processKey(target), true);
+    if (isDead) settle(processName(target), true);
     else retryProbe(target, number);
   }
 
@@ -176,7 +183,7 @@
   }
 
   function recordDeath(send: BrokenSend): void {
-    const process = processKey(send.target);
+    const process = processName(send.target);
     const death: PartDeath = {
       id: `${process}#${xxHash32(send.attemptId)}`,
       service: send.service,
@@ -202,7 +209,7 @@
   function crashReported({ fingerprint, targetId }: CrashReport): void {
     const target = runtime.state().roster.targets.get(targetId);
     if (target === undefined) return;
-    const report = `${processKey(target)}#${fingerprint}`;
+    const report = `${processName(target)}#${fingerprint}`;
     if (knownReports.has(report)) return;
     knownReports.add(report);
     const [oldest] = knownReports;
@@ -211,7 +218,7 @@
     }
     sendBroke({
       attemptId: fingerprint,
-      service: target.service,
+      service: reportedService(target.service),
       target,
       parts: [requestPart(fingerprint)],
       fingerprint,
@@ -222,3 +229,8 @@
 
   return { sendBroke, crashReported };
 }
+
+/** Identifies a process in reports to peers. */
+function processName(target: TargetProcess): string {
+  return shortName(processKey(target), MAX_PROCESS_BYTES);
+}
