Tell an empty list of workspaces from an absent one

Once the last workspace had lost its keys, every request ran, with withdrawn keys and with keys that never existed. An absent and an empty list had one value, which was taken for "no keys are needed".

Whether keys are needed is a field of its own, set where the configuration is read. A peer of an earlier build does not send it: its configuration is used if it has workspaces, and otherwise left to the store, as guessing either way opens or closes all routes.

--- a/packages/contracts/src/forwarding/index.ts
+++ b/packages/contracts/src/forwarding/index.ts
@@ -96,7 +96,9 @@
   version: z.number(),
   routes: z.array(forwardingRouteSchema),
   services: z.array(forwardingServiceSchema),
-  /** Empty when requests carry no keys. */
+  /** Whether requests to routes that are not anonymous need the key of a workspace, also
+   * while there are no workspaces. */
+  requiresKeys: z.boolean(),
   workspaces: z.array(keyedWorkspaceSchema),
   limits: callerLimitsSchema,
 });
--- a/packages/core/src/forwarding/routeTable/index.ts
+++ b/packages/core/src/forwarding/routeTable/index.ts
@@ -23,7 +23,8 @@
  * Indexes a configuration for lookups.
  *
  * @param config - The configuration.
- * @returns The routes by host, the services by name and the workspaces by key.
+ * @returns The routes by host, the services by name and the workspaces by key, without
+ * empty keys, which a request without a key would match.
  *
  * @example
  * matchRoute(buildRouteTable(config), 'api.example', '/chat/1');
@@ -37,7 +38,9 @@
     ),
     workspacesByKey: new Map(
       config.workspaces.flatMap(({ name, keys, priority }) =>
-        keys.map((key) => [key, { name, priority }] as const),
+        keys
+          .filter((key) => key !== '')
+          .map((key) => [key, { name, priority }] as const),
       ),
     ),
   };
--- a/packages/core/src/forwarding/routeTable/test.ts
+++ b/packages/core/src/forwarding/routeTable/test.ts
@@ -28,6 +28,7 @@
     { ...route, name: 'other', host: 'other.example' },
   ],
   services: [],
+  requiresKeys: true,
   workspaces: [{ name: 'w', keys: ['k1', 'k2'] }],
   limits: {
     maxHeaderBytes: 1,
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -314,7 +314,7 @@
       closeConnection: true,
     });
   }
-  const isOpen = route.anonymous || table.config.workspaces.length === 0;
+  const isOpen = route.anonymous || !table.config.requiresKeys;
   const keyHolder = table.workspacesByKey.get(caller.key ?? '');
   if (!isOpen && keyHolder === undefined) {
     return rejected({ status: UNAUTHORIZED, message: 'unknown key' });
--- a/packages/gateway/src/createPeerLink/_lib/configExchange.ts
+++ b/packages/gateway/src/createPeerLink/_lib/configExchange/index.ts
@@ -7,7 +7,7 @@
   type FetchError,
   type Fetched,
   fetchJson,
-} from '../../exchangeJson/index.ts';
+} from '../../../exchangeJson/index.ts';
 
 /** Path of the configuration at a peer. */
 export const CONFIG_PATH = '/config';
@@ -30,7 +30,17 @@
   fetchJson(source, decodeConfig, done);
 }
 
+/** Builds before `requiresKeys` do not say whether keys are needed. */
+const receivedSchema = forwardingConfigSchema.partial({ requiresKeys: true });
+
+/** Without workspaces, a configuration of an earlier build may need keys or not. It is not
+ * used, so that the entry asks another peer or the store. */
 function decodeConfig(value: unknown): E.Either<string, ForwardingConfig> {
-  const parsed = forwardingConfigSchema.safeParse(value);
-  return parsed.success ? E.right(parsed.data) : E.left(parsed.error.message);
+  const parsed = receivedSchema.safeParse(value);
+  if (!parsed.success) return E.left(parsed.error.message);
+  const { requiresKeys, ...config } = parsed.data;
+  if (requiresKeys !== undefined) return E.right({ ...config, requiresKeys });
+  return config.workspaces.length > 0
+    ? E.right({ ...config, requiresKeys: true })
+    : E.left('does not say whether requests need keys');
 }
--- a/packages/gateway/src/createPeerLink/_lib/configFetcher.ts
+++ b/packages/gateway/src/createPeerLink/_lib/configFetcher.ts
@@ -9,7 +9,7 @@
 import type { EventLog } from '../../createEventLog/index.ts';
 import type { FetchError, Fetched } from '../../exchangeJson/index.ts';
 import type { GatewayRuntime } from '../../gatewayRuntime/index.ts';
-import { fetchConfig } from './configExchange.ts';
+import { fetchConfig } from './configExchange/index.ts';
 
 /** Fetches newer configurations from peers; see `reduceConfigSync`. */
 export interface ConfigFetcher {
--- a/packages/gateway/src/createPeerLink/_lib/peerServer.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerServer.ts
@@ -3,7 +3,7 @@
 import { MAX_PARSED_HEADER_BYTES } from '../../createCallerServer/index.ts';
 import { answerJson } from '../../exchangeJson/index.ts';
 import { readRelay } from '../../relayDialect/index.ts';
-import { CONFIG_PATH } from './configExchange.ts';
+import { CONFIG_PATH } from './configExchange/index.ts';
 
 /** Configurations sent at once. More would share the link, so that none ends in time. */
 const MAX_CONFIG_RESPONSES = 6;
--- a/packages/gateway/src/createPeerLink/test.ts
+++ b/packages/gateway/src/createPeerLink/test.ts
@@ -30,6 +30,7 @@
   version: 4,
   routes: [],
   services: [],
+  requiresKeys: false,
   workspaces: [],
   limits: {
     maxHeaderBytes: 2000,
--- a/packages/gateway/src/gatewayRuntime/test.ts
+++ b/packages/gateway/src/gatewayRuntime/test.ts
@@ -7,6 +7,7 @@
   version,
   routes: [],
   services: [],
+  requiresKeys: false,
   workspaces: [],
   limits: {
     maxHeaderBytes: 1,
--- a/packages/gateway/src/limitFraming/test.ts
+++ b/packages/gateway/src/limitFraming/test.ts
@@ -82,6 +82,7 @@
     },
   ],
   services: [{ name: 'plain', healthPath: '/h', maxConnections: 100 }],
+  requiresKeys: false,
   workspaces: [],
   limits: {
     maxHeaderBytes: 2000,
--- a/packages/gateway/src/partGuard/test.ts
+++ b/packages/gateway/src/partGuard/test.ts
@@ -49,6 +49,7 @@
     },
   ],
   services: [{ name: service, healthPath: '/h', maxConnections: 100 }],
+  requiresKeys: true,
   workspaces: [{ name: 'w1', keys: ['k1'] }],
   limits: {
     maxHeaderBytes: 2000,
--- a/packages/gateway/src/startGateway/test.ts
+++ b/packages/gateway/src/startGateway/test.ts
@@ -56,6 +56,7 @@
     { ...base, name: 'brief', prefix: '/brief/', timeoutMs: 120 },
   ],
   services: [{ name: 'plain', healthPath: '/h', maxConnections: 100 }],
+  requiresKeys: true,
   workspaces: [{ name: 'w1', keys: ['k1'] }],
   limits: {
     maxHeaderBytes: 2000,
@@ -275,6 +276,41 @@
     expect(open.status).to.equal(200);
   });
 
+  // Once the last workspace lost its keys, every request ran.
+  it('runs nothing without a key while keys are needed and there are none', async () => {
+    await start(ok);
+    const keyless = [
+      [],
+      [{ name: 'w1', keys: [] }],
+      [{ name: 'w1', keys: [''] }],
+    ];
+    const sent = ['Bearer k1', 'Bearer no', 'Bearer ', 'Bearer', ''];
+    await keyless.reduce(async (before, workspaces, index) => {
+      await before;
+      const version = config.version + index + 1;
+      gateway.runtime.applyConfig({ ...config, version, workspaces }, 'test');
+      const answers = await Promise.all(
+        sent.map((authorization) =>
+          ask('/read/1', { headers: { authorization } }),
+        ),
+      );
+      expect(answers.map((one) => one.status)).to.deep.equal(
+        sent.map(() => 401),
+      );
+    }, Promise.resolve());
+    expect(received).to.have.length(0);
+    const open = await ask('/open/1', { headers: { authorization: '' } });
+    expect(open.status).to.equal(200);
+  });
+
+  it('needs no key where the configuration asks for none', async () => {
+    await start(ok);
+    const open = { ...config, requiresKeys: false, workspaces: [] };
+    gateway.runtime.applyConfig(open, 'test');
+    const answer = await ask('/read/1', { headers: { authorization: '' } });
+    expect(answer.status).to.equal(200);
+  });
+
   it('rejects a request with both Content-Length and Transfer-Encoding', async () => {
     await start(ok);
     gateway.runtime.applyConfig(config, 'test');
--- a/packages/gateway/src/testGateway/index.ts
+++ b/packages/gateway/src/testGateway/index.ts
@@ -110,6 +110,7 @@
     services: [
       { name: 'plain', healthPath: '/h', maxConnections: 100, engine },
     ],
+    requiresKeys: false,
     workspaces: [],
     limits: {
       maxHeaderBytes: 2000,
