Take no request while shutting down that would be cut off

Callers of an entry that had got SIGTERM lost requests that it had taken and passed on: nothing looked at the rest of the grace period, and at its end the process closed what was open without a response.

Evidence: all requests lost were sent 4.2 s or more after the signal and ended with the process at 7.2 s; none with a short remaining time is among them.

A request is taken if its deadline, the timeout of its route, or the longest time of such requests in the last minutes fits into the rest of the grace period; otherwise it is refused at once as not run. Requests that are open at the end get 503 or 502. Requests of unknown duration are taken in the first 40%.

--- /dev/null
+++ b/packages/core/src/forwarding/fitsGrace/index.ts
@@ -0,0 +1,40 @@
+/** A request at an entry that shuts down. */
+export interface GraceQuery {
+  /** Time since the entry began to shut down. */
+  readonly elapsedMs: number;
+  /** Time until it ends open requests. */
+  readonly leftMs: number;
+  /** Time after which the request ends at the latest: its deadline or the timeout of its
+   * route. */
+  readonly boundMs: number;
+  /** Longest time that such requests took; undefined if unknown. */
+  readonly longestMs: number | undefined;
+}
+
+/** Requests may take somewhat longer than the longest one so far. */
+const DURATION_FACTOR = 1.25;
+
+/** Delivery of the last bytes, and a slow machine. */
+const MARGIN_MS = 150;
+
+/** Share of the grace period in which requests of unknown duration are taken: callers that
+ * do not know of the shutdown yet send most of them, and most are short. */
+const UNKNOWN_SHARE = 0.4;
+
+/**
+ * Checks whether a request ends before an entry that shuts down does. One that does not is
+ * better refused at once: it has not run, and another entry can serve all of it.
+ *
+ * @param query - The request, and the rest of the grace period.
+ * @returns Whether the request is taken.
+ *
+ * @example
+ * fitsGrace({ elapsedMs: 5000, leftMs: 2200, boundMs: 10_000, longestMs: 900 }); // true
+ */
+export function fitsGrace(query: GraceQuery): boolean {
+  const { elapsedMs, leftMs, boundMs, longestMs } = query;
+  if (boundMs + MARGIN_MS <= leftMs) return true;
+  return longestMs === undefined
+    ? elapsedMs < UNKNOWN_SHARE * (elapsedMs + leftMs)
+    : longestMs * DURATION_FACTOR + MARGIN_MS <= leftMs;
+}
--- a/packages/core/src/forwarding/gatewayReduce/index.ts
+++ b/packages/core/src/forwarding/gatewayReduce/index.ts
@@ -53,6 +53,12 @@
   type ReachState,
   reduceReach,
 } from '../targetReach/index.ts';
+import {
+  type DurationsEvent,
+  type DurationsState,
+  initialDurations,
+  reduceDurations,
+} from '../requestDurations/index.ts';
 import {
   initialTargetLimits,
   reduceTargetLimits,
@@ -81,6 +87,7 @@
   readonly evacuations: EvacuationsState;
   readonly coldTargets: ColdTargetsState;
   readonly configSync: ConfigSyncState;
+  readonly durations: DurationsState;
 }
 
 /** Every event that changes the state of a gateway. */
@@ -94,7 +101,8 @@
   | ReachEvent
   | EvacuationsEvent
   | ColdTargetsEvent
-  | ConfigSyncEvent;
+  | ConfigSyncEvent
+  | DurationsEvent;
 
 /** State changes to log. */
 export type GatewayEffect =
@@ -119,6 +127,7 @@
   evacuations: initialEvacuations,
   coldTargets: initialColdTargets,
   configSync: initialConfigSync,
+  durations: initialDurations,
 };
 
 /**
@@ -143,4 +152,5 @@
     evacuations: { initial: initialEvacuations, reduce: reduceEvacuations },
     coldTargets: { initial: initialColdTargets, reduce: reduceColdTargets },
     configSync: { initial: initialConfigSync, reduce: reduceConfigSync },
+    durations: { initial: initialDurations, reduce: reduceDurations },
   });
--- a/packages/gateway/src/forwardRequest/_lib/admitSend/index.ts
+++ b/packages/gateway/src/forwardRequest/_lib/admitSend/index.ts
@@ -72,7 +72,7 @@
     refuse('no target can answer in time', decision.retryAfterMs);
     return undefined;
   }
-  const mayWait = isFirst && context.isLeaving?.() !== true;
+  const mayWait = isFirst && context.shutdown?.grace() === undefined;
   if (!mayWait || decision.type !== 'wait') {
     query.send(plan);
     return undefined;
--- a/packages/gateway/src/forwardRequest/_lib/admitSend/test.ts
+++ b/packages/gateway/src/forwardRequest/_lib/admitSend/test.ts
@@ -55,7 +55,15 @@
   });
 
   it('lets nothing wait while the entry leaves', () => {
-    const { seen, stop } = admit({}, { isLeaving: () => true });
+    const { seen, stop } = admit(
+      {},
+      {
+        shutdown: {
+          grace: () => ({ elapsedMs: 0, leftMs: 1000 }),
+          onEnd: () => () => undefined,
+        },
+      },
+    );
     expect(seen).to.deep.equal(['send']);
     expect(stop).to.equal(undefined);
   });
--- a/packages/gateway/src/forwardRequest/_lib/replies.ts
+++ b/packages/gateway/src/forwardRequest/_lib/replies.ts
@@ -51,6 +51,13 @@
   });
 }
 
+/** Says that the entry ends before the target has answered. */
+export function replyEnded(reply: Reply, mayRun: boolean): void {
+  const message = 'the entry is shutting down';
+  if (mayRun) reply.fail({ status: BAD_GATEWAY, message });
+  else replyRefused(reply, message, 0);
+}
+
 /** Says that the time is up, and whether the request may have run. */
 export function replyTimedOut(reply: Reply, mayRun: boolean): void {
   if (mayRun) reply.fail({ status: GATEWAY_TIMEOUT, message: 'out of time' });
--- a/packages/gateway/src/forwardRequest/_lib/requestLog.ts
+++ b/packages/gateway/src/forwardRequest/_lib/requestLog.ts
@@ -6,7 +6,7 @@
   TakeoverObstacle,
 } from '@endivegate/core/forwarding';
 import type { SendPlan } from '../../planSend/index.ts';
-import type { ForwardCall, ForwardContext } from '../types.ts';
+import type { ForwardCall, ForwardContext, GracePeriod } from '../types.ts';
 import type { TimeLeft } from './timeLeft.ts';
 
 /** What has become of a request so far. */
@@ -47,6 +47,8 @@
     tried: ReadonlySet<string>,
     obstacle: Obstacle['obstacle'] | undefined,
   ) => void;
+  /** Logs a request that this entry does not take, or does not finish, as it shuts down. */
+  readonly endedByShutdown: (grace: GracePeriod | undefined) => void;
   /** Logs and counts the end of the request for its caller. */
   readonly ended: (end: string, counts: RequestCounts) => void;
 }
@@ -96,6 +98,15 @@
         obstacle,
       });
     },
+    endedByShutdown(grace) {
+      log.info('request.endedByShutdown', {
+        request,
+        route: route.name,
+        elapsedMs: Math.round(now() - call.arrivedAtMs),
+        graceElapsedMs: Math.round(grace?.elapsedMs ?? 0),
+        graceLeftMs: Math.round(grace?.leftMs ?? 0),
+      });
+    },
     ended(end, { sends, events, mayHaveRun }) {
       metrics.ended({ rule: route.repeat, end });
       log.info('request.ended', {
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -1,8 +1,11 @@
 import {
   advanceStream,
   decideNext,
+  fitsGrace,
+  longestDurationMs,
   mainObstacle,
   type NextStep,
+  type RequestClass,
   type SendEnd,
   type SendProgress,
   soonestAvailableAtMs,
@@ -27,6 +30,7 @@
 import {
   beginStream,
   replyBrokenOff,
+  replyEnded,
   replyRefused,
   replyRefusedByPeer,
   replyTimedOut,
@@ -91,6 +95,7 @@
   const stopListening = context.reachProbe.onCutOff(() => {
     openSends.toTargets().forEach(takeOver);
   });
+  const stopAwaitingEnd = context.shutdown?.onEnd(onShutdown);
   if (!call.isRelayed) {
     runtime.dispatch({
       type: 'budget.requested',
@@ -101,6 +106,10 @@
   sendOnce();
 
   function sendOnce(admitted?: SendPlan): void {
+    if (!answerBegun && !canEndInTime()) {
+      if (!openSends.isAny()) onShutdown();
+      return;
+    }
     const blocked = partGuard.refusal();
     if (blocked !== undefined) {
       giveUp(blocked);
@@ -113,6 +122,22 @@
     else admit(plan, left);
   }
 
+  /** Whether an answer that begins now ends before the entry does. */
+  function canEndInTime(): boolean {
+    const grace = context.shutdown?.grace();
+    if (grace === undefined) return true;
+    const { durations } = runtime.state();
+    return fitsGrace({
+      ...grace,
+      boundMs: deadlineAtMs - now(),
+      longestMs: longestDurationMs(durations, requestClass(), now()),
+    });
+  }
+
+  function requestClass(): RequestClass {
+    return { route: route.name, prompt: call.caller.prompt };
+  }
+
   function admit(plan: SendPlan, left: TimeLeft): void {
     const isAlone = !openSends.isAny();
     const mayHaveBegun = mayHaveRun || answerBegun;
@@ -344,6 +369,12 @@
   function deliver(response: BufferedResponse | undefined): void {
     openSends.supersede();
     finish('answered');
+    runtime.dispatch({
+      type: 'durations.answered',
+      ...requestClass(),
+      atMs: now(),
+      elapsedMs: now() - call.arrivedAtMs,
+    });
     if (response === undefined) {
       reply.end();
       return;
@@ -374,12 +405,31 @@
     );
   }
 
+  function mayRun(): boolean {
+    return mayHaveRun || (openSends.isAny() && sends > 0);
+  }
+
+  /** Ends the request with this entry, with a complete response if none has begun. */
+  function onShutdown(): void {
+    if (isOver) return;
+    requestLog.endedByShutdown(context.shutdown?.grace());
+    if (answerBegun) {
+      applyStep({ type: 'cutOff' }, undefined);
+    } else if (heldAnswer !== undefined) {
+      deliver(heldAnswer);
+    } else {
+      const hasRun = mayRun();
+      finish(hasRun ? 'failed' : 'refused');
+      replyEnded(reply, hasRun);
+    }
+  }
+
   function onDeadline(): void {
     if (isOver) return;
-    const mayRun = mayHaveRun || (openSends.isAny() && sends > 0);
+    const hasRun = mayRun();
     finish('timedOut');
     if (answerBegun) reply.cutOff();
-    else replyTimedOut(reply, mayRun);
+    else replyTimedOut(reply, hasRun);
   }
 
   function onCallerGone(): void {
@@ -401,6 +451,7 @@
     openSends.cancelAll();
     clearTimeout(deadlineTimer);
     stopListening();
+    stopAwaitingEnd?.();
     requestLog.ended(end, counts());
   }
 
--- a/packages/gateway/src/forwardRequest/types.ts
+++ b/packages/gateway/src/forwardRequest/types.ts
@@ -32,6 +32,22 @@
   readonly isRelayed: boolean;
 }
 
+/** The grace period of an entry that shuts down. */
+export interface GracePeriod {
+  /** Time since the entry began to shut down. */
+  readonly elapsedMs: number;
+  /** Time until it ends open requests. */
+  readonly leftMs: number;
+}
+
+/** The shutdown of an entry. */
+export interface Shutdown {
+  /** Undefined while the entry does not shut down. */
+  readonly grace: () => GracePeriod | undefined;
+  /** Registers a listener for the end of the grace period; returns how to remove it. */
+  readonly onEnd: (listener: () => void) => () => void;
+}
+
 /** Dependencies of forwarding. */
 export interface ForwardContext {
   readonly runtime: GatewayRuntime;
@@ -47,8 +63,8 @@
   readonly bounds: GatewayBounds;
   /** Queue of requests without capacity; undefined where it is off. */
   readonly admission?: AdmissionControl | undefined;
-  /** Whether this entry stops, so that requests must end soon; default: no. */
-  readonly isLeaving?: () => boolean;
+  /** The shutdown of this entry; default: none. */
+  readonly shutdown?: Shutdown | undefined;
   readonly dataCentre: string;
   /** Name of this entry. */
   readonly entryName: string;
--- /dev/null
+++ b/packages/gateway/src/startGateway/_lib/shutdownState.ts
@@ -0,0 +1,47 @@
+import type { Shutdown } from '../../forwardRequest/types.ts';
+
+/** Controls the shutdown of an entry. */
+export interface ShutdownState extends Shutdown {
+  readonly begin: () => void;
+  /** Ends the grace period: calls the listeners, whose requests end with it. */
+  readonly end: () => void;
+}
+
+/** Options of {@link createShutdownState}. */
+export interface CreateShutdownStateOptions {
+  /** Time from the beginning until open requests are ended. */
+  readonly serveMs: number;
+  /** Monotonic time in ms. */
+  readonly now: () => number;
+}
+
+/** Creates the state of an entry that does not shut down yet. */
+export function createShutdownState({
+  serveMs,
+  now,
+}: CreateShutdownStateOptions): ShutdownState {
+  const listeners = new Set<() => void>();
+  let sinceMs: number | undefined;
+  let isEnded = false;
+  return {
+    begin() {
+      sinceMs ??= now();
+    },
+    end() {
+      isEnded = true;
+      [...listeners].forEach((listener) => {
+        listener();
+      });
+    },
+    grace() {
+      if (sinceMs === undefined) return undefined;
+      const elapsedMs = now() - sinceMs;
+      const leftMs = isEnded ? 0 : Math.max(serveMs - elapsedMs, 0);
+      return { elapsedMs, leftMs };
+    },
+    onEnd(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+  };
+}
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -14,6 +14,7 @@
 import { probeAddress } from '../probeAddress/index.ts';
 import { createEvacuationWatch } from './_lib/evacuationWatch.ts';
 import { informedEntries } from './_lib/informedEntries.ts';
+import { createShutdownState } from './_lib/shutdownState.ts';
 import type { EventLog } from '../createEventLog/index.ts';
 import { createColdTargetTicker } from '../coldTargetTicker/index.ts';
 import { createCallerServer } from '../createCallerServer/index.ts';
@@ -24,6 +25,7 @@
   type GatewayBounds,
   type GatewayRuntime,
 } from '../gatewayRuntime/index.ts';
+import type { GracePeriod } from '../forwardRequest/types.ts';
 import type { HttpDialect } from '../httpDialect/index.ts';
 import type { OrderPort } from '../orderPort/index.ts';
 import { startReachProbe } from '../reachProbe/index.ts';
@@ -88,7 +90,7 @@
  */
 const STALE_ADDRESS_MS = 3500;
 
-/** Share of the grace period after which open responses are cut off. */
+/** Share of the grace period after which open requests are ended. */
 const GRACE_SHARE = 0.9;
 
 /** Share of the grace period after which waiting requests are refused, so that those
@@ -97,6 +99,11 @@
 
 const LEAVE_CHECK_INTERVAL_MS = 50;
 
+/** Time for the responses that the end of the grace period causes. */
+const LAST_BYTES_MS = 150;
+
+const NO_GRACE: GracePeriod = { elapsedMs: 0, leftMs: 0 };
+
 const TICK_INTERVAL_MS = 200;
 
 /** How often limits are divided anew, which costs with the entries times the targets
@@ -147,7 +154,11 @@
     options.queuesRequests === true
       ? createAdmissionControl({ runtime, log, metrics, now })
       : undefined;
-  let isLeaving = false;
+  const shutdown = createShutdownState({
+    serveMs: bounds.graceMs * GRACE_SHARE,
+    now,
+  });
+  const isLeaving = (): boolean => shutdown.grace() !== undefined;
 
   const callerServer = createCallerServer(
     {
@@ -161,14 +172,14 @@
       metrics,
       bounds,
       admission,
-      isLeaving: () => isLeaving,
+      shutdown,
       dataCentre: options.dataCentre,
       entryName: options.name,
       targetDeaths,
       startedAtMs: now(),
       now,
     },
-    { isLeaving: () => isLeaving },
+    { isLeaving },
   );
   listen(callerServer.server, options.callerAddress);
   const peers = createPeerLink({
@@ -218,7 +229,7 @@
       dataCentre: options.dataCentre,
       startedAtUnixMs,
       isReady: isReady(),
-      isLeaving,
+      isLeaving: isLeaving(),
       configVersion: runtime.table()?.config.version ?? 0,
       weight: options.weight ?? 1,
       ...(isCutOff() ? { isCutOff: true } : {}),
@@ -228,7 +239,7 @@
 
   function isReady(): boolean {
     return (
-      !isLeaving &&
+      !isLeaving() &&
       runtime.table() !== undefined &&
       runtime.state().roster.targets.size > 0
     );
@@ -285,24 +296,32 @@
   }
 
   function leave(done: () => void): void {
-    if (isLeaving) return;
-    isLeaving = true;
+    if (isLeaving()) return;
+    shutdown.begin();
     const sinceMs = now();
     log.info('leaving', { openRequests: callerServer.openRequests() });
     peers.broadcast();
     admission?.startUntil(sinceMs + bounds.graceMs * QUEUE_GRACE_SHARE);
     const check = setInterval(() => {
-      const elapsedMs = now() - sinceMs;
+      const { elapsedMs, leftMs } = shutdown.grace() ?? NO_GRACE;
       const isDrained =
         elapsedMs >= STALE_ADDRESS_MS && callerServer.openRequests() === 0;
-      if (!isDrained && elapsedMs < bounds.graceMs * GRACE_SHARE) return;
+      if (!isDrained && leftMs > 0) return;
       clearInterval(check);
       log.info('left', {
         elapsedMs,
         openRequests: callerServer.openRequests(),
       });
-      stop();
-      done();
+      shutdown.end();
+      callerServer.server.close();
+      callerServer.closeIdle();
+      setTimeout(
+        () => {
+          stop();
+          done();
+        },
+        isDrained ? 0 : LAST_BYTES_MS,
+      );
     }, LEAVE_CHECK_INTERVAL_MS);
   }
 
--- a/packages/gateway/src/startGateway/test.ts
+++ b/packages/gateway/src/startGateway/test.ts
@@ -54,6 +54,14 @@
       gapTargetMs: 500,
     },
     { ...base, name: 'brief', prefix: '/brief/', timeoutMs: 120 },
+    { ...base, name: 'long', prefix: '/long/', timeoutMs: 20_000 },
+    {
+      ...base,
+      name: 'longStream',
+      prefix: '/longStream/',
+      repeat: 'stream',
+      timeoutMs: 20_000,
+    },
   ],
   services: [{ name: 'plain', healthPath: '/h', maxConnections: 100 }],
   requiresKeys: true,
@@ -607,6 +615,71 @@
     while (!left.signal.aborted) await settle();
   });
 
+  // Requests that came late in the grace period were passed on and then cut off.
+  it('refuses, as not run, what may not end before the entry does', async () => {
+    await start(ok);
+    gateway.runtime.applyConfig(config, 'test');
+    gateway.leave(() => undefined);
+    skippedMs = 5000;
+    const late = await ask('/long/1');
+    expect(late.status).to.equal(503);
+    expect(late.headers).to.include({
+      connection: 'close',
+      'retry-after': '0.000',
+    });
+    expect(received).to.have.length(0);
+    const bounded = await ask('/read/1');
+    expect(bounded.status).to.equal(200);
+    const deadline = { 'x-deadline-ms': '900' };
+    const short = await ask('/long/2', { headers: deadline });
+    expect(short.status).to.equal(200);
+  });
+
+  // Guards against refusing what could have been served.
+  it('takes late requests of a route that has answered in time so far', async () => {
+    await start(ok);
+    gateway.runtime.applyConfig(config, 'test');
+    await Promise.all(
+      Array.from({ length: 20 }, (_, index) => ask(`/long/${index}`)),
+    );
+    gateway.leave(() => undefined);
+    skippedMs = 5000;
+    expect((await ask('/long/late')).status).to.equal(200);
+  });
+
+  it('takes requests of unknown duration at the beginning of its shutdown', async () => {
+    await start(ok);
+    gateway.runtime.applyConfig(config, 'test');
+    gateway.leave(() => undefined);
+    skippedMs = 1000;
+    expect((await ask('/long/1')).status).to.equal(200);
+  });
+
+  // Open requests were closed without a response when the grace period ended.
+  it('answers open requests at the end of its grace period', async () => {
+    const staySilent: RequestListener = (request, response) => {
+      if (request.url !== '/longStream/begun') return;
+      sign(request, response);
+      response.write('id: 1\ndata: e1\n\n');
+    };
+    await start(staySilent);
+    gateway.runtime.applyConfig(config, 'test');
+    const answers = ['/long/1', '/longStream/1', '/longStream/begun'].map(
+      (path) => ask(path),
+    );
+    while (received.length < answers.length) await settle();
+    const left = new AbortController();
+    gateway.leave(() => {
+      left.abort();
+    });
+    skippedMs = 7500;
+    const [plain, stream, begun] = await Promise.all(answers);
+    expect(plain).to.include({ status: 502, isWhole: true });
+    expect(stream).to.include({ status: 502, isWhole: true });
+    expect(begun).to.include({ status: 200, isWhole: false });
+    while (!left.signal.aborted) await settle();
+  });
+
   it('cancels the send when the caller disconnects', async () => {
     let leave: () => void = () => undefined;
     let noteClosed: () => void = () => undefined;
