Skip odd entries of the store one by one, and go on following it

Other operators reported entries that ended again and again, or stopped following the list, after another writer had left one odd entry.

Times are bounded by what a timer takes.

--- a/packages/contracts/src/forwarding/index.ts
+++ b/packages/contracts/src/forwarding/index.ts
@@ -3,8 +3,24 @@
  * service's engines, workspaces with their keys, and the listed targets. All
  * times are in milliseconds unless noted otherwise.
  */
+import { isIPv4 } from 'node:net';
 import { z } from 'zod';
 
+const MAX_PORT = 65_535;
+
+/** An address to connect to, as `IP:PORT` with an IPv4 address and a port from 1 to
+ * 65,535. Others make Node throw outside of any request. */
+export const socketAddressSchema = z.string().refine((address) => {
+  const [host = '', port = '', ...rest] = address.split(':');
+  return (
+    rest.length === 0 &&
+    isIPv4(host) &&
+    /^\d{1,5}$/.test(port) &&
+    Number(port) >= 1 &&
+    Number(port) <= MAX_PORT
+  );
+}, 'no IPv4 address with a port from 1 to 65,535');
+
 const countSchema = z.number().int().nonnegative();
 const durationMsSchema = z.number().nonnegative();
 
@@ -107,8 +123,7 @@
 export const listedTargetSchema = z.object({
   id: z.string(),
   service: z.string(),
-  /** Address, as `IP:PORT`. */
-  address: z.string(),
+  address: socketAddressSchema,
   dataCentre: z.string(),
   draining: z.boolean(),
   /** Number of requests that it runs concurrently. */
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -7,6 +7,7 @@
   PeerStatus,
   TargetProcess,
 } from '@endivegate/core/forwarding';
+import { socketAddressSchema } from '@endivegate/contracts/forwarding';
 import { z } from 'zod';
 import { decodeLimitRows, encodeLimitRows } from './limitRows.ts';
 import { decodePartRows, encodePartRows } from './partRows.ts';
@@ -72,9 +73,16 @@
 
 const hash = z.number();
 
+/** An entry of an earlier build passes on addresses that it has not checked. */
+const addressesSchema = z
+  .array(z.string())
+  .transform((addresses) =>
+    addresses.filter((one) => socketAddressSchema.safeParse(one).success),
+  );
+
 const selfSchema = z.tuple([
   z.string(),
-  z.string(),
+  socketAddressSchema,
   z.string(),
   z.string(),
   z.number(),
@@ -107,7 +115,7 @@
     z.array(flightSchema).nullable(),
     z.array(z.tuple([z.string(), z.number()])),
     z.array(z.tuple([z.string(), z.string()])),
-    z.array(z.string()),
+    addressesSchema,
   ])
   .rest(z.unknown());
 
--- a/packages/gateway/src/createPeerLink/_lib/readDatagram.ts
+++ b/packages/gateway/src/createPeerLink/_lib/readDatagram.ts
@@ -1,4 +1,6 @@
 import { encode } from '@msgpack/msgpack';
+import { compact } from 'fp-ts/lib/Array.js';
+import * as O from 'fp-ts/lib/Option.js';
 import type { EventLog } from '../../createEventLog/index.ts';
 import {
   decodePeerMessages,
@@ -67,6 +69,10 @@
     path: first.path,
     malformed: malformed.length,
   });
-  const rows = messages.map(({ row }) => encode(row));
+  const rows = compact(messages.map(({ row }) => encodeRow(row)));
   return { kind, messages, bytes: Buffer.concat(rows) };
 }
+
+/** Encodes a message as it was received; none if an element that this build does not know
+ * is nested too deeply. */
+const encodeRow = O.tryCatchK((row: readonly unknown[]) => encode(row));
--- a/packages/gateway/src/createPeerLink/_lib/test.ts
+++ b/packages/gateway/src/createPeerLink/_lib/test.ts
@@ -2,6 +2,8 @@
 import { expect } from 'chai';
 import { z } from 'zod';
 import { createBatch } from './batch.ts';
+import { createEventLog } from '../../createEventLog/index.ts';
+import { readDatagram } from './readDatagram.ts';
 import { createHubSelector } from './hubSelector.ts';
 import { splitPartReport } from './partRows.ts';
 import { defineExtension } from './peerExtensions.ts';
@@ -100,6 +102,18 @@
     expect(decodeOne(Buffer.from('{}'), codec, 0)).to.equal(undefined);
   });
 
+  // An address with a port out of range made each entry that contacted it fail.
+  it('reads no address that cannot be connected to', () => {
+    const addresses = ['10.0.0.2:7340', '10.0.0.2:70000', 'x', '', '1.2.3.4:0'];
+    const bytes = encodePeerMessage({ ...message, addresses }, codec, 0);
+    expect(decodeOne(bytes, codec, 0)?.addresses).to.deep.equal([
+      '10.0.0.2:7340',
+    ]);
+    const self = { ...message.self, peerAddress: '10.0.0.2:70000' };
+    const other = encodePeerMessage({ ...message, self }, codec, 0);
+    expect(decodeOne(other, codec, 0)).to.equal(undefined);
+  });
+
   it('decodes concatenated messages', () => {
     const bytes = encodePeerMessage(message, codec, 0);
     const both = Buffer.concat([bytes, bytes]);
@@ -295,6 +309,31 @@
     expect(cut.malformed).to.deep.equal([{ message: 1, path: '' }]);
   });
 
+  // An element that cannot be encoded again failed outside of any request.
+  it('passes on what it can of a datagram with a malformed message', () => {
+    const deep = Array.from({ length: 200 }).reduce<unknown>(
+      (inner) => [inner],
+      7,
+    );
+    const good = encodePeerMessage(versioned, codec, 0);
+    const row = decode(good) as unknown[];
+    const bytes = Buffer.concat([
+      Buffer.of(0),
+      good,
+      encode([...row.slice(0, 7), true, {}, deep], { maxDepth: 300 }),
+      encode('torn'),
+    ]);
+    const received = readDatagram(bytes, {
+      kinds: new Set([0]),
+      codec,
+      nowMs: 0,
+      log: createEventLog({ entryId: 'e1', write: () => true }),
+      countIgnored: () => undefined,
+    });
+    expect(received?.messages).to.have.length(2);
+    expect(Buffer.from(received?.bytes ?? [])).to.deep.equal(Buffer.from(good));
+  });
+
   it('reads no array that is longer than the datagram', () => {
     const bytes = Buffer.from([0xdd, 0x01, 0xff, 0xff, 0xff, 0x01]);
     expect(read(bytes).malformed).to.deep.equal([{ message: 0, path: '' }]);
--- a/packages/gateway/src/followPrefix/index.ts
+++ b/packages/gateway/src/followPrefix/index.ts
@@ -85,9 +85,14 @@
   let isLost = false;
   let lostSinceMs = now();
   let knownEra: number | undefined = options.from?.era;
+  let startAt = options.from;
 
   async function follow(): Promise<void> {
-    if (options.from !== undefined) await watchFrom(options.from.revision);
+    if (startAt !== undefined) {
+      const { revision } = startAt;
+      startAt = undefined;
+      await watchFrom(revision);
+    }
     while (!isStopped()) {
       const listed = await store.list(prefix)();
       if (isStopped()) return;
@@ -177,9 +182,19 @@
     await sleep(maxDelayMs * (1 + random()) * 0.5);
   }
 
-  follow().catch((error: unknown) => {
-    log.warn('store.followFailed', { prefix, reason: String(error) });
-  });
+  /** An error of a callback does not end the following: the items are listed again. */
+  async function followOn(): Promise<void> {
+    while (!isStopped()) {
+      try {
+        await follow();
+      } catch (error) {
+        log.warn('store.followFailed', { prefix, reason: String(error) });
+        await sleep(MAX_BACKOFF_MS * (1 + random()) * 0.5);
+      }
+    }
+  }
+
+  void followOn();
   return () => {
     stopped.abort();
   };
--- a/packages/gateway/src/followPrefix/test.ts
+++ b/packages/gateway/src/followPrefix/test.ts
@@ -115,6 +115,9 @@
         seen.push(`listed ${items.map((one) => one.key).join()}`);
       },
       onChange: (change) => {
+        if (change.type === 'put' && change.item.key === 'x/fails') {
+          throw new Error('from a callback');
+        }
         seen.push(change.type === 'put' ? `put ${change.item.key}` : 'removed');
       },
       onLost: () => {
@@ -222,6 +225,25 @@
     expect(long.filter((one) => one === 'lost')).to.have.length(1);
   });
 
+  // An error of a callback ended the following for good.
+  it('lists again after an error of a callback', async () => {
+    expect(
+      await follow([
+        { list: [item('x/a', 1)], revision: 1 },
+        { changes: [put('x/fails', 2)], revision: 2 },
+        { list: [item('x/b', 3)], revision: 3 },
+        { changes: [], revision: 3 },
+      ]),
+    ).to.deep.equal([
+      'list',
+      'listed x/a',
+      'watch 1',
+      'list',
+      'listed x/b',
+      'watch 3',
+    ]);
+  });
+
   it('randomises the wait of a watch', async () => {
     await follow([
       { list: [], revision: 1 },
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -40,6 +40,9 @@
 import { recordOutcome, recordSilence } from './_lib/recordOutcome.ts';
 import type { ForwardCall, ForwardContext } from './types.ts';
 
+/** Longest time of a timer of Node, which takes longer ones for 1 ms. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** Retry-After for refused requests: a few decoding passes of an engine. */
 const RETRY_AFTER_MS = 150;
 
@@ -88,7 +91,7 @@
 
   const deadlineTimer = setTimeout(
     onDeadline,
-    Math.max(deadlineAtMs - now(), 0),
+    Math.min(Math.max(deadlineAtMs - now(), 0), MAX_TIMER_MS),
   );
   reply.onDisconnect(onCallerGone);
   reply.onDrain(openSends.resumeAll);
--- a/packages/gateway/src/shareStore/_lib/storeNews.ts
+++ b/packages/gateway/src/shareStore/_lib/storeNews.ts
@@ -2,11 +2,32 @@
 import { listedTargetSchema } from '@endivegate/contracts/forwarding';
 import { z } from 'zod';
 
+const removalSchema = z.object({ type: z.literal('removed'), id: z.string() });
+
 const targetChangeSchema = z.discriminatedUnion('type', [
   z.object({ type: z.literal('put'), target: listedTargetSchema }),
-  z.object({ type: z.literal('removed'), id: z.string() }),
+  removalSchema,
 ]);
 
+const targetIdSchema = z.object({ target: z.object({ id: z.string() }) });
+
+/** A change whose target cannot be read removes it: a watcher of an earlier build does not
+ * check addresses. */
+function readChange(row: unknown): z.infer<typeof targetChangeSchema>[] {
+  const change = targetChangeSchema.safeParse(row);
+  if (change.success) return [change.data];
+  const { data } = targetIdSchema.safeParse(row);
+  return data === undefined ? [] : [{ type: 'removed', id: data.target.id }];
+}
+
+/** Rows that can be read; the others name no target. */
+const targetsSchema = z.array(z.unknown()).transform((rows) =>
+  rows.flatMap((row) => {
+    const { data } = listedTargetSchema.safeParse(row);
+    return data === undefined ? [] : [data];
+  }),
+);
+
 const evacuationSchema = z.object({
   dataCentre: z.string(),
   era: z.number(),
@@ -31,7 +52,7 @@
   /** Time for which removals are held after an outage of the store. */
   holdMs: z.number(),
   configVersion: z.number(),
-  changes: z.array(targetChangeSchema),
+  changes: z.array(z.unknown()).transform((rows) => rows.flatMap(readChange)),
   /** Evacuations in force and recent removals; absent if there are none. */
   evacuations: z.array(evacuationSchema).optional().catch(undefined),
 });
@@ -42,7 +63,7 @@
   era: z.number(),
   revision: z.number(),
   holdMs: z.number(),
-  targets: z.array(listedTargetSchema),
+  targets: targetsSchema,
   /** Evacuations at the revision; absent if the sender does not know of them. */
   evacuations: z.array(evacuationSchema).optional().catch(undefined),
 });
--- a/packages/gateway/src/shareStore/_lib/test.ts
+++ b/packages/gateway/src/shareStore/_lib/test.ts
@@ -46,6 +46,26 @@
     );
   });
 
+  // Guards against a row that an entry of an earlier build passes on unchecked.
+  it('skips a target that cannot be connected to, and keeps the others', () => {
+    const target = {
+      ...{ id: 't1', service: 's', address: '10.0.0.1:80', dataCentre: 'a' },
+      ...{ draining: false, slots: 4, bornMs: 1 },
+    };
+    const odd = { ...target, id: 't2', address: '10.0.0.1:70000' };
+    const rows = [target, odd, 7].map((one) => ({ type: 'put', target: one }));
+    const { changes } = decodeNews(encode({ ...news, changes: rows })) ?? {};
+    expect(changes).to.deep.equal([
+      { type: 'put', target },
+      { type: 'removed', id: 't2' },
+    ]);
+    const snapshot = { era: 1, revision: 5, holdMs: 0 };
+    const targets = [target, odd, 7];
+    expect(
+      snapshotSchema.parse({ ...snapshot, targets }).targets,
+    ).to.deep.equal([target]);
+  });
+
   it('drops bytes that are no news', () => {
     expect(decodeNews(encode({ ...news, era: 'x' }))).to.equal(undefined);
     expect(decodeNews(encodeNews(news).subarray(0, 9))).to.equal(undefined);
