--- a/packages/gateway/src/createPeerLink/_lib/test.ts
+++ b/packages/gateway/src/createPeerLink/_lib/test.ts
@@ -2,6 +2,11 @@
 import { expect } from 'chai';
 import { z } from 'zod';
 import { createBatch } from './batch.ts';
+import {
+  gatewayReduce,
+  initialGatewayState,
+} from '@endivegate/core/forwarding';
+import { describeState } from './describeState.ts';
 import { createEventLog } from '../../createEventLog/index.ts';
 import { readDatagram } from './readDatagram.ts';
 import { createHubSelector } from './hubSelector.ts';
@@ -340,6 +345,26 @@
   });
 });
 
+describe('describeState', () => {
+  // A release of many targets with long names made a message too large to be sent.
+  it('tells all draining processes, in messages that can be sent', () => {
+    const targets = Array.from({ length: 400 }, (_, index) => ({
+      ...{ service: 's', address: '10.0.0.1:80', dataCentre: 'a', slots: 4 },
+      ...{ id: `${index}`.padStart(190, 'x'), draining: true, bornMs: 1 },
+    }));
+    const roster = { type: 'roster.listed', atMs: 0, targets } as const;
+    const { state } = gatewayReduce(initialGatewayState, roster);
+    const messages = Array.from({ length: 12 }, (_, second) =>
+      describeState({ state, self: message.self, nowMs: second * 800 }),
+    );
+    messages.forEach((one) => {
+      expect(encodePeerMessage(one, codec, 0).length).to.be.below(20_000);
+    });
+    const told = messages.flatMap((one) => one.drainingProcesses);
+    expect(new Set(told.map(({ id }) => id)).size).to.equal(400);
+  });
+});
+
 describe('createBatch', () => {
   it('sends messages together and before they exceed the maximum size', async () => {
     const sent: string[] = [];
