Take late prompts by the cost model of their engines

Test that failed before: "takes late prompts that end in time by the cost model of their engines" (503 instead of 200).

An entry that was started lately knows too few answers to tell how long prompts take, and refused those that came in the last 60% of its grace period. The time of a prompt with the longest output that it may have follows from the cost model; it is used until enough answers are known.

--- a/packages/core/src/forwarding/engineTimes/index.ts
+++ b/packages/core/src/forwarding/engineTimes/index.ts
@@ -24,6 +24,40 @@
   );
 }
 
+/** A prompt at an engine, and the load there. */
+export interface LongestAnswerQuery {
+  /** Predicted time until the first event. */
+  readonly firstEventMs: number;
+  readonly promptTokens: number;
+  readonly maxOutputTokens: number;
+  /** Other requests that are decoding at the engine, and their context tokens. */
+  readonly decodingRequests: number;
+  readonly contextTokens: number;
+}
+
+/**
+ * Estimates how long a prompt takes if its output is as long as it may be.
+ *
+ * @param cost - Published cost model of the engine.
+ * @param query - The prompt and the load.
+ * @returns Time in milliseconds.
+ *
+ * @example
+ * estimateLongestAnswerMs(cost, { firstEventMs: 120, promptTokens, ...rest });
+ */
+export function estimateLongestAnswerMs(
+  cost: EngineCost,
+  query: LongestAnswerQuery,
+): number {
+  const passes = Math.ceil(query.maxOutputTokens / cost.stepsPerPass);
+  const passMs = estimatePassMs(
+    cost,
+    query.decodingRequests + 1,
+    query.contextTokens + query.promptTokens + query.maxOutputTokens,
+  );
+  return query.firstEventMs + passes * passMs;
+}
+
 /**
  * Estimates the time of one engine pass without prefill work, which is the gap
  * between two events of the engine's streams.
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -1,6 +1,8 @@
 import {
   advanceStream,
+  allLoads,
   decideNext,
+  estimateLongestAnswerMs,
   fitsGrace,
   longestDurationMs,
   mainObstacle,
@@ -133,7 +135,30 @@
     return fitsGrace({
       ...grace,
       boundMs: deadlineAtMs - now(),
-      longestMs: longestDurationMs(durations, requestClass(), now()),
+      longestMs:
+        longestDurationMs(durations, requestClass(), now()) ??
+        modelledDurationMs(),
+    });
+  }
+
+  /** Time that a prompt may take by the cost model of its engines; undefined for plain
+   * calls, and if no engine can take it. */
+  function modelledDurationMs(): number | undefined {
+    const { prompt } = call.caller;
+    const plan = planToTarget(timeLeftNow());
+    if (
+      prompt === undefined ||
+      service.engine === undefined ||
+      plan?.firstEventMs === undefined
+    ) {
+      return undefined;
+    }
+    const load = allLoads(runtime.state().load, now()).get(plan.target.id);
+    return estimateLongestAnswerMs(service.engine, {
+      ...prompt,
+      firstEventMs: plan.firstEventMs,
+      decodingRequests: load?.decodingRequests ?? 0,
+      contextTokens: load?.contextTokens ?? 0,
     });
   }
 
--- a/packages/gateway/src/startGateway/test.ts
+++ b/packages/gateway/src/startGateway/test.ts
@@ -647,6 +647,26 @@
     expect((await ask('/long/late')).status).to.equal(200);
   });
 
+  // Guards against an entry that was started lately and refuses all late prompts.
+  it('takes late prompts that end in time by the cost model of their engines', async () => {
+    await start((request, response) => {
+      sign(request, response);
+      response.end('id: 1\ndata: e1\n\n');
+    });
+    const [service] = config.services;
+    if (service === undefined) throw new Error('no service');
+    const services = [{ ...service, engine }];
+    gateway.runtime.applyConfig({ ...config, services }, 'test');
+    gateway.leave(() => undefined);
+    skippedMs = 5000;
+    const askPrompt = (tokens: number) =>
+      ask(`/longStream/${tokens}`, {
+        headers: { 'x-prompt-tokens': String(tokens) },
+      });
+    expect((await askPrompt(1000)).status).to.equal(200);
+    expect((await askPrompt(250_000)).status).to.equal(503);
+  });
+
   it('takes requests of unknown duration at the beginning of its shutdown', async () => {
     await start(ok);
     gateway.runtime.applyConfig(config, 'test');
