--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -1,13 +1,8 @@
 import {
   advanceStream,
-  allLoads,
   decideNext,
-  estimateLongestAnswerMs,
-  fitsGrace,
-  longestDurationMs,
   mainObstacle,
   type NextStep,
-  type RequestClass,
   type SendEnd,
   type SendProgress,
   soonestAvailableAtMs,
@@ -26,6 +21,7 @@
 import type { ResponseHead } from '../sendRequest/index.ts';
 import type { StreamEvent } from '../splitEvents/index.ts';
 import { admitSend, type SendRefusal } from './_lib/admitSend/index.ts';
+import { endsInTime, requestClass } from './_lib/endsInTime.ts';
 import { hasRetryBudget } from './_lib/hasRetryBudget.ts';
 import { type TimeLeft, timeLeft } from './_lib/timeLeft.ts';
 import { createOpenSends, type OpenSend } from './_lib/openSends.ts';
@@ -111,7 +107,8 @@
   sendOnce();
 
   function sendOnce(admitted?: SendPlan): void {
-    if (!answerBegun && !canEndInTime()) {
+    const query = { call, deadlineAtMs, plan: planToTargetNow };
+    if (!answerBegun && !endsInTime(query, context)) {
       if (!openSends.isAny()) onShutdown();
       return;
     }
@@ -127,45 +124,6 @@
     else admit(plan, left);
   }
 
-  /** Whether an answer that begins now ends before the entry does. */
-  function canEndInTime(): boolean {
-    const grace = context.shutdown?.grace();
-    if (grace === undefined) return true;
-    const { durations } = runtime.state();
-    return fitsGrace({
-      ...grace,
-      boundMs: deadlineAtMs - now(),
-      longestMs:
-        longestDurationMs(durations, requestClass(), now()) ??
-        modelledDurationMs(),
-    });
-  }
-
-  /** Time that a prompt may take by the cost model of its engines; undefined for plain
-   * calls, and if no engine can take it. */
-  function modelledDurationMs(): number | undefined {
-    const { prompt } = call.caller;
-    const plan = planToTarget(timeLeftNow());
-    if (
-      prompt === undefined ||
-      service.engine === undefined ||
-      plan?.firstEventMs === undefined
-    ) {
-      return undefined;
-    }
-    const load = allLoads(runtime.state().load, now()).get(plan.target.id);
-    return estimateLongestAnswerMs(service.engine, {
-      ...prompt,
-      firstEventMs: plan.firstEventMs,
-      decodingRequests: load?.decodingRequests ?? 0,
-      contextTokens: load?.contextTokens ?? 0,
-    });
-  }
-
-  function requestClass(): RequestClass {
-    return { route: route.name, prompt: call.caller.prompt };
-  }
-
   function admit(plan: SendPlan, left: TimeLeft): void {
     const isAlone = !openSends.isAny();
     const mayHaveBegun = mayHaveRun || answerBegun;
@@ -199,6 +157,10 @@
     return relay ?? (unsent === 0 ? planToTarget(left) : undefined);
   }
 
+  function planToTargetNow(): SendPlan | undefined {
+    return planToTarget(timeLeftNow());
+  }
+
   function planToPeer(): SendPlan | undefined {
     return planRelay(runtime.state(), {
       nowMs: now(),
@@ -399,7 +361,7 @@
     finish('answered');
     runtime.dispatch({
       type: 'durations.answered',
-      ...requestClass(),
+      ...requestClass(call),
       atMs: now(),
       elapsedMs: now() - call.arrivedAtMs,
     });
