--- a/packages/core/src/forwarding/partSuspects/index.ts
+++ b/packages/core/src/forwarding/partSuspects/index.ts
@@ -37,8 +37,8 @@
 /** Records of this entry are reported for this long, as datagrams may be lost. */
 const REPORTED_MS = 3500;
 
-/** Rows of each kind that are reported: more than one process runs at once. */
-const MAX_REPORT_ROWS = 64;
+/** Rows of each kind that are reported. */
+const MAX_REPORT_ROWS = 8;
 
 /** State before the first death. */
 export const initialPartSuspects: PartSuspectsState = {
