Tell for how long removals of targets are held

The log and the metrics could not tell how long an entry had gone on using a target that was missing from the list: `held` and `removed` had to be matched by hand, and nothing was visible between them. target.changed `removed` tells `heldMs`; the gauges endivegate_held_targets and endivegate_oldest_held_removal_ms, and the histogram endivegate_removal_held_ms, tell it for an entry.

--- a/packages/core/src/forwarding/targetRoster/_lib/steps.ts
+++ b/packages/core/src/forwarding/targetRoster/_lib/steps.ts
@@ -24,7 +24,7 @@
   id: string,
   change: Extract<RosterEffect, { type: 'roster.changed' }>['change'],
   reason: string,
-): RosterEffect {
+): Extract<RosterEffect, { type: 'roster.changed' }> {
   return { type: 'roster.changed', id, change, reason };
 }
 
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -22,6 +22,13 @@
  * servers that are gone: three silent heartbeats of 1.2 s, and a margin. */
 export const REMNANT_LIFETIME_MS = 5000;
 
+/** Removals that are held. */
+export interface HeldRemovals {
+  readonly targets: number;
+  /** Longest time since one of them was first missing; 0 if there are none. */
+  readonly oldestMs: number;
+}
+
 /** Time for which processes that are no longer listed are remembered. */
 const PROCESS_RETENTION_MS = 60_000;
 
@@ -109,6 +116,23 @@
   }
 }
 
+/**
+ * Counts the targets that are missing from the list and still in use.
+ *
+ * @param state - The roster.
+ * @param nowMs - Current monotonic time.
+ * @returns Their number, and the age of the oldest held removal in ms.
+ *
+ * @example
+ * heldRemovals(state.roster, performance.now()).targets;
+ */
+export function heldRemovals(state: RosterState, nowMs: number): HeldRemovals {
+  const agesMs = [...state.targets.values()]
+    .filter((target) => target.missingSinceMs !== undefined)
+    .map(({ missingSinceMs = nowMs }) => nowMs - missingSinceMs);
+  return { targets: agesMs.length, oldestMs: Math.max(0, ...agesMs) };
+}
+
 function applyList(
   state: RosterState,
   targets: readonly ListedTarget[],
@@ -246,7 +270,11 @@
     ? state.holdRemovalsUntilMs
     : Infinity;
   return {
-    state: withTarget(state, { ...known, removalDueAtMs }),
+    state: withTarget(state, {
+      ...known,
+      removalDueAtMs,
+      missingSinceMs: atMs,
+    }),
     effects: [
       rosterChanged(id, 'held', 'missing from the list after a store outage'),
     ],
@@ -261,13 +289,19 @@
 ): RosterStep {
   const targets = new Map(state.targets);
   targets.delete(target.id);
+  const { missingSinceMs = atMs } = target;
   return {
     state: {
       ...state,
       targets,
       goneProcesses: new Map(state.goneProcesses).set(processKey(target), atMs),
     },
-    effects: [rosterChanged(target.id, 'removed', reason)],
+    effects: [
+      {
+        ...rosterChanged(target.id, 'removed', reason),
+        heldMs: atMs - missingSinceMs,
+      },
+    ],
   };
 }
 
--- a/packages/core/src/forwarding/targetRoster/test.ts
+++ b/packages/core/src/forwarding/targetRoster/test.ts
@@ -7,6 +7,7 @@
 } from '../availableTargets/index.ts';
 import { initialGatewayState } from '../gatewayReduce/index.ts';
 import {
+  heldRemovals,
   initialRoster,
   LAPSED_ENTRY_GRACE_MS,
   REMNANT_LIFETIME_MS,
@@ -208,6 +209,32 @@
     expect(usableIds(gone)).to.deep.equal([]);
   });
 
+  it('tells how many removals are held, and for how long one was', () => {
+    const held = run([
+      listed(0, target, { ...target, id: 't2' }),
+      { type: 'roster.storeLost', atMs: 1000 },
+      listed(5000, { ...target, id: 't2' }),
+    ]);
+    expect(heldRemovals(held, 5600)).to.deep.equal({
+      targets: 1,
+      oldestMs: 600,
+    });
+    const late = 5000 + LAPSED_ENTRY_GRACE_MS;
+    const { effects } = reduceRoster(held, {
+      type: 'roster.ticked',
+      atMs: late,
+    });
+    expect(effects).to.deep.equal([
+      {
+        type: 'roster.changed',
+        id: 't1',
+        change: 'removed',
+        reason: 'still missing after the store outage',
+        heldMs: LAPSED_ENTRY_GRACE_MS,
+      },
+    ]);
+  });
+
   it('keeps a held target that is listed again', () => {
     const state = run([
       listed(0, target),
--- a/packages/core/src/forwarding/targetRoster/types.ts
+++ b/packages/core/src/forwarding/targetRoster/types.ts
@@ -5,6 +5,8 @@
 export interface RosterTarget extends ListedTarget {
   /** Time at which a held removal takes effect; undefined when none is held. */
   readonly removalDueAtMs: number | undefined;
+  /** When it was first missing; only set while its removal is held. */
+  readonly missingSinceMs?: number;
   /** Until this time new requests go there only when no other target is left. */
   readonly avoidUntilMs: number;
   /** Until this time it gets no requests from this entry, as it asked; 0 when it
@@ -131,6 +133,8 @@
         | 'avoided'
         | 'unconfirmed';
       readonly reason: string;
+      /** For how long the removal of a removed target was held. */
+      readonly heldMs?: number;
     }
   | {
       readonly type: 'roster.paused';
--- a/packages/gateway/src/createGatewayMetrics/index.ts
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -44,6 +44,14 @@
   readonly connected: () => void;
   /** Counts a call to the store by its end. */
   readonly storeCalled: (labels: { call: string; end: string }) => void;
+  /** Sets the number of targets that are missing from the list and still in use, and
+   * the longest time since one of them was first missing. */
+  readonly heldRemovals: (held: {
+    readonly targets: number;
+    readonly oldestMs: number;
+  }) => void;
+  /** Records for how long the removal of a target was held. */
+  readonly targetRemoved: (heldMs: number) => void;
   /** Sets the number of targets that are cold. */
   readonly coldTargets: (targets: number) => void;
   /** Sets the number of requests that wait for capacity. */
@@ -189,6 +197,22 @@
     buckets: LATENCY_BUCKETS_MS,
     registers,
   });
+  const held = new Gauge({
+    name: 'endivegate_held_targets',
+    help: 'Targets that are missing from the list and still in use.',
+    registers,
+  });
+  const oldestHeld = new Gauge({
+    name: 'endivegate_oldest_held_removal_ms',
+    help: 'Longest time for which a target has been missing from the list and still in use.',
+    registers,
+  });
+  const removalDelay = new Histogram({
+    name: 'endivegate_removal_held_ms',
+    help: 'Time for which the removal of a target was held.',
+    buckets: LATENCY_BUCKETS_MS,
+    registers,
+  });
   const dropped = new Gauge({
     name: 'endivegate_dropped_log_lines',
     help: 'Log lines that were left out since the start.',
@@ -235,6 +259,13 @@
     storeCalled: (labels) => {
       storeCalls.inc(labels);
     },
+    heldRemovals: ({ targets, oldestMs }) => {
+      held.set(targets);
+      oldestHeld.set(oldestMs);
+    },
+    targetRemoved: (heldMs) => {
+      removalDelay.observe(heldMs);
+    },
     coldTargets: (targets) => {
       cold.set(targets);
     },
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -195,6 +195,7 @@
         target: effect.id,
         change: effect.change,
         reason: effect.reason,
+        heldMs: rounded(effect.heldMs),
       });
       return;
     case 'roster.paused':
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -1,5 +1,6 @@
 import type { Server } from 'node:http';
 import {
+  heldRemovals,
   limitShares,
   PROTOCOL_VERSION,
   sampleEntries,
@@ -215,8 +216,11 @@
   });
   const ticker = setInterval(tick, TICK_INTERVAL_MS);
   const limitTicker = setInterval(tickLimits, LIMIT_INTERVAL_MS);
-  runtime.onEffect(({ type }) => {
-    if (type !== 'targetReach.changed') return;
+  runtime.onEffect((effect) => {
+    if (effect.type === 'roster.changed' && effect.heldMs !== undefined) {
+      metrics.targetRemoved(effect.heldMs);
+    }
+    if (effect.type !== 'targetReach.changed') return;
     peers.broadcast();
     relayProbe.probeSome();
   });
@@ -253,6 +257,7 @@
     const atMs = now();
     runtime.dispatch({ type: 'roster.ticked', atMs });
     tickColdTargets();
+    metrics.heldRemovals(heldRemovals(runtime.state().roster, atMs));
     reachProbe.checkSilence();
     runtime.dispatch({ type: 'partSuspects.ticked', atMs });
     const targets = [...runtime.state().roster.targets.values()];
