Tell peers which targets are gone, so that an own cut is not taken for an outage

What callers saw: nothing; the target served on. The platform saw requests reach a target for up to 2.8 s after the store had acknowledged its removal (bound 2 s), from entries that had been in touch for 3 s.

Cause: an entry that was cut off from the store for 0.8 s takes this for an outage of the store, in which entries of live targets lapse, and goes on using what is missing from the next list for 2.3 s. A call in flight at the end of the cut (0.9 s) and a pause (0.6 s) come before, so that 3.8 s pass after the cut, and the bound holds after 3 s. The entry cannot tell the two apart; peers that followed the store meanwhile can, but told only of draining targets.

Fix: an entry that has followed the store for 2.3 s without a failed call reports removals to all peers at once, by process and with the position of the store at which the target was not listed; the first two entries repeat it for 3.5 s. The receiver drops that process, held or not, unless its entry was written later by its revision, and ignores older list entries. Since such facts are ordered by positions of the store, late, repeated and reordered reports give the same result. An entry that was away itself reports only at the end of its hold, when a live target would be listed again. Builds without the extension ignore it.

--- a/packages/contracts/src/forwarding/index.ts
+++ b/packages/contracts/src/forwarding/index.ts
@@ -133,6 +133,9 @@
   bornMs: z.number(),
   /** How long it stays cold after it was listed; 0 or absent if it is warm. */
   warmUpLeftMs: durationMsSchema.optional(),
+  /** Revision of the store at which its entry was written; absent in what entries of
+   * earlier builds tell. */
+  revision: z.number().optional(),
 });
 
 /** See {@link repeatRuleSchema}. */
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -1,8 +1,15 @@
 import type { ListedTarget } from '@endivegate/contracts/forwarding';
 import { xxHash32 } from 'js-xxhash';
+import {
+  isOutdated,
+  isWrittenAfter,
+  withOwnRemoval,
+  withReportedRemoval,
+} from './_lib/removals/index.ts';
 import { applyFailure, applyPause, applySuccess } from './_lib/observations.ts';
 import { chain, processKey, rosterChanged, withTarget } from './_lib/steps.ts';
 import type {
+  ListPosition,
   RosterEffect,
   RosterEvent,
   RosterState,
@@ -11,6 +18,7 @@
   TargetProcess,
 } from './types.ts';
 
+export { removalReports } from './_lib/removals/index.ts';
 export { processKey } from './_lib/steps.ts';
 export type * from './types.ts';
 
@@ -41,6 +49,9 @@
   drainedProcesses: new Map(),
   goneProcesses: new Map(),
   remnantsUntilMs: 0,
+  followedSinceMs: undefined,
+  era: undefined,
+  removals: new Map(),
 };
 
 /**
@@ -48,7 +59,9 @@
  *
  * A draining process is never selected again. A target that is missing from the
  * list after a store outage is kept for {@link LAPSED_ENTRY_GRACE_MS}, because
- * live targets renew their lapsed list entries within this time.
+ * live targets renew their lapsed list entries within this time. It is not kept if a
+ * peer reports its removal that followed the store all along: then only this entry
+ * lost the store.
  *
  * @param state - Current roster.
  * @param event - The event to apply.
@@ -63,14 +76,26 @@
 ): RosterStep {
   switch (event.type) {
     case 'roster.listed':
-      return applyList(state, event.targets, event.atMs);
+      return applyList(state, event);
     case 'roster.put':
       return upsertTarget(state, event.target, event.atMs);
     case 'roster.removed':
-      return removeTarget(state, event.id, event.atMs);
+      return removeTarget(state, event);
+    case 'roster.followed': {
+      const { followedSinceMs = event.atMs } = state;
+      return { state: { ...state, followedSinceMs }, effects: [] };
+    }
+    case 'roster.interrupted':
+      return { state: { ...state, followedSinceMs: undefined }, effects: [] };
+    case 'roster.removalsReported':
+      return applyReports(state, event);
     case 'roster.storeLost':
       return {
-        state: { ...state, holdRemovalsUntilMs: Infinity },
+        state: {
+          ...state,
+          holdRemovalsUntilMs: Infinity,
+          followedSinceMs: undefined,
+        },
         effects: [],
       };
     case 'roster.storeRestored':
@@ -78,6 +103,7 @@
         state: {
           ...state,
           holdRemovalsUntilMs: Infinity,
+          followedSinceMs: undefined,
           remnantsUntilMs: event.atMs + REMNANT_LIFETIME_MS,
         },
         effects: [],
@@ -135,13 +161,16 @@
 
 function applyList(
   state: RosterState,
-  targets: readonly ListedTarget[],
-  atMs: number,
+  { targets, at, atMs }: Extract<RosterEvent, { type: 'roster.listed' }>,
 ): RosterStep {
-  const withHold: RosterState =
-    state.holdRemovalsUntilMs === Infinity
-      ? { ...state, holdRemovalsUntilMs: atMs + LAPSED_ENTRY_GRACE_MS }
-      : state;
+  const withHold: RosterState = {
+    ...state,
+    holdRemovalsUntilMs:
+      state.holdRemovalsUntilMs === Infinity
+        ? atMs + LAPSED_ENTRY_GRACE_MS
+        : state.holdRemovalsUntilMs,
+    era: at?.era ?? state.era,
+  };
   const listedIds = new Set(targets.map((target) => target.id));
   const absentIds = [...state.targets.keys()].filter(
     (id) => !listedIds.has(id),
@@ -151,7 +180,7 @@
     { state: withHold, effects: [] },
   );
   return absentIds.reduce<RosterStep>(
-    (step, id) => chain(step, (now) => removeTarget(now, id, atMs)),
+    (step, id) => chain(step, (now) => removeTarget(now, { id, atMs, at })),
     withListed,
   );
 }
@@ -197,6 +226,7 @@
   atMs: number,
   reason = 'listed',
 ): RosterStep {
+  if (isOutdated(state, listed)) return { state, effects: [] };
   const known = state.targets.get(listed.id);
   const restarted = known !== undefined && known.bornMs !== listed.bornMs;
   const wasDraining = state.drainedProcesses.has(processKey(listed));
@@ -223,6 +253,7 @@
         ? new Map(state.drainedProcesses).set(processKey(target), atMs)
         : state.drainedProcesses,
       goneProcesses: withoutKey(state.goneProcesses, processKey(target)),
+      removals: withoutKey(state.removals, processKey(target)),
     },
     effects:
       change === undefined ? [] : [rosterChanged(target.id, change, reason)],
@@ -258,13 +289,23 @@
 
 function removeTarget(
   state: RosterState,
-  id: string,
-  atMs: number,
+  removed: {
+    readonly id: string;
+    readonly atMs: number;
+    readonly at?: ListPosition | undefined;
+  },
 ): RosterStep {
+  const { id, atMs, at } = removed;
   const known = state.targets.get(id);
   if (known === undefined) return { state, effects: [] };
-  const isHeld = atMs < state.holdRemovalsUntilMs && !known.draining;
-  if (!isHeld) return dropTarget(state, known, 'no longer listed', atMs);
+  const isHeld =
+    atMs < state.holdRemovalsUntilMs &&
+    !known.draining &&
+    !state.removals.has(processKey(known));
+  if (!isHeld) {
+    const step = dropTarget(state, known, 'no longer listed', atMs);
+    return reportRemoval(step, { ...known, missingAt: at }, atMs);
+  }
   if (known.removalDueAtMs !== undefined) return { state, effects: [] };
   const removalDueAtMs = Number.isFinite(state.holdRemovalsUntilMs)
     ? state.holdRemovalsUntilMs
@@ -274,6 +315,7 @@
       ...known,
       removalDueAtMs,
       missingSinceMs: atMs,
+      missingAt: at,
     }),
     effects: [
       rosterChanged(id, 'held', 'missing from the list after a store outage'),
@@ -305,6 +347,50 @@
   };
 }
 
+/**
+ * Reports a removal to peers if this entry has followed the store for long enough to know
+ * that the target's entry did not lapse in an outage.
+ */
+function reportRemoval(
+  step: RosterStep,
+  target: RosterTarget,
+  atMs: number,
+): RosterStep {
+  const { followedSinceMs = Infinity } = step.state;
+  const { missingAt: at } = target;
+  if (at === undefined || atMs - followedSinceMs < LAPSED_ENTRY_GRACE_MS) {
+    return step;
+  }
+  return {
+    state: withOwnRemoval(step.state, { ...target, at }, atMs),
+    effects: [...step.effects, { type: 'roster.removalReportDue' }],
+  };
+}
+
+/**
+ * Drops processes whose removal a peer reports, unless their entries were written later.
+ */
+function applyReports(
+  state: RosterState,
+  event: Extract<RosterEvent, { type: 'roster.removalsReported' }>,
+): RosterStep {
+  return event.removals.reduce<RosterStep>(
+    (step, removal) =>
+      chain(step, (now) => {
+        const known = now.targets.get(removal.id);
+        const isSame = known?.bornMs === removal.bornMs;
+        if (isSame && isWrittenAfter(known, removal, now.era)) {
+          return { state: now, effects: [] };
+        }
+        const next = withReportedRemoval(now, removal, event);
+        return isSame
+          ? dropTarget(next, known, 'removal reported by a peer', event.atMs)
+          : { state: next, effects: [] };
+      }),
+    { state, effects: [] },
+  );
+}
+
 /**
  * Marks a process as draining. A process that is not listed is remembered, as
  * its entry may arrive later.
@@ -347,15 +433,30 @@
   return expired.reduce<RosterStep>(
     (step, target) =>
       chain(step, (now) =>
-        dropTarget(now, target, 'still missing after the store outage', atMs),
+        reportRemoval(
+          dropTarget(now, target, 'still missing after the store outage', atMs),
+          target,
+          atMs,
+        ),
       ),
     {
       state: {
         ...state,
         drainedProcesses: forget(state.drainedProcesses),
         goneProcesses: forget(state.goneProcesses),
+        removals: forgetRemovals(state.removals, atMs),
       },
       effects: [],
     },
   );
 }
+
+function forgetRemovals(
+  removals: RosterState['removals'],
+  atMs: number,
+): RosterState['removals'] {
+  const kept = [...removals].filter(
+    ([, removal]) => atMs - removal.atMs < PROCESS_RETENTION_MS,
+  );
+  return kept.length === removals.size ? removals : new Map(kept);
+}
--- a/packages/core/src/forwarding/targetRoster/types.ts
+++ b/packages/core/src/forwarding/targetRoster/types.ts
@@ -7,6 +7,8 @@
   readonly removalDueAtMs: number | undefined;
   /** When it was first missing; only set while its removal is held. */
   readonly missingSinceMs?: number;
+  /** Position of the store at which it was missing. */
+  readonly missingAt?: ListPosition | undefined;
   /** Until this time new requests go there only when no other target is left. */
   readonly avoidUntilMs: number;
   /** Until this time it gets no requests from this entry, as it asked; 0 when it
@@ -35,6 +37,30 @@
   readonly bornMs: number;
 }
 
+/** A process whose entry was not in the store any more, as an entry saw it that followed
+ * the store all along. */
+export interface TargetRemoval extends TargetProcess {
+  /** Position of the store at which it was not listed. */
+  readonly era: number;
+  readonly revision: number;
+}
+
+/** A removal that this entry saw, or heard of. */
+export interface KnownRemoval extends TargetRemoval {
+  /** When this entry learned of it. */
+  readonly atMs: number;
+  /** Whether this entry saw it itself. */
+  readonly isOwn: boolean;
+  /** Names of the peers that reported it. */
+  readonly reporters: readonly string[];
+}
+
+/** Position in the history of the store. */
+export interface ListPosition {
+  readonly era: number;
+  readonly revision: number;
+}
+
 /** Known targets, and the processes that were seen draining or gone. */
 export interface RosterState {
   readonly targets: ReadonlyMap<string, RosterTarget>;
@@ -49,6 +75,13 @@
   /** Lists that are read before this time may come from an older copy of the
    * store and name processes that are gone. */
   readonly remnantsUntilMs: number;
+  /** Since when this entry has followed the store itself without a failure; undefined
+   * while it does not. */
+  readonly followedSinceMs: number | undefined;
+  /** Era of the newest list; undefined before. */
+  readonly era: number | undefined;
+  /** Removals that need not be held, by `processKey`. */
+  readonly removals: ReadonlyMap<string, KnownRemoval>;
 }
 
 /**
@@ -65,6 +98,7 @@
       readonly type: 'roster.listed';
       readonly atMs: number;
       readonly targets: readonly ListedTarget[];
+      readonly at?: ListPosition;
     }
   | {
       readonly type: 'roster.put';
@@ -76,6 +110,19 @@
       readonly type: 'roster.removed';
       readonly atMs: number;
       readonly id: string;
+      /** A position of the store at which it was not listed. */
+      readonly at?: ListPosition;
+    }
+  /** The store answered a call of this entry. */
+  | { readonly type: 'roster.followed'; readonly atMs: number }
+  /** A call to the store failed, or this entry stopped following it. */
+  | { readonly type: 'roster.interrupted'; readonly atMs: number }
+  /** A peer reported processes that are not listed any more. */
+  | {
+      readonly type: 'roster.removalsReported';
+      readonly atMs: number;
+      readonly peer: string;
+      readonly removals: readonly TargetRemoval[];
     }
   /** The list could not be read; list entries may lapse in the meantime. */
   | { readonly type: 'roster.storeLost'; readonly atMs: number }
@@ -119,8 +166,10 @@
     }
   | { readonly type: 'roster.ticked'; readonly atMs: number };
 
-/** A roster change to log. */
+/** A roster change to log, or to report. */
 export type RosterEffect =
+  /** This entry saw a removal that peers may hold. */
+  | { readonly type: 'roster.removalReportDue' }
   | {
       readonly type: 'roster.changed';
       readonly id: string;
--- a/packages/gateway/src/createPeerLink/_lib/peerExtensions.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerExtensions.ts
@@ -5,6 +5,7 @@
 } from '@endivegate/core/forwarding';
 import { z } from 'zod';
 import { evacuationExtension } from './evacuationExtension.ts';
+import { removalExtension } from './removalExtension.ts';
 import { warmExtension } from './warmExtension.ts';
 
 /** Key of the sender's protocol version among the extensions. */
@@ -17,6 +18,8 @@
 export interface DescribeContext {
   /** Monotonic time of the sender. */
   readonly nowMs: number;
+  /** Name of the sender. */
+  readonly name: string;
   /** Whether to report what was received too, for entries that start later. */
   readonly includeReceived: boolean;
 }
@@ -90,6 +93,7 @@
 /** The extensions that this build knows. */
 export const PEER_EXTENSIONS: ExtensionRegistry = {
   evac: defineExtension(evacuationExtension),
+  gone: defineExtension(removalExtension),
   warm: defineExtension(warmExtension),
 };
 
--- a/packages/gateway/src/createPeerLink/_lib/reportSender.ts
+++ b/packages/gateway/src/createPeerLink/_lib/reportSender.ts
@@ -17,7 +17,8 @@
   readonly extensions?: Readonly<Record<string, unknown>>;
 }
 
-/** Reports to peers parts that crash targets, and limits that targets name. */
+/** Reports to peers parts that crash targets, limits that targets name, and what the
+ * extensions describe. */
 export interface ReportSender {
   /** Sends what there is to tell; called once per interval. */
   readonly sendNow: () => void;
@@ -29,6 +30,8 @@
 /** Options of {@link createReportSender}. */
 export interface CreateReportSenderOptions {
   readonly runtime: GatewayRuntime;
+  /** Name of this entry. */
+  readonly name: string;
   /** Whether this entry reports what it received too, for entries that start later. */
   readonly includeReceived: () => boolean;
   readonly send: (reports: Reports, nowMs: number) => void;
@@ -51,7 +54,7 @@
 export function createReportSender(
   options: CreateReportSenderOptions,
 ): ReportSender {
-  const { runtime, now, registry = PEER_EXTENSIONS } = options;
+  const { runtime, name, now, registry = PEER_EXTENSIONS } = options;
   let delayTimer: NodeJS.Timeout | undefined;
   let intervalTimer: NodeJS.Timeout | undefined;
   let isDue = false;
@@ -76,7 +79,7 @@
     chunkRows(limits, { maxRows: MAX_LIMIT_ROWS }).forEach((rows) => {
       options.send({ limits: rows }, nowMs);
     });
-    const context = { nowMs, includeReceived };
+    const context = { nowMs, name, includeReceived };
     Object.entries(registry).forEach(([key, { describe }]) => {
       describe(runtime.state(), context).forEach((value) => {
         options.send({ extensions: { [key]: value } }, nowMs);
@@ -114,6 +117,7 @@
 function isReportDue(effect: GatewayEffect): boolean {
   return (
     effect.type === 'partSuspects.reportDue' ||
+    effect.type === 'roster.removalReportDue' ||
     effect.type === 'evacuations.reportDue' ||
     (effect.type === 'targetLimits.changed' && effect.reason === 'response') ||
     (effect.type === 'coldTargets.changed' &&
--- a/packages/gateway/src/createPeerLink/index.ts
+++ b/packages/gateway/src/createPeerLink/index.ts
@@ -152,6 +152,7 @@
   const configFetcher = createConfigFetcher({ runtime, log, self: own, now });
   const reportSender = createReportSender({
     runtime,
+    name: own.name,
     now,
     includeReceived: isDigestSender,
     // In datagrams of their own, as entries of earlier builds cannot read them.
--- a/packages/gateway/src/createPeerLink/test.ts
+++ b/packages/gateway/src/createPeerLink/test.ts
@@ -244,6 +244,31 @@
     });
   });
 
+  // Guards against an entry that holds a removal which a peer knows to be one.
+  it('reports removals that it saw, with the position of the store', async () => {
+    const first = await startEntry('e1', 'a', []);
+    const second = await startEntry('e2', 'b', [first.address]);
+    await until(() => peersOf(first).length === 1);
+    const { dispatch } = first.runtime;
+    const targets = [{ ...target, revision: 5 }];
+    const at = { era: 1, revision: 5 };
+    const atMs = performance.now();
+    [first, second].forEach(({ runtime }) => {
+      runtime.dispatch({ type: 'roster.followed', atMs: atMs - 60_000 });
+      runtime.dispatch({ type: 'roster.listed', atMs, targets, at });
+    });
+    second.runtime.dispatch({ type: 'roster.storeLost', atMs });
+    dispatch({ type: 'roster.removed', atMs, id: 't1', at });
+    await until(() => second.runtime.state().roster.targets.size === 0);
+    const heard = [...second.runtime.state().roster.removals.values()];
+    expect(heard).to.deep.equal([
+      {
+        ...{ id: 't1', bornMs: target.bornMs, era: 1, revision: 5 },
+        ...{ atMs: heard[0]?.atMs, isOwn: false, reporters: ['e1'] },
+      },
+    ]);
+  });
+
   it('shares requests in flight, which expire after a while', async () => {
     const first = await startEntry('e1', 'a', []);
     const second = await startEntry('e2', 'a', [first.address]);
--- a/packages/gateway/src/followPrefix/index.ts
+++ b/packages/gateway/src/followPrefix/index.ts
@@ -28,7 +28,8 @@
   /** Position to watch from without listing first; undefined to list. */
   readonly from?: StorePosition | undefined;
   readonly onList: (items: readonly StoredItem[], at: StorePosition) => void;
-  readonly onChange: (change: StoreChange) => void;
+  /** Called with each change and the position up to which the watch reports. */
+  readonly onChange: (change: StoreChange, at: StorePosition) => void;
   /** Called after the changes of a watch were applied, also when there are none. */
   readonly onWatched?: (
     from: StorePosition,
@@ -140,7 +141,9 @@
       const { era, revision, changes } = watched.right;
       const from = { era, revision: afterRevision };
       afterRevision = revision;
-      changes.forEach(options.onChange);
+      changes.forEach((change) => {
+        options.onChange(change, { era, revision });
+      });
       options.onWatched?.(from, { era, revision }, changes);
       if (watched.right.changes.length > 0) await sleep(options.batchDelayMs);
     }
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -269,6 +269,7 @@
       log.warn('config.storeReadDue', {});
       return;
     case 'evacuations.reportDue':
+    case 'roster.removalReportDue':
     case 'partSuspects.reportDue':
     case 'targetReach.probeDue':
   }
--- a/packages/gateway/src/shareStore/index.ts
+++ b/packages/gateway/src/shareStore/index.ts
@@ -196,6 +196,7 @@
     stopWatch = undefined;
     unneededSinceMs = undefined;
     nextStartAtMs = undefined;
+    runtime.dispatch({ type: 'roster.interrupted', atMs: now() });
     if (position !== undefined) tell(position, position, []);
   }
 
@@ -301,9 +302,12 @@
       return;
     }
     holdRemovals(news.holdMs);
-    news.changes.forEach(applyChange);
+    const { era, revision } = news;
+    news.changes.forEach((change) => {
+      applyChange(change, { era, revision });
+    });
     applyToListed(news.changes);
-    position = { era: news.era, revision: news.revision };
+    position = { era, revision };
   }
 
   function learnEvacuations(reports: readonly EvacuationReport[]): void {
@@ -324,12 +328,12 @@
     );
   }
 
-  function applyChange(change: TargetChange): void {
+  function applyChange(change: TargetChange, at: StorePosition): void {
     const atMs = now();
     if (change.type === 'put') {
       runtime.dispatch({ type: 'roster.put', atMs, target: change.target });
     } else {
-      runtime.dispatch({ type: 'roster.removed', atMs, id: change.id });
+      runtime.dispatch({ type: 'roster.removed', atMs, id: change.id, at });
     }
   }
 
@@ -388,9 +392,10 @@
       });
     }
     holdRemovals(snapshot.holdMs);
-    runtime.dispatch({ type: 'roster.listed', atMs: now(), targets });
+    const at = { era, revision };
+    runtime.dispatch({ type: 'roster.listed', atMs: now(), targets, at });
     listed = new Map(targets.map((target) => [target.id, target]));
-    position = { era, revision };
+    position = at;
   }
 
   return {
