List again before unanswered calls have timed out, so that a hold ends within its bound

What callers saw: nothing. An entry without peers, or whose peers were cut off with it, used a removed target up to 0.8 s longer after a cut than it may (2.8 s after the removal in the model, in which entries are not late; 3.2 s where they are up to 0.2 s late).

Cause: three times that were chosen apart add up: a call in flight at the end of the cut (0.9 s, on a connection that stays silent), the pause after it (0.6 s), and the hold of removals (2.3 s) pass 3 s, and the roster drops what is due only each 0.2 s.

Fix: after a failure the list is repeated each 250 ms until one is answered, without waiting for the ones before, so that it succeeds within 250 ms of the end of a cut. A store that refuses calls is left alone for up to 0.6 s as before. A target whose removal is due gets nothing even before the roster drops it. The sum is 250 + 100 + 2,300 = 2,650 ms.

--- a/packages/core/src/forwarding/targetAvailability/index.ts
+++ b/packages/core/src/forwarding/targetAvailability/index.ts
@@ -41,7 +41,7 @@
 export function lastingConditions(
   view: ConditionsView,
 ): readonly TargetCondition[] {
-  return [leaving, paused, unconfirmed, evacuated(view)];
+  return [leaving, missing, paused, unconfirmed, evacuated(view)];
 }
 
 /**
@@ -118,6 +118,16 @@
   return draining ? { obstacle: 'leaving', untilMs: Infinity } : undefined;
 }
 
+/** From the end of a hold on, also before the roster drops the target. */
+function missing(
+  { removalDueAtMs = Infinity }: RosterTarget,
+  nowMs: number,
+): Obstacle | undefined {
+  return removalDueAtMs <= nowMs
+    ? { obstacle: 'leaving', untilMs: Infinity }
+    : undefined;
+}
+
 function paused(
   { pausedUntilMs }: RosterTarget,
   nowMs: number,
--- a/packages/core/src/forwarding/targetAvailability/test.ts
+++ b/packages/core/src/forwarding/targetAvailability/test.ts
@@ -54,6 +54,11 @@
     });
   });
 
+  it('counts a target whose removal is due as leaving', () => {
+    expect(of({ removalDueAtMs: 101 })).to.equal(undefined);
+    expect(of({ removalDueAtMs: 100 })?.obstacle).to.equal('leaving');
+  });
+
   // Guards against a request to a data centre that the operator evacuated, and
   // against one that a process sends right after it was stopped.
   it('forbids targets of evacuated data centres, and all of them after a stop', () => {
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -306,17 +306,16 @@
     const step = dropTarget(state, known, 'no longer listed', atMs);
     return reportRemoval(step, { ...known, missingAt: at }, atMs);
   }
-  if (known.removalDueAtMs !== undefined) return { state, effects: [] };
-  const removalDueAtMs = Number.isFinite(state.holdRemovalsUntilMs)
-    ? state.holdRemovalsUntilMs
-    : Infinity;
+  const { missingSinceMs = atMs, removalDueAtMs: dueAtMs = Infinity } = known;
+  const held = {
+    ...{ ...known, missingSinceMs, missingAt: at },
+    removalDueAtMs: Math.min(dueAtMs, state.holdRemovalsUntilMs),
+  };
+  if (known.removalDueAtMs !== undefined) {
+    return { state: withTarget(state, held), effects: [] };
+  }
   return {
-    state: withTarget(state, {
-      ...known,
-      removalDueAtMs,
-      missingSinceMs: atMs,
-      missingAt: at,
-    }),
+    state: withTarget(state, held),
     effects: [
       rosterChanged(id, 'held', 'missing from the list after a store outage'),
     ],
--- a/packages/gateway/src/followPrefix/index.ts
+++ b/packages/gateway/src/followPrefix/index.ts
@@ -3,11 +3,13 @@
 import type {
   StoreChange,
   StoredItem,
+  StoredItems,
   StorePosition,
   StoreError,
   StorePort,
 } from '../storePort/index.ts';
 import { sleepFor } from '../sleepFor/index.ts';
+import { firstAnswer } from './_lib/firstAnswer/index.ts';
 
 /** Options of {@link followPrefix}. */
 export interface FollowPrefixOptions {
@@ -59,11 +61,15 @@
 
 const MIN_BACKOFF_MS = 60;
 
-/**
- * Short enough to receive changes in time once the store is available again.
- */
+/** Longest pause after the store refused a call, or restored a copy. */
 const MAX_BACKOFF_MS = 600;
 
+/** A list that follows a failure is repeated at this interval until one is answered. It is
+ * part of the time within which a removal takes effect after a cut. */
+export const RELIST_INTERVAL_MS = 250;
+
+type ListResult = E.Either<StoreError, StoredItems>;
+
 /**
  * Follows the items with a key prefix: lists them, watches for changes, and
  * lists them again whenever a watch fails, its revision is not available, or the
@@ -95,8 +101,8 @@
       await watchFrom(revision);
     }
     while (!isStopped()) {
-      const listed = await store.list(prefix)();
-      if (isStopped()) return;
+      const listed = await list();
+      if (listed === undefined || isStopped()) return;
       if (E.isLeft(listed)) {
         await handleFailure('list', listed.left);
         continue;
@@ -109,6 +115,19 @@
     }
   }
 
+  /** Lists; after a failure, with further calls before an unanswered one times out. */
+  async function list(): Promise<ListResult | undefined> {
+    if (failures === 0) return store.list(prefix)();
+    return firstAnswer(store.list(prefix), {
+      intervalMs: RELIST_INTERVAL_MS,
+      sleep,
+      isStopped,
+      onUnanswered(error) {
+        noteFailure('list', error);
+      },
+    });
+  }
+
   /** Whether a list is of the newest known era, or of a newer one. */
   async function acceptEra(era: number): Promise<boolean> {
     if (knownEra !== undefined && era < knownEra) {
@@ -161,7 +180,7 @@
     isLost = false;
   }
 
-  async function handleFailure(call: string, error: StoreError): Promise<void> {
+  function noteFailure(call: string, error: StoreError): void {
     failures += 1;
     options.onFailed?.();
     failingSinceMs ??= now();
@@ -177,6 +196,10 @@
       log.warn('store.lost', { prefix });
       options.onLost();
     }
+  }
+
+  async function handleFailure(call: string, error: StoreError): Promise<void> {
+    noteFailure(call, error);
     if (error.type === 'historyGone' || error.type === 'restored') return;
     const maxDelayMs = Math.min(
       MIN_BACKOFF_MS * 2 ** (failures - 1),
