Leave time for a late process in the budget of an entry's own watch

What callers saw: nothing. An entry whose open connections to the store fall silent must be up to date 3 s later, and its watch (1,800 ms), the timeout (900 ms), the pause (60 ms) and the list (240 ms) are 3,000 ms, without slack: an entry on a small processor whose timers and responses are up to 0.3 s late passes the bound.

Evidence: "takes effect within the bound when open connections fall silent, at entries that are 250 ms late" fails without this commit (1 of 72 entries).

--- a/packages/core/src/forwarding/storeWatchers/index.ts
+++ b/packages/core/src/forwarding/storeWatchers/index.ts
@@ -55,6 +55,13 @@
 
 const MS_PER_S = 1000;
 
+/** Time to list the store after a watch has failed: the pause, a new connection, a
+ * response on a slow path, and a process that is late. */
+const RELIST_MS = 600;
+
+/** Shortest watch of an entry's own, however short the configured bounds are. */
+const MIN_OWN_WATCH_MS = 1000;
+
 /** Whether the entries of a group rely on each other to watch the store. */
 export function sharesWatches(groupSize: number): boolean {
   return groupSize > MAX_OWN_WATCHES;
@@ -94,6 +101,32 @@
   );
 }
 
+/** Times from which {@link ownWatchMs} follows. */
+export interface OwnWatchBudget {
+  /** Time after a disturbance within which an entry must be up to date again. */
+  readonly stableWindowMs: number;
+  /** Time until a call that the store does not answer has failed. */
+  readonly storeTimeoutMs: number;
+}
+
+/**
+ * Returns the longest wait of a watch on which no other entry relies. An entry whose
+ * connections fall silent just after it began a watch is up to date in time: the wait, the
+ * failure of the call, and a list on a new connection.
+ *
+ * @param budget - The bound and the timeout of calls.
+ * @returns Time in milliseconds.
+ *
+ * @example
+ * ownWatchMs({ stableWindowMs: 3000, storeTimeoutMs: 900 }); // 1500
+ */
+export function ownWatchMs(budget: OwnWatchBudget): number {
+  return Math.max(
+    budget.stableWindowMs - budget.storeTimeoutMs - RELIST_MS,
+    MIN_OWN_WATCH_MS,
+  );
+}
+
 /** A watcher that still follows the store. */
 export function isSoundWatcher(beat: WatcherBeat, nowMs: number): boolean {
   const silenceMs = nowMs - beat.heardAtMs;
