Take unanswered lists on new connections for an outage sooner than silent connections

What callers saw: in an outage of 2.4 to 4.5 s, a live target whose entry lapsed was left out for up to 2 s at some entries, with its share of the load on the others.

Cause: the store counted as lost 0.8 s after the first failed call. That call, a watch, fails up to 2.4 s after the start of an outage, so an outage that ends soon after was taken for connections that had fallen silent, and nothing was held.

Fix: lists go to new connections, so one that is not answered for 350 ms tells that the path or the store is away, and the store counts as lost then. A list after silent connections is answered within a few ms, on a slow machine within 350 ms.

--- a/packages/gateway/src/followPrefix/_lib/firstAnswer/index.ts
+++ b/packages/gateway/src/followPrefix/_lib/firstAnswer/index.ts
@@ -7,6 +7,9 @@
   readonly intervalMs: number;
   readonly sleep: (ms: number) => Promise<void>;
   readonly isStopped: () => boolean;
+  /** Time without any answer after which `onOverdue` is called. */
+  readonly overdueMs: number;
+  readonly onOverdue: () => void;
   /** Called when a call was not answered. */
   readonly onUnanswered: (error: StoreError) => void;
 }
@@ -48,6 +51,11 @@
         if (isStopped()) end(undefined);
       }
     };
+    const watchOverdue = async (): Promise<void> => {
+      await sleep(options.overdueMs);
+      if (!isDone && !isStopped()) options.onOverdue();
+    };
     repeat().catch(reject);
+    watchOverdue().catch(reject);
   });
 }
--- a/packages/gateway/src/followPrefix/_lib/firstAnswer/test.ts
+++ b/packages/gateway/src/followPrefix/_lib/firstAnswer/test.ts
@@ -8,21 +8,30 @@
 const unanswered = (reason: string): Result =>
   E.left({ type: 'unanswered', reason });
 
+const OVERDUE_MS = 350;
+
 /** Starts calls whose results the test gives, at an interval that it ends. */
 function start() {
   const answers: ((result: Result) => void)[] = [];
   const sleeps: (() => void)[] = [];
   const failures: string[] = [];
   let isStopped = false;
+  let overdue = 0;
+  let endOverdue: () => void = () => undefined;
   const result = firstAnswer<string>(
     () => new Promise((resolve) => answers.push(resolve)),
     {
       intervalMs: 250,
-      sleep: () =>
+      sleep: (ms) =>
         new Promise((resolve) => {
-          sleeps.push(resolve);
+          if (ms === OVERDUE_MS) endOverdue = resolve;
+          else sleeps.push(resolve);
         }),
       isStopped: () => isStopped,
+      overdueMs: OVERDUE_MS,
+      onOverdue: () => {
+        overdue += 1;
+      },
       onUnanswered: (error) => {
         failures.push(error.type === 'unanswered' ? error.reason : error.type);
       },
@@ -31,6 +40,11 @@
   const settle = () => new Promise(setImmediate);
   return {
     ...{ answers, failures, result },
+    overdue: async () => {
+      endOverdue();
+      await settle();
+      return overdue;
+    },
     answer: async (call: number, value: Result) => {
       answers[call]?.(value);
       await settle();
@@ -50,9 +64,10 @@
 describe('firstAnswer', () => {
   // Guards against waiting for a call on a connection that fell silent.
   it('calls again before the calls before have failed, and takes the first answer', async () => {
-    const { answers, answer, wait, result } = start();
+    const { answers, answer, wait, overdue, result } = start();
     await wait();
     await wait();
+    expect(await overdue()).to.equal(1);
     expect(answers).to.have.length(3);
     await answer(1, E.right('second'));
     await answer(0, unanswered('too late'));
@@ -75,9 +90,10 @@
 
   it('ends with a refusal, after which the caller pauses', async () => {
     const refused: Result = E.left({ type: 'refused', status: 429 });
-    const { answer, result } = start();
+    const { answer, overdue, result } = start();
     await answer(0, refused);
     expect(await result).to.deep.equal(refused);
+    expect(await overdue()).to.equal(0);
   });
 
   it('ends without a result when it is stopped', async () => {
--- a/packages/gateway/src/followPrefix/index.ts
+++ b/packages/gateway/src/followPrefix/index.ts
@@ -59,6 +59,13 @@
  */
 export const LOST_AFTER_MS = 800;
 
+/**
+ * The store also counts as lost once lists have not been answered for this long. They are
+ * sent on new connections, so this tells an outage, or a cut, from open connections that
+ * fell silent, also on a slow machine.
+ */
+const LOST_AFTER_LIST_MS = 350;
+
 const MIN_BACKOFF_MS = 60;
 
 /** Longest pause after the store refused a call, or restored a copy. */
@@ -122,6 +129,8 @@
       intervalMs: RELIST_INTERVAL_MS,
       sleep,
       isStopped,
+      overdueMs: LOST_AFTER_LIST_MS,
+      onOverdue: noteLost,
       onUnanswered(error) {
         noteFailure('list', error);
       },
@@ -190,12 +199,15 @@
       failures,
       ...describeStoreError(error),
     });
-    if (!isLost && now() - failingSinceMs >= LOST_AFTER_MS) {
-      isLost = true;
-      lostSinceMs = failingSinceMs;
-      log.warn('store.lost', { prefix });
-      options.onLost();
-    }
+    if (now() - failingSinceMs >= LOST_AFTER_MS) noteLost();
+  }
+
+  function noteLost(): void {
+    if (isLost) return;
+    isLost = true;
+    lostSinceMs = failingSinceMs ?? now();
+    log.warn('store.lost', { prefix });
+    options.onLost();
   }
 
   async function handleFailure(call: string, error: StoreError): Promise<void> {
