--- a/packages/gateway/src/followPrefix/index.ts
+++ b/packages/gateway/src/followPrefix/index.ts
@@ -26,7 +26,7 @@
    * Pause after a watch that returned changes, so that the next one returns
    * several at once.
    */
-  readonly batchDelayMs: number;
+  readonly batchDelayMs: () => number;
   /** Position to watch from without listing first; undefined to list. */
   readonly from?: StorePosition | undefined;
   readonly onList: (items: readonly StoredItem[], at: StorePosition) => void;
@@ -173,7 +173,7 @@
         options.onChange(change, { era, revision });
       });
       options.onWatched?.(from, { era, revision }, changes);
-      if (watched.right.changes.length > 0) await sleep(options.batchDelayMs);
+      if (watched.right.changes.length > 0) await sleep(options.batchDelayMs());
     }
   }
 
--- a/packages/gateway/src/followPrefix/test.ts
+++ b/packages/gateway/src/followPrefix/test.ts
@@ -110,7 +110,7 @@
       log: silent,
       prefix: 'x/',
       waitMs: () => 1000,
-      batchDelayMs: 0,
+      batchDelayMs: () => 0,
       onList: (items) => {
         seen.push(`listed ${items.map((one) => one.key).join()}`);
       },
