End a hold at entries that share watches once the store has been followed for long enough

What callers saw: nothing. In a fleet of 17 entries or more, an entry that lost the store and then left it to others used a removed target for 2.3 s, also if the store had been available for minutes (bound 2 s).

Cause: its hold has no end until news of a change arrive. These may come much later, and bring the removal itself, which was then held for 2.3 s.

Evidence: "ends the hold of an entry that lost the store while nothing changes" fails without this commit (no end within 20 s). Found by reading, for the same cause as the removals after a cut: a hold that an entry ends by what it happens to hear.

Fix: watchers tell in each message, every 0.5 s, for how long they have followed the store without a failed call. From 2.3 s on, whatever lapsed is listed again, and the hold ends. Entries of earlier builds do not tell it, and are treated as before.

--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -121,6 +121,14 @@
         },
         effects: [],
       };
+    case 'roster.holdEnded':
+      return {
+        state: {
+          ...state,
+          holdRemovalsUntilMs: Math.min(state.holdRemovalsUntilMs, event.atMs),
+        },
+        effects: [],
+      };
     case 'roster.leavingAnnounced':
       return markDraining(state, event, 'announced in a response', event.atMs);
     case 'roster.leavingHeard':
--- a/packages/core/src/forwarding/targetRoster/types.ts
+++ b/packages/core/src/forwarding/targetRoster/types.ts
@@ -133,6 +133,9 @@
       readonly type: 'roster.removalsHeld';
       readonly untilMs: number;
     }
+  /** The store has been available for long enough that live targets are listed again, as a
+   * peer that follows it knows. */
+  | { readonly type: 'roster.holdEnded'; readonly atMs: number }
   /** A target said in a response that it is leaving. */
   | ({
       readonly type: 'roster.leavingAnnounced';
--- a/packages/gateway/src/shareStore/_lib/storeNews.ts
+++ b/packages/gateway/src/shareStore/_lib/storeNews.ts
@@ -51,6 +51,9 @@
   overdueMs: z.number(),
   /** Time for which removals are held after an outage of the store. */
   holdMs: z.number(),
+  /** Time for which the sender has followed the store without a failure; 0 if it does
+   * not, absent in news of earlier builds. */
+  followedMs: z.number().optional().catch(undefined),
   configVersion: z.number(),
   changes: z.array(z.unknown()).transform((rows) => rows.flatMap(readChange)),
   /** Evacuations in force and recent removals; absent if there are none. */
--- a/packages/gateway/src/shareStore/index.ts
+++ b/packages/gateway/src/shareStore/index.ts
@@ -254,6 +254,7 @@
       revision: to.revision,
       overdueMs: Math.round(overdueMs()),
       holdMs: holdMs(),
+      followedMs: followedMs(),
       configVersion: runtime.table()?.config.version ?? 0,
       changes: [...changes],
       ...(toldEvacuations.length === 0 ? {} : { evacuations: toldEvacuations }),
@@ -276,6 +277,12 @@
     );
   }
 
+  /** Time for which this entry has followed the store without a failure. */
+  function followedMs(): number {
+    const { followedSinceMs = Infinity } = runtime.state().roster;
+    return Math.round(Math.max(now() - followedSinceMs, 0));
+  }
+
   function receive(news: StoreNews): void {
     const beat = {
       name: news.name,
@@ -294,6 +301,9 @@
       options.onNewerConfig({ ...peer, configVersion: news.configVersion });
     }
     if (stopWatch !== undefined || !isSoundWatcher(beat, now())) return;
+    if ((news.followedMs ?? 0) >= LAPSED_ENTRY_GRACE_MS) {
+      runtime.dispatch({ type: 'roster.holdEnded', atMs: now() });
+    }
     if (!isNewer(news)) return;
     const follows =
       position?.era === news.era && news.fromRevision <= position.revision;
--- a/packages/gateway/src/shareStore/test.ts
+++ b/packages/gateway/src/shareStore/test.ts
@@ -63,10 +63,18 @@
       const apply: StoreWatchHandlers = {
         ...handlers,
         onList(listed, position) {
+          runtime.dispatch({
+            type: 'roster.followed',
+            atMs: performance.now(),
+          });
           runtime.dispatch({ type: 'roster.listed', atMs: 0, targets: listed });
           handlers.onList(listed, position);
         },
         onWatched(start, end, changes) {
+          runtime.dispatch({
+            type: 'roster.followed',
+            atMs: performance.now(),
+          });
           changes.forEach((change) => {
             runtime.dispatch(
               change.type === 'put'
@@ -265,6 +273,20 @@
     listener.close();
   }).timeout(20_000);
 
+  // Guards against a removal that is held long after an entry lost the store, because nothing
+  // has changed since.
+  it('ends the hold of an entry that lost the store while nothing changes', async () => {
+    const store = createFakeStore();
+    await startFleet(store);
+    await until(() => watching().length === 2);
+    const [entry] = alive().filter((one) => !one.sharing.isWatching());
+    entry?.runtime.dispatch({ type: 'roster.storeLost', atMs: 0 });
+    const heldUntilMs = () =>
+      entry?.runtime.state().roster.holdRemovalsUntilMs ?? Infinity;
+    await until(() => Number.isFinite(heldUntilMs()));
+    expect(heldUntilMs()).to.be.at.most(performance.now());
+  }).timeout(20_000);
+
   it('lists again at all entries when the store was restored', async () => {
     const store = createFakeStore();
     await startFleet(store);
