Let a former watcher rely on the others for holds too

What callers saw: nothing. In a fleet of 17 entries or more, a watcher whose connection to the store fell silent used a target that was removed in the next seconds for 2.3 s after it had heard of the removal.

Cause: an entry whose call failed leaves the store to others and took it for lost at once, so that removals were held although the others apply them: one failed call tells a silent connection no better from an outage than at an entry with its own watch, which waits for a second one.

Evidence: "applies a removal at once at a former watcher whose call failed" fails without this commit (the target stays).

Fix: the store is taken for lost only if the entry watches again without having heard of changes from a sound watcher meanwhile, as it then reads itself what may have lapsed. Otherwise the watchers tell for how long to hold. "holds removals when it watches again after a failed call, and heard of no changes" holds before and after.

--- a/packages/gateway/src/shareStore/index.ts
+++ b/packages/gateway/src/shareStore/index.ts
@@ -88,6 +88,8 @@
   let unneededSinceMs: number | undefined;
   /** Whether the others know that an answer to this watcher is overdue. */
   let hasToldOverdue = false;
+  /** Whether the own watch failed and no sound watcher has told of changes since. */
+  let hasMissedChanges = false;
   let isFetching = false;
   let isStopped = false;
 
@@ -168,6 +170,11 @@
 
   function start(): void {
     log.info('storeWatch.started', { ...position });
+    // What lapsed in an outage is among the changes that this watch reports.
+    if (hasMissedChanges) {
+      runtime.dispatch({ type: 'roster.storeLost', atMs: now() });
+    }
+    hasMissedChanges = false;
     unneededSinceMs = undefined;
     failingSinceMs = undefined;
     answeredAtMs = now();
@@ -232,7 +239,7 @@
       nowMs: now(),
     });
     if (isFirst) return;
-    runtime.dispatch({ type: 'roster.storeLost', atMs: now() });
+    hasMissedChanges = true;
     end('the store does not answer');
     const intervalMs = probeIntervalMs(members.length + 1);
     nextStartAtMs = now() + intervalMs * (0.5 + random());
@@ -311,6 +318,7 @@
       fetchFrom(peer);
       return;
     }
+    hasMissedChanges = false;
     holdRemovals(news.holdMs);
     const { era, revision } = news;
     news.changes.forEach((change) => {
@@ -401,6 +409,7 @@
         source: 'watcher',
       });
     }
+    hasMissedChanges = false;
     holdRemovals(snapshot.holdMs);
     const at = { era, revision };
     runtime.dispatch({ type: 'roster.listed', atMs: now(), targets, at });
--- a/packages/gateway/src/shareStore/test.ts
+++ b/packages/gateway/src/shareStore/test.ts
@@ -181,6 +181,25 @@
     });
   }
 
+  function stop(entries: readonly (typeof running)[number][]): void {
+    entries.forEach((one) => {
+      one.sharing.stop();
+      one.stopped = true;
+    });
+  }
+
+  /** Has the watch of an entry fail that leaves the store to others then; returns it. */
+  async function failWatch(store: ReturnType<typeof createFakeStore>) {
+    // The first entries of the order would keep trying.
+    stop(watching());
+    store.watches.clear();
+    await until(() => watching().length === 2 && store.watches.size === 2);
+    const watchers = watching();
+    [...store.watches][0]?.handlers.onFailed();
+    await until(() => watchers.some((one) => !one.sharing.isWatching()));
+    return watchers.find((one) => !one.sharing.isWatching());
+  }
+
   const alive = () => running.filter((one) => !one.stopped);
   const watching = () => alive().filter((one) => one.sharing.isWatching());
   const allHave = (id: string): boolean =>
@@ -287,6 +306,33 @@
     expect(heldUntilMs()).to.be.at.most(performance.now());
   }).timeout(20_000);
 
+  // Guards against a former watcher that takes its own failed call for an outage, and goes on
+  // using a target that was removed meanwhile.
+  it('applies a removal at once at a former watcher whose call failed', async () => {
+    const store = createFakeStore();
+    await startFleet(store);
+    await until(() => watching().length === 2);
+    await failWatch(store);
+    store.write({ type: 'removed', id: 't0' });
+    await until(() =>
+      alive().every((one) => !one.runtime.state().roster.targets.has('t0')),
+    );
+  }).timeout(20_000);
+
+  // Guards against dropping live targets whose entries lapsed while no entry watched.
+  it('holds removals when it watches again after a failed call, and heard of no changes', async () => {
+    const store = createFakeStore();
+    await startFleet(store);
+    await until(() => watching().length === 2);
+    const former = await failWatch(store);
+    stop(alive().filter((one) => one !== former));
+    await until(() => former?.sharing.isWatching() === true);
+    const heldUntilMs = () =>
+      former?.runtime.state().roster.holdRemovalsUntilMs ?? 0;
+    expect(heldUntilMs()).to.be.above(performance.now());
+    await until(() => Number.isFinite(heldUntilMs()));
+  }).timeout(20_000);
+
   it('lists again at all entries when the store was restored', async () => {
     const store = createFakeStore();
     await startFleet(store);
