Date a removal by its own revision, not by that of the watch that told it

Found in review of the reports on removals: a target whose entry is removed and written again within the pause after a watch (0.4 s) would have been dropped at every entry until its entry changes again.

Cause: the removal was dated with the revision up to which the watch reports, so that it counted as newer than what was written right after it.

Fix: a removal carries the revision that the store tells with it.

--- a/packages/gateway/src/followPrefix/index.ts
+++ b/packages/gateway/src/followPrefix/index.ts
@@ -30,8 +30,8 @@
   /** Position to watch from without listing first; undefined to list. */
   readonly from?: StorePosition | undefined;
   readonly onList: (items: readonly StoredItem[], at: StorePosition) => void;
-  /** Called with each change and the position up to which the watch reports. */
-  readonly onChange: (change: StoreChange, at: StorePosition) => void;
+  /** Called with each change and the era of the store. */
+  readonly onChange: (change: StoreChange, era: number) => void;
   /** Called after the changes of a watch were applied, also when there are none. */
   readonly onWatched?: (
     from: StorePosition,
@@ -170,7 +170,7 @@
       const from = { era, revision: afterRevision };
       afterRevision = revision;
       changes.forEach((change) => {
-        options.onChange(change, { era, revision });
+        options.onChange(change, era);
       });
       options.onWatched?.(from, { era, revision }, changes);
       if (watched.right.changes.length > 0) await sleep(options.batchDelayMs());
--- a/packages/gateway/src/storePort/index.ts
+++ b/packages/gateway/src/storePort/index.ts
@@ -28,7 +28,12 @@
 /** A change to an item with the watched prefix. */
 export type StoreChange =
   | { readonly type: 'put'; readonly item: StoredItem }
-  | { readonly type: 'removed'; readonly key: string };
+  | {
+      readonly type: 'removed';
+      readonly key: string;
+      /** Revision of the removal; absent if the store does not tell it. */
+      readonly revision?: number | undefined;
+    };
 
 /** A revision of the store, which is unique only within an era. */
 export interface StorePosition {
