Stop repeating lists after an error of a callback

Found in review of the repeated lists: after an error that a callback throws, the following starts again, and the lists of the try before went on beside it without end.

Evidence: "calls no more after an error of a callback" fails without this commit (3 calls, 1 expected).

Fix: an error ends the series like an answer.

--- a/packages/gateway/src/followPrefix/_lib/firstAnswer/index.ts
+++ b/packages/gateway/src/followPrefix/_lib/firstAnswer/index.ts
@@ -36,6 +36,10 @@
       isDone = true;
       resolve(result);
     };
+    const fail = (error: unknown): void => {
+      isDone = true;
+      reject(error instanceof Error ? error : new Error(String(error)));
+    };
     const attempt = async (): Promise<void> => {
       const result = await call();
       if (isDone) return;
@@ -46,7 +50,7 @@
     };
     const repeat = async (): Promise<void> => {
       while (!isDone) {
-        attempt().catch(reject);
+        attempt().catch(fail);
         await sleep(intervalMs);
         if (isStopped()) end(undefined);
       }
@@ -55,7 +59,7 @@
       await sleep(options.overdueMs);
       if (!isDone && !isStopped()) options.onOverdue();
     };
-    repeat().catch(reject);
-    watchOverdue().catch(reject);
+    repeat().catch(fail);
+    watchOverdue().catch(fail);
   });
 }
--- a/packages/gateway/src/followPrefix/_lib/firstAnswer/test.ts
+++ b/packages/gateway/src/followPrefix/_lib/firstAnswer/test.ts
@@ -11,7 +11,7 @@
 const OVERDUE_MS = 350;
 
 /** Starts calls whose results the test gives, at an interval that it ends. */
-function start() {
+function start(onFailure: (error: StoreError) => void = () => undefined) {
   const answers: ((result: Result) => void)[] = [];
   const sleeps: (() => void)[] = [];
   const failures: string[] = [];
@@ -33,6 +33,7 @@
         overdue += 1;
       },
       onUnanswered: (error) => {
+        onFailure(error);
         failures.push(error.type === 'unanswered' ? error.reason : error.type);
       },
     },
@@ -96,6 +97,19 @@
     expect(await overdue()).to.equal(0);
   });
 
+  // Guards against calls without end beside those of the caller's next try.
+  it('calls no more after an error of a callback', async () => {
+    const { answers, answer, wait, result } = start((error) => {
+      throw new Error(error.type);
+    });
+    const failed = result.catch(String);
+    await answer(0, unanswered('first'));
+    await wait();
+    await wait();
+    expect(await failed).to.equal('Error: unanswered');
+    expect(answers).to.have.length(1);
+  });
+
   it('ends without a result when it is stopped', async () => {
     const { answers, stop, result } = start();
     await stop();
