Keep the newest position of a removal, whatever is reported later

Found in review of the reports on removals: a delayed report of an earlier removal of a process replaced the later one, so that a late list could bring the target back until the next watch.

Evidence: "keep the newest position, whatever is reported later" fails without this commit.

Fix: positions are merged by era and revision, as the facts on evacuations are.

--- a/packages/core/src/forwarding/targetRoster/_lib/removals/index.ts
+++ b/packages/core/src/forwarding/targetRoster/_lib/removals/index.ts
@@ -43,11 +43,23 @@
   });
 }
 
+/** Records a removal at the newest position that is known of it. */
 function withRemoval(state: RosterState, removal: KnownRemoval): RosterState {
-  const removals = new Map(state.removals).set(processKey(removal), removal);
+  const key = processKey(removal);
+  const { era, revision } = newest(removal, state.removals.get(key));
+  const removals = new Map(state.removals).set(key, {
+    ...removal,
+    era,
+    revision,
+  });
   return { ...state, removals };
 }
 
+function newest(a: ListPosition, b: ListPosition = a): ListPosition {
+  const isNewer = b.era === a.era ? b.revision > a.revision : b.era > a.era;
+  return isNewer ? b : a;
+}
+
 /**
  * Whether a target's entry was written after a removal. Where its revision is unknown, it
  * was unless the target is missing from the list.
--- a/packages/core/src/forwarding/targetRoster/_lib/removals/test.ts
+++ b/packages/core/src/forwarding/targetRoster/_lib/removals/test.ts
@@ -156,6 +156,20 @@
     expect(hasTarget([...restored, reported(2)])).to.equal(true);
   });
 
+  // Guards against a delayed report that hides a later removal from a late list.
+  it('keep the newest position, whatever is reported later', () => {
+    const start = listed(0, 5, [target]);
+    const late = listed(3, 21, [{ ...target, revision: 12 }]);
+    const reports = [reported(1, { revision: 20 }), reported(2, {}, 'e3')];
+    expect(hasTarget([...start, ...reports, ...late])).to.equal(false);
+    const restored = reported(2, { era: 2, revision: 1 }, 'e3');
+    expect(
+      [...run([...start, ...reports, restored]).removals.values()].map(
+        ({ era, revision }) => ({ era, revision }),
+      ),
+    ).to.deep.equal([{ era: 2, revision: 1 }]);
+  });
+
   it('give the same roster in any order of reports, lists and changes', () => {
     const start = [...listed(0, 5, [target]), lost];
     const events: readonly (readonly RosterEvent[])[] = [
