Move the steps of removals out of targetRoster

What removes targets, holds their removal and reports it stands in _lib/removals, the facts on removals in _lib/removalFacts. No change of behaviour; the tests are the same.

--- a/packages/core/src/forwarding/targetRoster/_lib/removals/index.ts
+++ b/packages/core/src/forwarding/targetRoster/_lib/removals/index.ts
@@ -1,114 +1,168 @@
 import type {
-  KnownRemoval,
+  HeldRemovals,
   ListPosition,
+  RosterEvent,
   RosterState,
+  RosterStep,
   RosterTarget,
-  TargetProcess,
-  TargetRemoval,
 } from '../../types.ts';
-import { processKey } from '../steps.ts';
+import {
+  isWrittenAfter,
+  withOwnRemoval,
+  withReportedRemoval,
+} from '../removalFacts.ts';
+import { chain, processKey, rosterChanged, withTarget } from '../steps.ts';
 
-/** Time for which a removal is reported to peers, which allows for lost datagrams. */
-const REPORT_MS = 3500;
+/** Time within which live targets renew their lapsed list entries after a store
+ * outage. */
+export const LAPSED_ENTRY_GRACE_MS = 2300;
 
-/** Peers that repeat the report of a removal that several have seen. */
-const REPEATERS = 2;
-
-/** Records a removal that this entry saw itself. */
-export function withOwnRemoval(
-  state: RosterState,
-  process: TargetProcess & { readonly at: ListPosition },
-  atMs: number,
-): RosterState {
-  const { id, bornMs, at } = process;
-  const reporters = state.removals.get(processKey(process))?.reporters ?? [];
-  return withRemoval(state, {
-    ...{ id, bornMs, era: at.era, revision: at.revision },
-    ...{ atMs, isOwn: true, reporters },
-  });
-}
-
-/** Records a removal that a peer reported. */
-export function withReportedRemoval(
+/**
+ * Removes a target that is not listed any more, or holds its removal while its entry may
+ * only have lapsed.
+ */
+export function removeTarget(
   state: RosterState,
-  removal: TargetRemoval,
-  heard: { readonly atMs: number; readonly peer: string },
-): RosterState {
-  const { id, bornMs, era, revision } = removal;
-  const known = state.removals.get(processKey(removal));
-  const { atMs = heard.atMs, isOwn = false, reporters = [] } = known ?? {};
-  return withRemoval(state, {
-    ...{ id, bornMs, era, revision, atMs, isOwn },
-    reporters: [...new Set([...reporters, heard.peer])],
-  });
-}
-
-/** Records a removal at the newest position that is known of it. */
-function withRemoval(state: RosterState, removal: KnownRemoval): RosterState {
-  const key = processKey(removal);
-  const { era, revision } = newest(removal, state.removals.get(key));
-  const removals = new Map(state.removals).set(key, {
-    ...removal,
-    era,
-    revision,
-  });
-  return { ...state, removals };
+  removed: {
+    readonly id: string;
+    readonly atMs: number;
+    readonly at?: ListPosition | undefined;
+  },
+): RosterStep {
+  const { id, atMs, at } = removed;
+  const known = state.targets.get(id);
+  if (known === undefined) return { state, effects: [] };
+  const isHeld =
+    atMs < state.holdRemovalsUntilMs &&
+    !known.draining &&
+    !state.removals.has(processKey(known));
+  if (!isHeld) {
+    const step = dropTarget(state, known, 'no longer listed', atMs);
+    return reportRemoval(step, { ...known, missingAt: at }, atMs);
+  }
+  const { missingSinceMs = atMs, removalDueAtMs: dueAtMs = Infinity } = known;
+  const held = {
+    ...{ ...known, missingSinceMs, missingAt: at },
+    removalDueAtMs: Math.min(dueAtMs, state.holdRemovalsUntilMs),
+  };
+  if (known.removalDueAtMs !== undefined) {
+    return { state: withTarget(state, held), effects: [] };
+  }
+  return {
+    state: withTarget(state, held),
+    effects: [
+      rosterChanged(id, 'held', 'missing from the list after a store outage'),
+    ],
+  };
 }
 
-function newest(a: ListPosition, b: ListPosition = a): ListPosition {
-  const isNewer = b.era === a.era ? b.revision > a.revision : b.era > a.era;
-  return isNewer ? b : a;
+/** Removes the targets whose removal was held until now. */
+export function dropDue(state: RosterState, atMs: number): RosterStep {
+  return [...state.targets.values()]
+    .filter(
+      ({ removalDueAtMs }) =>
+        removalDueAtMs !== undefined &&
+        atMs >= Math.min(removalDueAtMs, state.holdRemovalsUntilMs),
+    )
+    .reduce<RosterStep>(
+      (step, target) =>
+        chain(step, (now) =>
+          reportRemoval(
+            dropTarget(
+              now,
+              target,
+              'still missing after the store outage',
+              atMs,
+            ),
+            target,
+            atMs,
+          ),
+        ),
+      { state, effects: [] },
+    );
 }
 
 /**
- * Whether a target's entry was written after a removal. Where its revision is unknown, it
- * was unless the target is missing from the list.
+ * Drops processes whose removal a peer reports, unless their entries were written later.
  */
-export function isWrittenAfter(
-  target: RosterTarget,
-  removal: TargetRemoval,
-  era: number | undefined,
-): boolean {
-  const isListed = target.missingSinceMs === undefined;
-  if (target.revision === undefined || era === undefined) return isListed;
-  if (removal.era !== era) return removal.era < era && isListed;
-  return target.revision > removal.revision;
-}
-
-/** Whether a list entry is older than the removal of its process, as in a list that
- * arrives late. */
-export function isOutdated(
+export function applyReports(
   state: RosterState,
-  listed: TargetProcess & { readonly revision?: number | undefined },
-): boolean {
-  const removal = state.removals.get(processKey(listed));
-  return (
-    removal !== undefined &&
-    removal.era === state.era &&
-    listed.revision !== undefined &&
-    listed.revision <= removal.revision
+  event: Extract<RosterEvent, { type: 'roster.removalsReported' }>,
+): RosterStep {
+  return event.removals.reduce<RosterStep>(
+    (step, removal) =>
+      chain(step, (now) => {
+        const known = now.targets.get(removal.id);
+        const isSame = known?.bornMs === removal.bornMs;
+        if (isSame && isWrittenAfter(known, removal, now.era)) {
+          return { state: now, effects: [] };
+        }
+        const next = withReportedRemoval(now, removal, event);
+        return isSame
+          ? dropTarget(next, known, 'removal reported by a peer', event.atMs)
+          : { state: next, effects: [] };
+      }),
+    { state, effects: [] },
   );
 }
 
 /**
- * Lists the removals that an entry reports to its peers: those that it saw itself, until
- * enough peers that come before it by name report them as well.
+ * Counts the targets that are missing from the list and still in use.
  *
  * @param state - The roster.
- * @param options - Name of this entry and the current monotonic time.
- * @returns The removals.
+ * @param nowMs - Current monotonic time.
+ * @returns Their number, and the age of the oldest held removal in ms.
  *
  * @example
- * removalReports(state.roster, { name: 'e1', nowMs: performance.now() });
+ * heldRemovals(state.roster, performance.now()).targets;
  */
-export function removalReports(
+export function heldRemovals(state: RosterState, nowMs: number): HeldRemovals {
+  const agesMs = [...state.targets.values()]
+    .filter((target) => target.missingSinceMs !== undefined)
+    .map(({ missingSinceMs = nowMs }) => nowMs - missingSinceMs);
+  return { targets: agesMs.length, oldestMs: Math.max(0, ...agesMs) };
+}
+
+function dropTarget(
   state: RosterState,
-  { name, nowMs }: { readonly name: string; readonly nowMs: number },
-): readonly TargetRemoval[] {
-  return [...state.removals.values()].filter(
-    ({ isOwn, atMs, reporters }) =>
-      isOwn &&
-      nowMs - atMs < REPORT_MS &&
-      reporters.filter((peer) => peer < name).length < REPEATERS,
-  );
+  target: RosterTarget,
+  reason: string,
+  atMs: number,
+): RosterStep {
+  const targets = new Map(state.targets);
+  targets.delete(target.id);
+  const { missingSinceMs = atMs } = target;
+  return {
+    state: {
+      ...state,
+      targets,
+      goneProcesses: new Map(state.goneProcesses).set(processKey(target), atMs),
+    },
+    effects: [
+      {
+        ...rosterChanged(target.id, 'removed', reason),
+        heldMs: atMs - missingSinceMs,
+      },
+    ],
+  };
+}
+
+/**
+ * Reports a removal to peers if this entry has followed the store for long enough to know
+ * that the target's entry did not lapse in an outage.
+ */
+function reportRemoval(
+  step: RosterStep,
+  target: RosterTarget,
+  atMs: number,
+): RosterStep {
+  const { followedSinceMs = Infinity } = step.state;
+  const { missingAt: at } = target;
+  if (at === undefined || atMs - followedSinceMs < LAPSED_ENTRY_GRACE_MS) {
+    return step;
+  }
+  return {
+    state: withOwnRemoval(step.state, { ...target, at }, atMs),
+    effects: [...step.effects, { type: 'roster.removalReportDue' }],
+  };
 }
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -1,15 +1,15 @@
 import type { ListedTarget } from '@endivegate/contracts/forwarding';
 import { xxHash32 } from 'js-xxhash';
+import { applyFailure, applyPause, applySuccess } from './_lib/observations.ts';
+import { forgetRemovals, isOutdated } from './_lib/removalFacts.ts';
 import {
-  isOutdated,
-  isWrittenAfter,
-  withOwnRemoval,
-  withReportedRemoval,
+  applyReports,
+  dropDue,
+  LAPSED_ENTRY_GRACE_MS,
+  removeTarget,
 } from './_lib/removals/index.ts';
-import { applyFailure, applyPause, applySuccess } from './_lib/observations.ts';
 import { chain, processKey, rosterChanged, withTarget } from './_lib/steps.ts';
 import type {
-  ListPosition,
   RosterEffect,
   RosterEvent,
   RosterState,
@@ -18,25 +18,15 @@
   TargetProcess,
 } from './types.ts';
 
-export { removalReports } from './_lib/removals/index.ts';
+export { removalReports } from './_lib/removalFacts.ts';
+export { heldRemovals, LAPSED_ENTRY_GRACE_MS } from './_lib/removals/index.ts';
 export { processKey } from './_lib/steps.ts';
 export type * from './types.ts';
 
-/** Time within which live targets renew their lapsed list entries after a store
- * outage. */
-export const LAPSED_ENTRY_GRACE_MS = 2300;
-
 /** Time after a restore within which the platform removes the list entries of
  * servers that are gone: three silent heartbeats of 1.2 s, and a margin. */
 export const REMNANT_LIFETIME_MS = 5000;
 
-/** Removals that are held. */
-export interface HeldRemovals {
-  readonly targets: number;
-  /** Longest time since one of them was first missing; 0 if there are none. */
-  readonly oldestMs: number;
-}
-
 /** Time for which processes that are no longer listed are remembered. */
 const PROCESS_RETENTION_MS = 60_000;
 
@@ -150,23 +140,6 @@
   }
 }
 
-/**
- * Counts the targets that are missing from the list and still in use.
- *
- * @param state - The roster.
- * @param nowMs - Current monotonic time.
- * @returns Their number, and the age of the oldest held removal in ms.
- *
- * @example
- * heldRemovals(state.roster, performance.now()).targets;
- */
-export function heldRemovals(state: RosterState, nowMs: number): HeldRemovals {
-  const agesMs = [...state.targets.values()]
-    .filter((target) => target.missingSinceMs !== undefined)
-    .map(({ missingSinceMs = nowMs }) => nowMs - missingSinceMs);
-  return { targets: agesMs.length, oldestMs: Math.max(0, ...agesMs) };
-}
-
 function applyList(
   state: RosterState,
   { targets, at, atMs }: Extract<RosterEvent, { type: 'roster.listed' }>,
@@ -295,109 +268,6 @@
   return next.draining && !known.draining ? 'draining' : undefined;
 }
 
-function removeTarget(
-  state: RosterState,
-  removed: {
-    readonly id: string;
-    readonly atMs: number;
-    readonly at?: ListPosition | undefined;
-  },
-): RosterStep {
-  const { id, atMs, at } = removed;
-  const known = state.targets.get(id);
-  if (known === undefined) return { state, effects: [] };
-  const isHeld =
-    atMs < state.holdRemovalsUntilMs &&
-    !known.draining &&
-    !state.removals.has(processKey(known));
-  if (!isHeld) {
-    const step = dropTarget(state, known, 'no longer listed', atMs);
-    return reportRemoval(step, { ...known, missingAt: at }, atMs);
-  }
-  const { missingSinceMs = atMs, removalDueAtMs: dueAtMs = Infinity } = known;
-  const held = {
-    ...{ ...known, missingSinceMs, missingAt: at },
-    removalDueAtMs: Math.min(dueAtMs, state.holdRemovalsUntilMs),
-  };
-  if (known.removalDueAtMs !== undefined) {
-    return { state: withTarget(state, held), effects: [] };
-  }
-  return {
-    state: withTarget(state, held),
-    effects: [
-      rosterChanged(id, 'held', 'missing from the list after a store outage'),
-    ],
-  };
-}
-
-function dropTarget(
-  state: RosterState,
-  target: RosterTarget,
-  reason: string,
-  atMs: number,
-): RosterStep {
-  const targets = new Map(state.targets);
-  targets.delete(target.id);
-  const { missingSinceMs = atMs } = target;
-  return {
-    state: {
-      ...state,
-      targets,
-      goneProcesses: new Map(state.goneProcesses).set(processKey(target), atMs),
-    },
-    effects: [
-      {
-        ...rosterChanged(target.id, 'removed', reason),
-        heldMs: atMs - missingSinceMs,
-      },
-    ],
-  };
-}
-
-/**
- * Reports a removal to peers if this entry has followed the store for long enough to know
- * that the target's entry did not lapse in an outage.
- */
-function reportRemoval(
-  step: RosterStep,
-  target: RosterTarget,
-  atMs: number,
-): RosterStep {
-  const { followedSinceMs = Infinity } = step.state;
-  const { missingAt: at } = target;
-  if (at === undefined || atMs - followedSinceMs < LAPSED_ENTRY_GRACE_MS) {
-    return step;
-  }
-  return {
-    state: withOwnRemoval(step.state, { ...target, at }, atMs),
-    effects: [...step.effects, { type: 'roster.removalReportDue' }],
-  };
-}
-
-/**
- * Drops processes whose removal a peer reports, unless their entries were written later.
- */
-function applyReports(
-  state: RosterState,
-  event: Extract<RosterEvent, { type: 'roster.removalsReported' }>,
-): RosterStep {
-  return event.removals.reduce<RosterStep>(
-    (step, removal) =>
-      chain(step, (now) => {
-        const known = now.targets.get(removal.id);
-        const isSame = known?.bornMs === removal.bornMs;
-        if (isSame && isWrittenAfter(known, removal, now.era)) {
-          return { state: now, effects: [] };
-        }
-        const next = withReportedRemoval(now, removal, event);
-        return isSame
-          ? dropTarget(next, known, 'removal reported by a peer', event.atMs)
-          : { state: next, effects: [] };
-      }),
-    { state, effects: [] },
-  );
-}
-
 /**
  * Marks a process as draining. A process that is not listed is remembered, as
  * its entry may arrive later.
@@ -421,11 +291,6 @@
 }
 
 function applyTick(state: RosterState, atMs: number): RosterStep {
-  const expired = [...state.targets.values()].filter(
-    (target) =>
-      target.removalDueAtMs !== undefined &&
-      atMs >= Math.min(target.removalDueAtMs, state.holdRemovalsUntilMs),
-  );
   const isListed = (key: string): boolean =>
     [...state.targets.values()].some((target) => processKey(target) === key);
   const forget = (
@@ -437,33 +302,13 @@
     );
     return kept.length === processes.size ? processes : new Map(kept);
   };
-  return expired.reduce<RosterStep>(
-    (step, target) =>
-      chain(step, (now) =>
-        reportRemoval(
-          dropTarget(now, target, 'still missing after the store outage', atMs),
-          target,
-          atMs,
-        ),
-      ),
+  return dropDue(
     {
-      state: {
-        ...state,
-        drainedProcesses: forget(state.drainedProcesses),
-        goneProcesses: forget(state.goneProcesses),
-        removals: forgetRemovals(state.removals, atMs),
-      },
-      effects: [],
+      ...state,
+      drainedProcesses: forget(state.drainedProcesses),
+      goneProcesses: forget(state.goneProcesses),
+      removals: forgetRemovals(state.removals, atMs),
     },
+    atMs,
   );
 }
-
-function forgetRemovals(
-  removals: RosterState['removals'],
-  atMs: number,
-): RosterState['removals'] {
-  const kept = [...removals].filter(
-    ([, removal]) => atMs - removal.atMs < PROCESS_RETENTION_MS,
-  );
-  return kept.length === removals.size ? removals : new Map(kept);
-}
--- a/packages/core/src/forwarding/targetRoster/types.ts
+++ b/packages/core/src/forwarding/targetRoster/types.ts
@@ -61,6 +61,13 @@
   readonly revision: number;
 }
 
+/** Removals that are held. */
+export interface HeldRemovals {
+  readonly targets: number;
+  /** Longest time since one of them was first missing; 0 if there are none. */
+  readonly oldestMs: number;
+}
+
 /** Known targets, and the processes that were seen draining or gone. */
 export interface RosterState {
   readonly targets: ReadonlyMap<string, RosterTarget>;
