Describe a process in rows between entries in one place

Cause: the rows of gone and warm began with the same two fields, with the same limit, and those of draining processes with the same two; two tests of the roster had the same target.

Change: processFields and MAX_PROCESS_ROWS stand in createPeerLink/_lib/processRow, testTarget in targetRoster/_lib. What is sent is the same, and the tests keep their assertions.

--- a/packages/core/src/forwarding/targetRoster/_lib/removals/test.ts
+++ b/packages/core/src/forwarding/targetRoster/_lib/removals/test.ts
@@ -9,17 +9,9 @@
   type RosterEvent,
   type RosterState,
 } from '../../index.ts';
+import { testTarget } from '../testTarget.ts';
 
-const target: ListedTarget = {
-  id: 't1',
-  service: 's',
-  address: '10.0.0.1:80',
-  dataCentre: 'a',
-  draining: false,
-  slots: 4,
-  bornMs: 100,
-  revision: 5,
-};
+const target: ListedTarget = { ...testTarget, revision: 5 };
 
 const removal = { id: 't1', bornMs: 100, era: 1, revision: 8 };
 
--- a/packages/core/src/forwarding/targetRoster/test.ts
+++ b/packages/core/src/forwarding/targetRoster/test.ts
@@ -15,16 +15,9 @@
   type RosterEvent,
   type RosterState,
 } from './index.ts';
+import { testTarget } from './_lib/testTarget.ts';
 
-const target: ListedTarget = {
-  id: 't1',
-  service: 's',
-  address: '10.0.0.1:80',
-  dataCentre: 'a',
-  draining: false,
-  slots: 4,
-  bornMs: 100,
-};
+const target = testTarget;
 
 const run = (events: readonly RosterEvent[]): RosterState =>
   events.reduce<RosterState>(
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -11,6 +11,7 @@
 import { z } from 'zod';
 import { decodeLimitRows, encodeLimitRows } from './limitRows.ts';
 import { decodePartRows, encodePartRows } from './partRows.ts';
+import { processFields } from './processRow.ts';
 import {
   type ApplyReceived,
   type ExtensionRegistry,
@@ -113,7 +114,7 @@
   .tuple([
     selfSchema,
     z.array(flightSchema).nullable(),
-    z.array(z.tuple([z.string(), z.number()])),
+    z.array(z.tuple([...processFields])),
     z.array(z.tuple([z.string(), z.string()])),
     addressesSchema,
   ])
--- a/packages/gateway/src/createPeerLink/_lib/removalExtension.ts
+++ b/packages/gateway/src/createPeerLink/_lib/removalExtension.ts
@@ -2,13 +2,11 @@
 import { z } from 'zod';
 import { chunkRows } from './chunkRows.ts';
 import type { ExtensionDefinition } from './peerExtensions.ts';
+import { MAX_PROCESS_ROWS, processFields } from './processRow.ts';
 
 const rowsSchema = z.array(
   z.tuple([
-    /** Target id. */
-    z.string(),
-    /** Start time of its process, in Unix ms. */
-    z.number(),
+    ...processFields,
     /** Era of the store. */
     z.number().nonnegative(),
     /** Revision of the store at which the target was not listed. */
@@ -16,9 +14,6 @@
   ]),
 );
 
-/** Rows in one datagram. */
-const MAX_ROWS = 20;
-
 /** Targets whose removal an entry saw that followed the store all along. */
 export const removalExtension: ExtensionDefinition<typeof rowsSchema> = {
   schema: rowsSchema,
@@ -28,7 +23,7 @@
         ...([id, bornMs, era, revision] as const),
       ],
     );
-    return chunkRows(rows, { maxRows: MAX_ROWS });
+    return chunkRows(rows, { maxRows: MAX_PROCESS_ROWS });
   },
   apply: (rows, { nowMs, sender }) => [
     {
--- a/packages/gateway/src/createPeerLink/_lib/warmExtension.ts
+++ b/packages/gateway/src/createPeerLink/_lib/warmExtension.ts
@@ -2,13 +2,11 @@
 import { z } from 'zod';
 import { chunkRows } from './chunkRows.ts';
 import type { ExtensionDefinition } from './peerExtensions.ts';
+import { MAX_PROCESS_ROWS, processFields } from './processRow.ts';
 
 const rowsSchema = z.array(
   z.tuple([
-    /** Target id. */
-    z.string(),
-    /** Start time of its process, in Unix ms. */
-    z.number(),
+    ...processFields,
     /** How long it stays cold after the report, in ms; 0 if it is warm. */
     z.number().nonnegative(),
     /** Age of the report, in ms. */
@@ -16,9 +14,6 @@
   ]),
 );
 
-/** Rows in one datagram. */
-const MAX_ROWS = 20;
-
 /** Cold targets that an entry knows of. */
 export const warmExtension: ExtensionDefinition<typeof rowsSchema> = {
   schema: rowsSchema,
@@ -29,7 +24,7 @@
         Math.max(Math.floor(nowMs - atMs), 0),
       ],
     );
-    return chunkRows(rows, { maxRows: MAX_ROWS });
+    return chunkRows(rows, { maxRows: MAX_PROCESS_ROWS });
   },
   apply: (rows, { nowMs }) => [
     {
