Move the holds of shared watches out of shareStore

Change: createRemovalHolds (_lib/removalHolds) reads and changes the holds in the gateway's state. No change of behaviour; the tests are the same.

--- a/packages/gateway/src/shareStore/index.ts
+++ b/packages/gateway/src/shareStore/index.ts
@@ -5,7 +5,6 @@
   type EvacuationReport,
   isOverdue,
   isSoundWatcher,
-  LAPSED_ENTRY_GRACE_MS,
   type Peer,
   probeIntervalMs,
   sharesWatches,
@@ -16,6 +15,7 @@
 import type { ListedTarget } from '@endivegate/contracts/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import type { StorePosition } from '../storePort/index.ts';
+import { createRemovalHolds } from './_lib/removalHolds.ts';
 import {
   createSnapshotServer,
   fetchSnapshot,
@@ -74,6 +74,7 @@
 export function shareStore(options: ShareStoreOptions): StoreSharing {
   const { runtime, log, name, weight, now, random = Math.random } = options;
   const [host = '', port = ''] = options.address.split(':');
+  const holds = createRemovalHolds({ runtime, now });
   const beats = new Map<string, WatcherBeat>();
   const distrustedUntilMs = new Map<string, number>();
   let listed = new Map<string, ListedTarget>();
@@ -109,7 +110,7 @@
       ? undefined
       : {
           ...position,
-          holdMs: holdMs(),
+          holdMs: holds.told().holdMs,
           targets: [...listed.values()],
           ...(knowsEvacuations ? { evacuations: evacuations() } : {}),
         },
@@ -188,7 +189,7 @@
       },
       onWatched(from, to, changes) {
         noteAnswer();
-        holdRemovals(0);
+        holds.extend(0);
         applyToListed(changes);
         position = to;
         if (to.revision > from.revision) tell(from, to, changes);
@@ -260,8 +261,7 @@
       fromRevision: from.revision,
       revision: to.revision,
       overdueMs: Math.round(overdueMs()),
-      holdMs: holdMs(),
-      followedMs: followedMs(),
+      ...holds.told(),
       configVersion: runtime.table()?.config.version ?? 0,
       changes: [...changes],
       ...(toldEvacuations.length === 0 ? {} : { evacuations: toldEvacuations }),
@@ -277,19 +277,6 @@
     return [...evacuationReports(runtime.state().evacuations, now())];
   }
 
-  function holdMs(): number {
-    const { holdRemovalsUntilMs } = runtime.state().roster;
-    return Math.round(
-      Math.min(Math.max(holdRemovalsUntilMs - now(), 0), LAPSED_ENTRY_GRACE_MS),
-    );
-  }
-
-  /** Time for which this entry has followed the store without a failure. */
-  function followedMs(): number {
-    const { followedSinceMs = Infinity } = runtime.state().roster;
-    return Math.round(Math.max(now() - followedSinceMs, 0));
-  }
-
   function receive(news: StoreNews): void {
     const beat = {
       name: news.name,
@@ -308,9 +295,7 @@
       options.onNewerConfig({ ...peer, configVersion: news.configVersion });
     }
     if (stopWatch !== undefined || !isSoundWatcher(beat, now())) return;
-    if ((news.followedMs ?? 0) >= LAPSED_ENTRY_GRACE_MS) {
-      runtime.dispatch({ type: 'roster.holdEnded', atMs: now() });
-    }
+    holds.endIfFollowed(news);
     if (!isNewer(news)) return;
     const follows =
       position?.era === news.era && news.fromRevision <= position.revision;
@@ -319,7 +304,7 @@
       return;
     }
     hasMissedChanges = false;
-    holdRemovals(news.holdMs);
+    holds.extend(news.holdMs);
     const { era, revision } = news;
     news.changes.forEach((change) => {
       applyChange(change, { era, revision });
@@ -362,17 +347,6 @@
     });
   }
 
-  /** Holds removals for a while, at least when they are held without end because
-   * this entry lost the store. */
-  function holdRemovals(forMs: number): void {
-    const { holdRemovalsUntilMs } = runtime.state().roster;
-    const durationMs =
-      holdRemovalsUntilMs === Infinity ? LAPSED_ENTRY_GRACE_MS : forMs;
-    if (durationMs === 0) return;
-    const untilMs = now() + durationMs;
-    runtime.dispatch({ type: 'roster.removalsHeld', untilMs });
-  }
-
   function fetchFrom(peer: Peer): void {
     if (isFetching) return;
     isFetching = true;
@@ -410,7 +384,7 @@
       });
     }
     hasMissedChanges = false;
-    holdRemovals(snapshot.holdMs);
+    holds.extend(snapshot.holdMs);
     const at = { era, revision };
     runtime.dispatch({ type: 'roster.listed', atMs: now(), targets, at });
     listed = new Map(targets.map((target) => [target.id, target]));
