Begin the hold of removals anew when the store is lost again before it has ended

What callers saw: a store that is away, returns for less than 2.3 s and is away again makes every entry drop the live targets that had lapsed, until the store is back and they are listed again: no target is left for seconds.

Cause: the hold that begins with the list between the outages went on through the second one, in which no entry can see that live targets are back, and its end dropped them. As old as the hold.

Ruled out: letting any failed call restart the hold.

Found by playing random schedules of cuts, outages and removals in the model.

Fix: losing the store again restarts the hold, which then begins with the next list.

--- a/packages/core/src/forwarding/targetRoster/_lib/removals/index.ts
+++ b/packages/core/src/forwarding/targetRoster/_lib/removals/index.ts
@@ -56,6 +56,24 @@
   };
 }
 
+/**
+ * Lets a hold that has not ended begin anew with the next list: while the store cannot be
+ * read, live targets cannot be seen to be back.
+ */
+export function restartHold(state: RosterState, atMs: number): RosterState {
+  if (atMs >= state.holdRemovalsUntilMs) return state;
+  const targets = [...state.targets].map(([id, target]) =>
+    target.removalDueAtMs === undefined
+      ? ([id, target] as const)
+      : ([id, { ...target, removalDueAtMs: Infinity }] as const),
+  );
+  return {
+    ...state,
+    holdRemovalsUntilMs: Infinity,
+    targets: new Map(targets),
+  };
+}
+
 /** Removes the targets whose removal was held until now. */
 export function dropDue(state: RosterState, atMs: number): RosterStep {
   return [...state.targets.values()]
--- a/packages/core/src/forwarding/targetRoster/index.ts
+++ b/packages/core/src/forwarding/targetRoster/index.ts
@@ -7,6 +7,7 @@
   dropDue,
   LAPSED_ENTRY_GRACE_MS,
   removeTarget,
+  restartHold,
 } from './_lib/removals/index.ts';
 import { chain, processKey, rosterChanged, withTarget } from './_lib/steps.ts';
 import type {
@@ -82,7 +83,7 @@
     case 'roster.storeLost':
       return {
         state: {
-          ...state,
+          ...restartHold(state, event.atMs),
           holdRemovalsUntilMs: Infinity,
           followedSinceMs: undefined,
         },
