--- a/packages/gateway/src/testShutdown/test.ts
+++ b/packages/gateway/src/testShutdown/test.ts
@@ -89,4 +89,18 @@
       ]),
     ).toMatchSnapshot();
   });
+
+  // A stream was taken because earlier ones had been quick; its targets had become slow since, and
+  // it was cut off at the end of the grace period.
+  it('cuts off nothing that it reads once no caller holds its address, however slow targets become', async () => {
+    const entry = await start();
+    await answerQuickly(entry);
+    entry.gateway.leave(() => undefined);
+    entry.skip(4100);
+    isSlow = true;
+    const late = entry.ask('/late');
+    await settle(100);
+    entry.skip(4000);
+    expect((await late).isWhole).to.equal(true);
+  });
 });
