Take late requests of an entry that shuts down only if they are bound to end in time

What callers saw: a stream that had been read and passed on was closed without its end around a SIGTERM of its entry.

Cause: whether a request ends in time was judged by how long others took within the last minutes. That says nothing about targets that become slower just then, by load, a release, or callers that move because the entry stops. After 3 s, when callers have other addresses, nothing excuses such a cut.

Fix: a request that is read later than that is taken if its deadline or the timeout of its route ends before the entry does. An estimate is used only for requests that may be repeated and whose answers are delivered whole, since they still get a complete answer when it was wrong. All others are refused at once, as not run, with Connection: close: one round trip to an entry that serves all of them. The signal may be handled late, so the 3 s count 100 ms less. What was read before is decided as before, also when it is sent again.

A property of fitsGrace takes nothing late on an estimate, whatever it is.

Two tests of startGateway change. 'takes late prompts that end in time by the cost model of their engines' expected the fault itself, a stream taken 5 s after the signal on the cost model; it now expects the same 2.5 s after it, with the same refusal of a longer prompt, and a refusal at 3.1 s. 'refuses prompts that took longer than the cost model says' asks at 2.5 s instead of 5 s, with an answer of 4 s instead of 3, since at 5 s any stream is refused.

--- a/packages/core/src/forwarding/fitsGrace/test.ts
+++ b/packages/core/src/forwarding/fitsGrace/test.ts
@@ -3,6 +3,9 @@
 import { fitsGrace, type GraceQuery } from './index.ts';
 
 const query: GraceQuery = {
+  readMs: 2000,
+  addressesMs: 3000,
+  isRepeatable: false,
   elapsedMs: 4000,
   leftMs: 3200,
   boundMs: 10_000,
@@ -30,6 +33,25 @@
     );
   });
 
+  // Guards against answers that are cut off because their targets are slower than before.
+  it('takes nothing late on an estimate, unless it can be repeated', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 3001, max: 30_000 }),
+        fc.integer({ min: 0, max: 30_000 }),
+        fc.option(fc.integer({ min: 0, max: 12_000 }), { nil: undefined }),
+        (readMs, leftMs, longestMs) => {
+          const late = { ...query, readMs, elapsedMs: readMs, leftMs };
+          const boundMs = leftMs + 1;
+          expect(fitsGrace({ ...late, longestMs, boundMs })).to.equal(false);
+        },
+      ),
+      { seed: 56 },
+    );
+    const late = { ...query, readMs: 4000, longestMs: 2400 };
+    expect(fitsGrace({ ...late, isRepeatable: true })).to.equal(true);
+  });
+
   // Guards against requests that are passed on and then cut off.
   it('takes no request of known duration that would be cut off', () => {
     fc.assert(
--- a/packages/gateway/src/forwardRequest/_lib/admitSend/test.ts
+++ b/packages/gateway/src/forwardRequest/_lib/admitSend/test.ts
@@ -59,7 +59,7 @@
       {},
       {
         shutdown: {
-          grace: () => ({ elapsedMs: 0, leftMs: 1000 }),
+          grace: () => ({ elapsedMs: 0, leftMs: 1000, addressesMs: 3000 }),
           onEnd: () => () => undefined,
         },
       },
--- a/packages/gateway/src/forwardRequest/_lib/checkShutdown.ts
+++ b/packages/gateway/src/forwardRequest/_lib/checkShutdown.ts
@@ -11,6 +11,8 @@
 /** A request that may be sent while its entry shuts down. */
 export interface ShutdownQuery {
   readonly call: ForwardCall;
+  /** When the request was read in full. */
+  readonly readAtMs: number;
   readonly deadlineAtMs: number;
   /** Plans the send; undefined if no target can take it. */
   readonly plan: () => SendPlan | undefined;
@@ -44,10 +46,16 @@
 ): ShutdownCheck | undefined {
   const grace = context.shutdown?.grace();
   if (grace === undefined) return undefined;
-  const boundMs = query.deadlineAtMs - context.now();
+  const nowMs = context.now();
+  const boundMs = query.deadlineAtMs - nowMs;
   const expected = expectedDuration(query, context);
-  const { expectedMs } = expected;
-  const isTaken = fitsGrace({ ...grace, boundMs, longestMs: expectedMs });
+  const isTaken = fitsGrace({
+    ...grace,
+    readMs: grace.elapsedMs - (nowMs - query.readAtMs),
+    boundMs,
+    longestMs: expected.expectedMs,
+    isRepeatable: query.call.route.repeat === 'idempotent',
+  });
   return { isTaken, grace, boundMs, ...expected };
 }
 
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -75,6 +75,7 @@
   const { route, service } = call;
   const waitMs = Math.min(route.timeoutMs, call.caller.deadlineMs ?? Infinity);
   const deadlineAtMs = call.arrivedAtMs + waitMs;
+  const readAtMs = now();
   const partGuard = createPartGuard(call, context);
   const requestLog = createRequestLog(call, context);
   const excludedIds = new Set<string>();
@@ -130,7 +131,8 @@
 
   /** Whether an answer that begins now ends before this entry does. */
   function endsInTime(): boolean {
-    const query = { call, deadlineAtMs, plan: planToTargetNow };
+    const plan = planToTargetNow;
+    const query = { call, readAtMs, deadlineAtMs, plan };
     const check = checkShutdown(query, context);
     if (check === undefined) return true;
     const isNew = check.isTaken !== shutdownCheck?.isTaken;
--- a/packages/gateway/src/forwardRequest/types.ts
+++ b/packages/gateway/src/forwardRequest/types.ts
@@ -38,6 +38,9 @@
   readonly elapsedMs: number;
   /** Time until it ends open requests. */
   readonly leftMs: number;
+  /** Time from the beginning for which callers that do not know of the shutdown may choose
+   * this entry. */
+  readonly addressesMs: number;
 }
 
 /** The shutdown of an entry. */
--- a/packages/gateway/src/startGateway/_lib/shutdownState.ts
+++ b/packages/gateway/src/startGateway/_lib/shutdownState.ts
@@ -11,6 +11,9 @@
 export interface CreateShutdownStateOptions {
   /** Time from the beginning until open requests are ended. */
   readonly serveMs: number;
+  /** Time from the beginning for which callers that do not know of the shutdown may choose
+   * this entry. */
+  readonly addressesMs: number;
   /** Monotonic time in ms. */
   readonly now: () => number;
 }
@@ -18,6 +21,7 @@
 /** Creates the state of an entry that does not shut down yet. */
 export function createShutdownState({
   serveMs,
+  addressesMs,
   now,
 }: CreateShutdownStateOptions): ShutdownState {
   const listeners = new Set<() => void>();
@@ -37,7 +41,7 @@
       if (sinceMs === undefined) return undefined;
       const elapsedMs = now() - sinceMs;
       const leftMs = isEnded ? 0 : Math.max(serveMs - elapsedMs, 0);
-      return { elapsedMs, leftMs };
+      return { elapsedMs, leftMs, addressesMs };
     },
     onEnd(listener) {
       listeners.add(listener);
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -84,12 +84,14 @@
   readonly stop: () => void;
 }
 
-/**
- * Callers use an address list for at most three times its lifetime of 1 s, so
- * new requests may arrive for this long after the entry has announced its
- * leaving.
- */
-const STALE_ADDRESS_MS = 3500;
+/** Callers use an address list for at most three times its lifetime of 1 s. */
+const ADDRESSES_MS = 3000;
+
+/** A busy process handles a signal this much later than it was sent. */
+const LATE_SIGNAL_MS = 100;
+
+/** Requests that were sent just before an address list ran out are read by then. */
+const STALE_ADDRESS_MS = ADDRESSES_MS + 500;
 
 /** Share of the grace period after which open requests are ended. */
 const GRACE_SHARE = 0.9;
@@ -103,7 +105,7 @@
 /** Time for the responses that the end of the grace period causes. */
 const LAST_BYTES_MS = 150;
 
-const NO_GRACE: GracePeriod = { elapsedMs: 0, leftMs: 0 };
+const NO_GRACE: GracePeriod = { elapsedMs: 0, leftMs: 0, addressesMs: 0 };
 
 const TICK_INTERVAL_MS = 200;
 
@@ -157,6 +159,7 @@
       : undefined;
   const shutdown = createShutdownState({
     serveMs: bounds.graceMs * GRACE_SHARE,
+    addressesMs: ADDRESSES_MS - LATE_SIGNAL_MS,
     now,
   });
   const isLeaving = (): boolean => shutdown.grace() !== undefined;
--- a/packages/gateway/src/startGateway/test.ts
+++ b/packages/gateway/src/startGateway/test.ts
@@ -647,8 +647,9 @@
     expect((await ask('/long/late')).status).to.equal(200);
   });
 
-  // Guards against an entry that was started lately and refuses all late prompts.
-  it('takes late prompts that end in time by the cost model of their engines', async () => {
+  // Guards against an entry that was started lately and refuses all prompts of callers that
+  // do not know of its shutdown.
+  it('takes prompts that end in time by the cost model of their engines, but no late ones', async () => {
     await start((request, response) => {
       sign(request, response);
       response.end('id: 1\ndata: e1\n\n');
@@ -658,20 +659,22 @@
     const services = [{ ...service, engine }];
     gateway.runtime.applyConfig({ ...config, services }, 'test');
     gateway.leave(() => undefined);
-    skippedMs = 5000;
+    skippedMs = 2500;
     const askPrompt = (tokens: number) =>
       ask(`/longStream/${tokens}`, {
         headers: { 'x-prompt-tokens': String(tokens) },
       });
     expect((await askPrompt(1000)).status).to.equal(200);
     expect((await askPrompt(250_000)).status).to.equal(503);
+    skippedMs = 3100;
+    expect((await askPrompt(1000)).status).to.equal(503);
   });
 
   // Engines slower than their cost model let an entry take prompts that it then cut off.
-  it('refuses late prompts that took longer than the cost model says', async () => {
+  it('refuses prompts that took longer than the cost model says', async () => {
     await start((request, response) => {
       sign(request, response);
-      skippedMs += 3000;
+      skippedMs += 4000;
       response.end('id: 1\ndata: e1\n\n');
     });
     const [service] = config.services;
@@ -681,7 +684,7 @@
     const headers = { 'x-prompt-tokens': '1000' };
     expect((await ask('/longStream/1', { headers })).status).to.equal(200);
     gateway.leave(() => undefined);
-    skippedMs += 5000;
+    skippedMs += 2500;
     expect((await ask('/longStream/2', { headers })).status).to.equal(503);
   });
 
