Divide the grace period in one place, and wait for callers that read slowly

An entry ended open requests at 0.9 of the grace period and exited 150 ms later, with 0.65 of 8 s unused.

shutdownBudget holds all times of a stop. Requests are served until 500 ms, at most a tenth of the grace period, before the kill; the process exits as soon as no answer is unread, and at the latest with two fifths of that time left. Tests of finishRequests compare what happens at each time.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -27,6 +27,7 @@
 export * from './returnSchedule/index.ts';
 export * from './routeTable/index.ts';
 export * from './sampleEntries/index.ts';
+export * from './shutdownBudget/index.ts';
 export * from './storeWatchers/index.ts';
 export * from './streamPosition/index.ts';
 export * from './targetAvailability/index.ts';
--- /dev/null
+++ b/packages/gateway/src/startGateway/_lib/finishRequests/test.ts
@@ -0,0 +1,70 @@
+import { expect } from 'chai';
+import { shutdownBudget } from '@endivegate/core/forwarding';
+import { createServer } from 'node:http';
+import { createEventLog } from '../../../createEventLog/index.ts';
+import { createShutdownState } from '../shutdownState.ts';
+import { finishRequests } from './index.ts';
+
+/** More than the time between two checks. */
+const SETTLE_MS = 120;
+
+const settle = (): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, SETTLE_MS);
+  });
+
+/** An entry that has begun to shut down, with a clock of its own. */
+function startShutdown() {
+  const seen: string[] = [];
+  let elapsedMs = 0;
+  let openRequests = 1;
+  const budget = shutdownBudget({ graceMs: 8000 });
+  const shutdown = createShutdownState({ budget, now: () => elapsedMs });
+  shutdown.onEnd(() => seen.push('requests ended'));
+  shutdown.begin();
+  finishRequests(
+    {
+      shutdown,
+      budget,
+      callerServer: {
+        server: createServer(),
+        openRequests: () => openRequests,
+        closeIdle: () => seen.push('idle closed'),
+      },
+      log: createEventLog({ entryId: 'e', write: () => true }),
+    },
+    () => seen.push('exit'),
+  );
+  return async (atMs: number, open: number): Promise<readonly string[]> => {
+    elapsedMs = atMs;
+    openRequests = open;
+    await settle();
+    return [...seen];
+  };
+}
+
+const ENDED = ['requests ended', 'idle closed'];
+
+describe('finishRequests', () => {
+  it('exits once callers hold no address and no request is open', async () => {
+    const at = startShutdown();
+    expect(await at(3400, 0)).to.deep.equal([]);
+    expect(await at(3600, 1)).to.deep.equal([]);
+    expect(await at(3600, 0)).to.deep.equal([...ENDED, 'exit']);
+  });
+
+  // A whole answer was lost where its caller had not read it 150 ms after the end of requests.
+  it('waits for callers that still read their answers', async () => {
+    const at = startShutdown();
+    expect(await at(7500, 1)).to.deep.equal(ENDED);
+    expect(await at(7790, 1)).to.deep.equal(ENDED);
+    expect(await at(7790, 0)).to.deep.equal([...ENDED, 'exit']);
+  });
+
+  it('exits before it is killed, whatever callers have not read', async () => {
+    const at = startShutdown();
+    expect(await at(7790, 1)).to.deep.equal(ENDED);
+    expect(await at(7800, 1)).to.deep.equal([...ENDED, 'exit']);
+    expect(await at(8000, 1)).to.deep.equal([...ENDED, 'exit']);
+  });
+});
--- a/packages/gateway/src/startGateway/_lib/shutdownState.ts
+++ b/packages/gateway/src/startGateway/_lib/shutdownState.ts
@@ -1,3 +1,4 @@
+import type { ShutdownBudget } from '@endivegate/core/forwarding';
 import type { Shutdown } from '../../forwardRequest/types.ts';
 
 /** Controls the shutdown of an entry. */
@@ -9,22 +10,18 @@
 
 /** Options of {@link createShutdownState}. */
 export interface CreateShutdownStateOptions {
-  /** Time from the beginning until open requests are ended. */
-  readonly serveMs: number;
-  /** Time from the beginning for which callers that do not know of the shutdown may choose
-   * this entry. */
-  readonly addressesMs: number;
+  readonly budget: Pick<ShutdownBudget, 'addressesMs' | 'endMs'>;
   /** Monotonic time in ms. */
   readonly now: () => number;
 }
 
 /** Creates the state of an entry that does not shut down yet. */
 export function createShutdownState({
-  serveMs,
-  addressesMs,
+  budget,
   now,
 }: CreateShutdownStateOptions): ShutdownState {
   const listeners = new Set<() => void>();
+  const { addressesMs, endMs } = budget;
   let sinceMs: number | undefined;
   let isEnded = false;
   return {
@@ -40,7 +37,7 @@
     grace() {
       if (sinceMs === undefined) return undefined;
       const elapsedMs = now() - sinceMs;
-      const leftMs = isEnded ? 0 : Math.max(serveMs - elapsedMs, 0);
+      const leftMs = isEnded ? 0 : Math.max(endMs - elapsedMs, 0);
       return { elapsedMs, leftMs, addressesMs };
     },
     onEnd(listener) {
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -5,6 +5,7 @@
   PROTOCOL_VERSION,
   sampleEntries,
   servingPeers,
+  shutdownBudget,
   type PeerStatus,
 } from '@endivegate/core/forwarding';
 import {
@@ -15,6 +16,7 @@
 import { probeAddress } from '../probeAddress/index.ts';
 import { createEvacuationWatch } from './_lib/evacuationWatch.ts';
 import { informedEntries } from './_lib/informedEntries.ts';
+import { finishRequests } from './_lib/finishRequests/index.ts';
 import { createShutdownState } from './_lib/shutdownState.ts';
 import type { EventLog } from '../createEventLog/index.ts';
 import { createColdTargetTicker } from '../coldTargetTicker/index.ts';
@@ -26,7 +28,6 @@
   type GatewayBounds,
   type GatewayRuntime,
 } from '../gatewayRuntime/index.ts';
-import type { GracePeriod } from '../forwardRequest/types.ts';
 import type { HttpDialect } from '../httpDialect/index.ts';
 import type { OrderPort } from '../orderPort/index.ts';
 import { startReachProbe } from '../reachProbe/index.ts';
@@ -84,29 +85,6 @@
   readonly stop: () => void;
 }
 
-/** Callers use an address list for at most three times its lifetime of 1 s. */
-const ADDRESSES_MS = 3000;
-
-/** A busy process handles a signal this much later than it was sent. */
-const LATE_SIGNAL_MS = 100;
-
-/** Requests that were sent just before an address list ran out are read by then. */
-const STALE_ADDRESS_MS = ADDRESSES_MS + 500;
-
-/** Share of the grace period after which open requests are ended. */
-const GRACE_SHARE = 0.9;
-
-/** Share of the grace period after which waiting requests are refused, so that those
- * that start before can end. */
-const QUEUE_GRACE_SHARE = 0.4;
-
-const LEAVE_CHECK_INTERVAL_MS = 50;
-
-/** Time for the responses that the end of the grace period causes. */
-const LAST_BYTES_MS = 150;
-
-const NO_GRACE: GracePeriod = { elapsedMs: 0, leftMs: 0, addressesMs: 0 };
-
 const TICK_INTERVAL_MS = 200;
 
 /** How often limits are divided anew, which costs with the entries times the targets
@@ -157,11 +135,8 @@
     options.queuesRequests === true
       ? createAdmissionControl({ runtime, log, metrics, now })
       : undefined;
-  const shutdown = createShutdownState({
-    serveMs: bounds.graceMs * GRACE_SHARE,
-    addressesMs: ADDRESSES_MS - LATE_SIGNAL_MS,
-    now,
-  });
+  const budget = shutdownBudget(bounds);
+  const shutdown = createShutdownState({ budget, now });
   const isLeaving = (): boolean => shutdown.grace() !== undefined;
 
   const callerServer = createCallerServer(
@@ -309,29 +284,11 @@
     const sinceMs = now();
     log.info('leaving', { openRequests: callerServer.openRequests() });
     peers.broadcast();
-    admission?.startUntil(sinceMs + bounds.graceMs * QUEUE_GRACE_SHARE);
-    const check = setInterval(() => {
-      const { elapsedMs, leftMs } = shutdown.grace() ?? NO_GRACE;
-      const isDrained =
-        elapsedMs >= STALE_ADDRESS_MS && callerServer.openRequests() === 0;
-      if (!isDrained && leftMs > 0) return;
-      clearInterval(check);
-      log.info('left', {
-        elapsedMs,
-        openRequests: callerServer.openRequests(),
-        reason: isDrained ? 'drained' : 'graceEnded',
-      });
-      shutdown.end();
-      callerServer.server.close();
-      callerServer.closeIdle();
-      setTimeout(
-        () => {
-          stop();
-          done();
-        },
-        isDrained ? 0 : LAST_BYTES_MS,
-      );
-    }, LEAVE_CHECK_INTERVAL_MS);
+    admission?.startUntil(sinceMs + budget.queueMs);
+    finishRequests({ shutdown, budget, callerServer, log }, () => {
+      stop();
+      done();
+    });
   }
 
   function stop(): void {
--- a/packages/gateway/src/testShutdown/test.ts
+++ b/packages/gateway/src/testShutdown/test.ts
@@ -85,6 +85,7 @@
       await linesOf([
         'request.checkedForShutdown',
         'request.endedByShutdown',
+        'closing',
         'left',
       ]),
     ).toMatchSnapshot();
