Move the decision on requests during a shutdown into core

Whether an entry that shuts down takes a request was put together in the gateway, from the times of earlier answers, the cost model of engines and fitsGrace, so that only a gateway with sockets and timers could play it.

checkGrace in core now holds all of it but the plan of the send; checkShutdown passes the state of the gateway. No decision changes.

Measured: the tests of startGateway, testShutdown, fitsGrace and admitSend pass unchanged; checkGrace has tests of its own, among them that the time at which a request was read counts, not the time at which it is sent.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -1,6 +1,7 @@
 /** Decision logic of the forwarding gateway: pure functions and one reducer. */
 export * from './admissionQueue/index.ts';
 export * from './availableTargets/index.ts';
+export * from './checkGrace/index.ts';
 export * from './coldTargets/index.ts';
 export * from './capacityForecast/index.ts';
 export * from './collectBytes/index.ts';
--- a/packages/gateway/src/forwardRequest/_lib/checkShutdown.ts
+++ b/packages/gateway/src/forwardRequest/_lib/checkShutdown.ts
@@ -1,8 +1,8 @@
 import {
   allLoads,
+  checkGrace,
   estimateLongestAnswerMs,
-  fitsGrace,
-  longestDuration,
+  type GraceCheck,
   type RequestClass,
 } from '@endivegate/core/forwarding';
 import type { SendPlan } from '../../planSend/index.ts';
@@ -19,18 +19,8 @@
 }
 
 /** Whether an entry that shuts down sends a request, and what this rests on. */
-export interface ShutdownCheck {
-  readonly isTaken: boolean;
+export interface ShutdownCheck extends GraceCheck {
   readonly grace: GracePeriod;
-  /** Time after which the request ends at the latest. */
-  readonly boundMs: number;
-  /** Longest time expected; undefined if unknown. */
-  readonly expectedMs: number | undefined;
-  /** What the expected time is taken from. */
-  readonly source: 'answers' | 'model' | 'none';
-  /** Number of answers of its kind, and the time since the last one. */
-  readonly answers: number;
-  readonly answersAgeMs: number | undefined;
 }
 
 /**
@@ -46,41 +36,20 @@
 ): ShutdownCheck | undefined {
   const grace = context.shutdown?.grace();
   if (grace === undefined) return undefined;
-  const nowMs = context.now();
-  const boundMs = query.deadlineAtMs - nowMs;
-  const expected = expectedDuration(query, context);
-  const isTaken = fitsGrace({
-    ...grace,
-    readMs: grace.elapsedMs - (nowMs - query.readAtMs),
-    boundMs,
-    longestMs: expected.expectedMs,
-    isRepeatable: query.call.route.repeat === 'idempotent',
-  });
-  return { isTaken, grace, boundMs, ...expected };
-}
-
-/** Few answers may contradict the cost model, for example of slow engines. */
-function expectedDuration(
-  query: ShutdownQuery,
-  context: Pick<ForwardContext, 'runtime' | 'now'>,
-): Pick<ShutdownCheck, 'expectedMs' | 'source' | 'answers' | 'answersAgeMs'> {
-  const known = longestDuration(
-    context.runtime.state().durations,
-    requestClass(query.call),
-    context.now(),
+  const { call, readAtMs, deadlineAtMs } = query;
+  const check = checkGrace(
+    {
+      ...{ grace, readAtMs, deadlineAtMs },
+      nowMs: context.now(),
+      kind: requestClass(call),
+      repeat: call.route.repeat,
+    },
+    {
+      durations: context.runtime.state().durations,
+      modelledMs: () => modelledDurationMs(query, context),
+    },
   );
-  const { answers, longestMs, ageMs: answersAgeMs } = known;
-  const fromAnswers = { answers, answersAgeMs };
-  if (known.isCertain) {
-    return { expectedMs: longestMs, source: 'answers', ...fromAnswers };
-  }
-  const modelledMs = modelledDurationMs(query, context);
-  if (modelledMs === undefined) {
-    return { expectedMs: undefined, source: 'none', ...fromAnswers };
-  }
-  return modelledMs < longestMs
-    ? { expectedMs: longestMs, source: 'answers', ...fromAnswers }
-    : { expectedMs: modelledMs, source: 'model', ...fromAnswers };
+  return { ...check, grace };
 }
 
 /** What durations of requests are recorded by. */
