Relay what a peer refuses on account of its own state to another peer

What callers saw: 503 from an entry that is cut off from all targets, although a peer could serve the request. The peer that was asked first had begun to shut down, was cut off as well, had lost its targets, or had an older configuration.

Cause: a peer's refusal was passed on, since no other entry would decide otherwise. That holds for refusals by what all entries share, not for those by the state of one of them, which its peers learn later.

Fix: an entry that refuses a relayed request for its own state says so (x-relay-refusal: local). The request then counts as not sent, since it has reached no target, and goes to the next peer, four at most as after failed connections. Other refusals are passed on as before, also those of builds without the header; builds without it pass on all.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -162,6 +162,7 @@
         status: UNAVAILABLE,
         message: 'no configuration yet',
         retryAfterMs: NO_CONFIG_RETRY_AFTER_MS,
+        isLocal: true,
       });
       return;
     }
@@ -170,6 +171,7 @@
         status: UNAVAILABLE,
         message: 'older configuration than the relaying entry',
         retryAfterMs: NO_CONFIG_RETRY_AFTER_MS,
+        isLocal: true,
       });
       return;
     }
--- a/packages/gateway/src/createReply/index.ts
+++ b/packages/gateway/src/createReply/index.ts
@@ -1,7 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
   RELAY_ANSWERED_BY_HEADER,
+  RELAY_REFUSAL_HEADER,
   type RelayAnsweredBy,
+  type RelayRefusal,
 } from '../relayDialect/index.ts';
 
 /** Writes the response to a caller. */
@@ -35,6 +37,9 @@
   readonly message: string;
   /** Value for Retry-After; set only if the request has not run. */
   readonly retryAfterMs?: number;
+  /** Whether only the state of this entry is the reason, so that a peer that relayed the
+   * request may send it to another entry; false by default. */
+  readonly isLocal?: boolean;
   /** Whether to close the connection after the response. */
   readonly closeConnection?: boolean;
 }
@@ -79,7 +84,9 @@
     cutOff() {
       response.destroy();
     },
-    fail({ status, message, retryAfterMs, closeConnection = false }) {
+    fail(failure) {
+      const { status, message, retryAfterMs } = failure;
+      const { closeConnection = false, isLocal = false } = failure;
       if (response.headersSent) {
         response.destroy();
         return;
@@ -93,6 +100,8 @@
       if (response.hasHeader(RELAY_ANSWERED_BY_HEADER)) {
         const by: RelayAnsweredBy = 'entry';
         response.setHeader(RELAY_ANSWERED_BY_HEADER, by);
+        const refusal: RelayRefusal = 'local';
+        if (isLocal) response.setHeader(RELAY_REFUSAL_HEADER, refusal);
       }
       response.setHeader('Content-Type', 'application/json');
       response.setHeader('Content-Length', Buffer.byteLength(body));
--- a/packages/gateway/src/forwardRequest/_lib/replies.ts
+++ b/packages/gateway/src/forwardRequest/_lib/replies.ts
@@ -1,4 +1,4 @@
-import type { Reply } from '../../createReply/index.ts';
+import type { GatewayError, Reply } from '../../createReply/index.ts';
 import { endToEndHeaders, type TargetHead } from '../../httpDialect/index.ts';
 import type { BufferedResponse } from '../../runSend/index.ts';
 import { RELAY_HEADERS } from '../../relayDialect/index.ts';
@@ -23,13 +23,12 @@
   reply.end(response.body);
 }
 
-/** Says that the request has not run and will not. */
+/** Says that the request has not run and will not; `isLocal` as in `GatewayError`. */
 export function replyRefused(
   reply: Reply,
-  message: string,
-  retryAfterMs: number,
+  refusal: Omit<GatewayError, 'status'>,
 ): void {
-  reply.fail({ status: UNAVAILABLE, message, retryAfterMs });
+  reply.fail({ status: UNAVAILABLE, ...refusal });
 }
 
 /** Passes on a peer's refusal, with the pause that it asks for. */
@@ -40,7 +39,10 @@
 ): void {
   const pauseMs =
     peer?.pause.type === 'requested' ? peer.pause.pauseMs : defaultMs;
-  replyRefused(reply, 'refused by the entry that it was relayed to', pauseMs);
+  replyRefused(reply, {
+    message: 'refused by the entry that it was relayed to',
+    retryAfterMs: pauseMs,
+  });
 }
 
 /** Says that the request failed and may have run. */
@@ -55,7 +57,7 @@
 export function replyEnded(reply: Reply, mayRun: boolean): void {
   const message = 'the entry is shutting down';
   if (mayRun) reply.fail({ status: BAD_GATEWAY, message });
-  else replyRefused(reply, message, 0);
+  else replyRefused(reply, { message, retryAfterMs: 0, isLocal: true });
 }
 
 /** Says that the time is up, and whether the request may have run. */
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -153,7 +153,21 @@
   function refuse(refusal: SendRefusal): void {
     requestLog.notAdmitted(refusal);
     finish('refused');
-    replyRefused(reply, refusal.message, refusal.admission.retryAfterMs);
+    const { message, admission } = refusal;
+    const { retryAfterMs } = admission;
+    replyRefused(reply, { message, retryAfterMs, isLocal: isLocalRefusal() });
+  }
+
+  function isShuttingDown(): boolean {
+    return context.shutdown?.grace() !== undefined;
+  }
+
+  /** Whether the state of this entry alone keeps it from serving requests. */
+  function isLocalRefusal(): boolean {
+    const { targetReach, roster } = runtime.state();
+    const hasNoTarget =
+      targetReach.phase === 'cutOff' || roster.targets.size === 0;
+    return hasNoTarget || isShuttingDown();
   }
 
   function timeLeftNow(): TimeLeft {
@@ -287,8 +301,9 @@
 
   function onSendEnd(
     { plan, sentAtMs }: { plan: SendPlan; sentAtMs: number | undefined },
-    result: SendResult,
+    received: SendResult,
   ): void {
+    const result = toUnsent(received);
     const { end } = result;
     if (end.type === 'notSent') unsent += 1;
     if (end.type !== 'notSent' && end.type !== 'refused') mayHaveRun = true;
@@ -306,6 +321,17 @@
     applyStep(step, result.answer);
   }
 
+  /** Counts a relayed request as not sent if its peer refused it on account of its own
+   * state: another peer may serve it. */
+  function toUnsent(result: SendResult): SendResult {
+    const { end, target } = result;
+    if (end.type !== 'refused' || target?.isLocalRefusal !== true) {
+      return result;
+    }
+    sends -= 1;
+    return { ...result, end: { type: 'notSent', reason: 'refused by a peer' } };
+  }
+
   /** Passes on a peer's refusal, which no other entry would decide otherwise. Returns
    * whether it did. */
   function refuseAsPeer({ end, target }: SendResult): boolean {
@@ -357,7 +383,11 @@
         return;
       case 'refuse':
         finish('refused');
-        replyRefused(reply, 'no target took the request', retryAfterMs());
+        replyRefused(reply, {
+          message: 'no target took the request',
+          retryAfterMs: retryAfterMs(),
+          isLocal: isLocalRefusal(),
+        });
         return;
       case 'fail':
         if (heldAnswer !== undefined) {
--- a/packages/gateway/src/httpDialect/index.ts
+++ b/packages/gateway/src/httpDialect/index.ts
@@ -51,6 +51,9 @@
   readonly isSigned: boolean;
   /** Whether the target states that it did not run the request. */
   readonly notExecuted: boolean;
+  /** Whether a peer refuses a relayed request that another entry may serve; false by
+   * default. */
+  readonly isLocalRefusal?: boolean;
   /** Address of the target that caused a refusal. */
   readonly blamedAddress: string | undefined;
   /** Whether the target announces that it is leaving. */
--- a/packages/gateway/src/relayDialect/index.ts
+++ b/packages/gateway/src/relayDialect/index.ts
@@ -18,12 +18,20 @@
 /** Who has answered a relayed request. */
 export type RelayAnsweredBy = 'target' | 'entry';
 
+/** Says in a response to a relayed request why the entry refuses it. */
+export const RELAY_REFUSAL_HEADER = 'x-relay-refusal';
+
+/** Why an entry refuses a relayed request: `local` if its own state is the reason, so that
+ * another entry may serve the request. */
+export type RelayRefusal = 'local';
+
 /** Lower-case names of the headers that entries exchange about relayed requests. */
 export const RELAY_HEADERS: ReadonlySet<string> = new Set([
   RELAY_AGE_HEADER,
   RELAY_ATTEMPTS_HEADER,
   RELAY_CONFIG_HEADER,
   RELAY_ANSWERED_BY_HEADER,
+  RELAY_REFUSAL_HEADER,
 ]);
 
 const MIN_CLIENT_ERROR_STATUS = 400;
@@ -116,10 +124,13 @@
     readTarget(status, headers) {
       const head = dialect.readTarget(status, headers);
       const answeredBy = headers[RELAY_ANSWERED_BY_HEADER];
-      const isNotRun =
-        answeredBy === undefined ||
-        (answeredBy === 'entry' && promisesNotRun(status));
-      return { ...head, notExecuted: head.notExecuted || isNotRun };
+      const isRefusal = answeredBy === 'entry' && promisesNotRun(status);
+      const refusal: RelayRefusal = 'local';
+      return {
+        ...head,
+        notExecuted: head.notExecuted || answeredBy === undefined || isRefusal,
+        isLocalRefusal: isRefusal && headers[RELAY_REFUSAL_HEADER] === refusal,
+      };
     },
   };
 }
--- a/packages/gateway/src/relayDialect/test.ts
+++ b/packages/gateway/src/relayDialect/test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import type { IncomingHttpHeaders } from 'node:http';
 import { testDialect } from '../testDialect/index.ts';
 import {
   readRelay,
@@ -98,6 +99,19 @@
     expect(byTarget).to.deep.equal([false, false, false]);
   });
 
+  // Guards against another send of what all entries refuse, or of what a target has answered.
+  it("tells a peer's refusal on account of its own state from others", () => {
+    const isLocal = (status: number, headers: IncomingHttpHeaders) =>
+      relayDialect(testDialect).readTarget(status, headers).isLocalRefusal;
+    const local = { 'x-relay-by': 'entry', 'x-relay-refusal': 'local' };
+    expect([
+      isLocal(503, local),
+      isLocal(502, local),
+      isLocal(503, { 'x-relay-by': 'entry' }),
+      isLocal(503, { ...local, 'x-relay-by': 'target' }),
+    ]).to.deep.equal([true, false, false, false]);
+  });
+
   // Guards against a 404 of an earlier build, which serves no relayed requests, that
   // reaches the caller.
   it('takes any answer of an entry that serves no relayed requests for not run', () => {
--- a/packages/gateway/src/testGateway/index.ts
+++ b/packages/gateway/src/testGateway/index.ts
@@ -78,6 +78,8 @@
   /** Makes the targets engines, and requests with a size prompts. */
   readonly engine?: EngineCost;
   readonly queuesRequests?: boolean;
+  /** Name of the entry; `e1` by default. */
+  readonly name?: string;
 }
 
 const defaultRoute: ForwardingRoute = {
@@ -242,11 +244,13 @@
     ),
   );
   const clock = createTestClock();
+  const { name = 'e1' } = options;
   const started = await testGatewayOptions({
+    name,
     now: clock.now,
     queuesRequests: options.queuesRequests,
     log: createEventLog({
-      entryId: 'e1',
+      entryId: name,
       write: (text, done) => {
         lines.push(text);
         done();
