Begin no relayed request at an entry that shuts down

What callers saw: a stream closed without its end, though the entry that they use did not shut down. It was cut off from all targets and relayed the stream to a peer that had just got its signal; the peer took it on an estimate, and cut it off when its own grace period ended.

Cause: for the first 3 s an entry takes what fits by an estimate, as callers may hold its address from before the signal. Peers need no such time: they hear of the signal at once, and send a refused request on to another peer.

Fix: an entry that shuts down sends no relayed request that it has not sent yet, and refuses it at once as its own affair, also one that waited in its queue.

--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -131,6 +131,8 @@
 
   /** Whether an answer that begins now ends before this entry does. */
   function endsInTime(): boolean {
+    // The entry that relayed it does not shut down and can send it to another peer.
+    if (call.isRelayed && sends === 0 && isShuttingDown()) return false;
     const plan = planToTargetNow;
     const query = { call, readAtMs, deadlineAtMs, plan };
     const check = checkShutdown(query, context);
--- a/packages/gateway/src/testRelayedStop/test.ts
+++ b/packages/gateway/src/testRelayedStop/test.ts
@@ -124,6 +124,24 @@
     expect(peers.map(({ sends }) => sends.length)).to.deep.equal([0, 1]);
   });
 
+  // A stream that a peer took during its shutdown was cut off with it, though the entry that its
+  // caller uses did not shut down.
+  it('leaves no stream to a peer that shuts down', async () => {
+    await start([beginOrResume, answer], {
+      resumable: false,
+      timeoutMs: 60_000,
+    });
+    const quick = Array.from({ length: 20 }, async () =>
+      peers[0]?.ask('/', { 'last-event-id': '1' }),
+    );
+    await Promise.all(quick);
+    peers[0]?.gateway.leave(() => undefined);
+    const seen = ask();
+    await settle(100);
+    peers[0]?.skip(GRACE_MS);
+    expect((await seen).isWhole).to.equal(true);
+  });
+
   // The caller was refused, although another peer could serve it.
   it('sends what a peer without targets refuses to another one', async () => {
     await start([answer, answer], { repeat: 'atMostOnce', maxAttempts: 1 });
