End requests whose connection closes before their response is begun

What callers saw: nothing, as they had disconnected. The entry went on: of two requests that a caller sent at once on a connection, the second stayed open after the connection was reset, so that an entry that shuts down waited for it until the end of its grace period.

Cause: Node emits 'close' only for the response that is being written. Those behind it on the same connection were counted for ever.

Fix: open requests are kept by connection (_lib/openRequests), and its end is the end of all of them.

Evidence: 'ends all requests of a connection that is reset' failed before (closing for 'graceEnded' instead of 'drained') and passes. Two tests that passed before guard neighbours: a request whose body arrives after the time for an early exit is answered, and an answer of 8 MB is delivered whole to a caller that reads it only then.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -7,7 +7,6 @@
   validateHeaderValue,
 } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Duplex } from 'node:stream';
 import {
   matchRoute,
   newestReported,
@@ -27,6 +26,7 @@
 import { forwardRequest } from '../forwardRequest/index.ts';
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 import type { CallerHead } from '../httpDialect/index.ts';
+import { createOpenRequests } from './_lib/openRequests.ts';
 import {
   readRelay,
   RELAY_ANSWERED_BY_HEADER,
@@ -107,8 +107,7 @@
 ): CallerServer {
   const { runtime, log } = context;
   const sockets = new Set<Socket>();
-  const openRequestsBySocket = new Map<Duplex, number>();
-  let openRequests = 0;
+  const openRequests = createOpenRequests();
 
   const server = createServer(
     {
@@ -129,7 +128,7 @@
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     log.warn('caller.badRequest', { reason: error.message });
-    const hasAnswerDue = openRequestsBySocket.has(socket);
+    const hasAnswerDue = openRequests.count(socket) > 0;
     if (hasAnswerDue || !socket.writable) socket.destroy();
     else socket.end(error.code === HEAD_TIMEOUT_CODE ? TIMEOUT : NOT_HTTP);
   });
@@ -143,18 +142,7 @@
     response: ServerResponse,
     relay: RelayHead | undefined,
   ): void {
-    const { socket } = request;
-    openRequests += 1;
-    openRequestsBySocket.set(
-      socket,
-      (openRequestsBySocket.get(socket) ?? 0) + 1,
-    );
-    response.once('close', () => {
-      openRequests -= 1;
-      const remaining = (openRequestsBySocket.get(socket) ?? 1) - 1;
-      if (remaining > 0) openRequestsBySocket.set(socket, remaining);
-      else openRequestsBySocket.delete(socket);
-    });
+    openRequests.add(request, response);
     const reply = createReply(request, response, options);
     const table = runtime.table();
     if (table === undefined) {
@@ -185,13 +173,17 @@
     else accept(request, reply, { table, caller, checked, relay });
   }
 
+  function attemptOf({ headers }: IncomingMessage): string {
+    return String(headers[context.dialect.attemptIdHeader] ?? '');
+  }
+
   function reject(
     request: IncomingMessage,
     reply: Reply,
     failure: GatewayError,
   ): void {
     log.info('request.rejected', {
-      request: String(request.headers[context.dialect.attemptIdHeader] ?? ''),
+      request: attemptOf(request),
       status: failure.status,
       reason: failure.message,
       path: request.url,
@@ -265,7 +257,7 @@
     response.setHeader(RELAY_ANSWERED_BY_HEADER, by);
     context.metrics.relayed({ side: 'received' });
     log.info('request.relayed', {
-      request: String(request.headers[context.dialect.attemptIdHeader] ?? ''),
+      request: attemptOf(request),
       ageMs: relay?.ageMs,
       attempts: relay?.attempts,
     });
@@ -275,10 +267,10 @@
   return {
     server,
     serveRelayed,
-    openRequests: () => openRequests,
+    openRequests: () => openRequests.count(),
     closeIdle() {
       [...sockets]
-        .filter((socket) => !openRequestsBySocket.has(socket))
+        .filter((socket) => openRequests.count(socket) === 0)
         .forEach((socket) => {
           socket.destroySoon();
         });
