Answer all requests of a connection before an entry that shuts down closes it

What callers saw: of two requests that were sent at once on a connection, the second had reached a target, and the connection was closed after the answer to the first one.

Cause: each answer of an entry that shuts down announced the close of its connection, and Node closes it after that answer, whatever is behind it.

Fix: the answer to the last request that was read from a connection closes it.

Evidence: 'answers all requests that it has read from a connection' failed before (one answer of two) and passes.

--- a/packages/gateway/src/createCallerServer/_lib/openRequests.ts
+++ b/packages/gateway/src/createCallerServer/_lib/openRequests.ts
@@ -4,6 +4,8 @@
 /** Requests that were read and have no complete response yet. */
 export interface OpenRequests {
   readonly add: (request: IncomingMessage, response: ServerResponse) => void;
+  /** Whether a request is the last one that was read from its connection. */
+  readonly isLast: (request: IncomingMessage) => boolean;
   /** Number of open requests of a connection, or of all. */
   readonly count: (socket?: Duplex) => number;
 }
@@ -11,6 +13,7 @@
 /** A connection from which a request was read. */
 interface Connection {
   readonly responses: Set<ServerResponse>;
+  last: IncomingMessage;
 }
 
 /**
@@ -25,7 +28,10 @@
 
   function connect(request: IncomingMessage): Connection {
     const { socket } = request;
-    const connection: Connection = { responses: new Set() };
+    const connection: Connection = {
+      responses: new Set(),
+      last: request,
+    };
     connections.set(socket, connection);
     socket.once('close', () => {
       connections.delete(socket);
@@ -37,12 +43,15 @@
 
   return {
     add(request, response) {
-      const { responses } = connections.get(request.socket) ?? connect(request);
+      const connection = connections.get(request.socket) ?? connect(request);
+      const { responses } = connection;
+      connection.last = request;
       responses.add(response);
       response.once('close', () => {
         responses.delete(response);
       });
     },
+    isLast: (request) => connections.get(request.socket)?.last === request,
     count(socket) {
       const counted =
         socket === undefined
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -143,7 +143,9 @@
     relay: RelayHead | undefined,
   ): void {
     openRequests.add(request, response);
-    const reply = createReply(request, response, options);
+    const reply = createReply(request, response, {
+      isLastResponse: () => options.isLeaving() && openRequests.isLast(request),
+    });
     const table = runtime.table();
     if (table === undefined) {
       reject(request, reply, {
--- a/packages/gateway/src/createReply/index.ts
+++ b/packages/gateway/src/createReply/index.ts
@@ -46,11 +46,8 @@
 
 /** Options of {@link createReply}. */
 export interface CreateReplyOptions {
-  /**
-   * Whether this entry is shutting down, so that connections are not kept
-   * alive.
-   */
-  readonly isLeaving: () => boolean;
+  /** Whether the connection is closed after this response. */
+  readonly isLastResponse: () => boolean;
 }
 
 const MS_PER_S = 1000;
@@ -60,7 +57,7 @@
  *
  * @param request - The caller's request.
  * @param response - Node's response object for it.
- * @param options - Whether the entry is leaving.
+ * @param options - Whether the connection stays open.
  * @returns The response writer.
  *
  * @example
@@ -73,7 +70,7 @@
 ): Reply {
   return {
     begin(status, headers) {
-      if (options.isLeaving()) response.shouldKeepAlive = false;
+      if (options.isLastResponse()) response.shouldKeepAlive = false;
       response.sendDate = false;
       response.writeHead(status, headers.flat());
     },
@@ -92,7 +89,7 @@
         return;
       }
       const body = JSON.stringify({ error: message });
-      if (closeConnection || options.isLeaving())
+      if (closeConnection || options.isLastResponse())
         response.shouldKeepAlive = false;
       if (retryAfterMs !== undefined) {
         response.setHeader('Retry-After', (retryAfterMs / MS_PER_S).toFixed(3));
--- a/packages/gateway/src/testConnectionStop/test.ts
+++ b/packages/gateway/src/testConnectionStop/test.ts
@@ -85,6 +85,19 @@
     await entry.stop();
   });
 
+  // The second of two requests that were sent at once had reached a target, and its connection
+  // was closed after the answer to the first one.
+  it('answers all requests that it has read from a connection', async () => {
+    await start({ repeat: 'atMostOnce' });
+    caller.write(request('a1') + request('a2'));
+    await until(() => open.length === 2);
+    leave();
+    open.forEach((response) => response.end('read'));
+    await until(() => isClosed || answers().length === 2);
+    expect(answers()).to.deep.equal(['HTTP/1.1 200', 'HTTP/1.1 200']);
+    await until(() => isClosed);
+  });
+
   // Guards against work for a caller that has disconnected, and against an exit that waits for it.
   it('ends all requests of a connection that is reset', async () => {
     await start({ repeat: 'atMostOnce' });
