--- a/packages/gateway/src/createReply/index.ts
+++ b/packages/gateway/src/createReply/index.ts
@@ -1,7 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
   RELAY_ANSWERED_BY_HEADER,
+  RELAY_REFUSAL_HEADER,
   type RelayAnsweredBy,
+  type RelayRefusal,
 } from '../relayDialect/index.ts';
 
 /** Writes the response to a caller. */
@@ -35,17 +37,17 @@
   readonly message: string;
   /** Value for Retry-After; set only if the request has not run. */
   readonly retryAfterMs?: number;
+  /** Whether only the state of this entry is the reason, so that a peer that relayed the
+   * request may send it to another entry; false by default. */
+  readonly isLocal?: boolean;
   /** Whether to close the connection after the response. */
   readonly closeConnection?: boolean;
 }
 
 /** Options of {@link createReply}. */
 export interface CreateReplyOptions {
-  /**
-   * Whether this entry is shutting down, so that connections are not kept
-   * alive.
-   */
-  readonly isLeaving: () => boolean;
+  /** Whether the connection is closed after this response. */
+  readonly isLastResponse: () => boolean;
 }
 
 const MS_PER_S = 1000;
@@ -55,7 +57,7 @@
  *
  * @param request - The caller's request.
  * @param response - Node's response object for it.
- * @param options - Whether the entry is leaving.
+ * @param options - Whether the connection stays open.
  * @returns The response writer.
  *
  * @example
@@ -68,7 +70,7 @@
 ): Reply {
   return {
     begin(status, headers) {
-      if (options.isLeaving()) response.shouldKeepAlive = false;
+      if (options.isLastResponse()) response.shouldKeepAlive = false;
       response.sendDate = false;
       response.writeHead(status, headers.flat());
     },
@@ -79,13 +81,15 @@
     cutOff() {
       response.destroy();
     },
-    fail({ status, message, retryAfterMs, closeConnection = false }) {
+    fail(failure) {
+      const { status, message, retryAfterMs } = failure;
+      const { closeConnection = false, isLocal = false } = failure;
       if (response.headersSent) {
         response.destroy();
         return;
       }
       const body = JSON.stringify({ error: message });
-      if (closeConnection || options.isLeaving())
+      if (closeConnection || options.isLastResponse())
         response.shouldKeepAlive = false;
       if (retryAfterMs !== undefined) {
         response.setHeader('Retry-After', (retryAfterMs / MS_PER_S).toFixed(3));
@@ -93,6 +97,8 @@
       if (response.hasHeader(RELAY_ANSWERED_BY_HEADER)) {
         const by: RelayAnsweredBy = 'entry';
         response.setHeader(RELAY_ANSWERED_BY_HEADER, by);
+        const refusal: RelayRefusal = 'local';
+        if (isLocal) response.setHeader(RELAY_REFUSAL_HEADER, refusal);
       }
       response.setHeader('Content-Type', 'application/json');
       response.setHeader('Content-Length', Buffer.byteLength(body));
