Ignore what arrives of a request after it was refused unread

The test fails on the code before: the target receives the request.

What callers saw: a request whose head takes longer than HeaderTimeoutMs, for example because a new configuration has shortened it, is answered 408, which promises that it has not run and will not. The rest of it is on its way by then. It was parsed, passed on and run, and its answer was lost, as the connection was closed for writing: a request that runs after a refusal, and one that has run without an answer.

Cause: the refusal ends the connection for writing only, and Node's parser stays attached to it until the caller closes it.

Ruled out: bytes that are not HTTP, after which the parser reads nothing more.

Fix: a connection that is closed with a refusal is remembered, and requests on it are discarded. The connection is not reset, since that could take the refusal from the caller.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -108,6 +108,9 @@
   const { runtime, log } = context;
   const sockets = new Set<Socket>();
   const openRequestsBySocket = new Map<Duplex, number>();
+  /** Connections whose last request was refused before it was read. The rest of it may still
+   * arrive. */
+  const refusedSockets = new WeakSet<Duplex>();
   let openRequests = 0;
 
   const server = createServer(
@@ -130,8 +133,12 @@
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     log.warn('caller.badRequest', { reason: error.message });
     const hasAnswerDue = openRequestsBySocket.has(socket);
-    if (hasAnswerDue || !socket.writable) socket.destroy();
-    else socket.end(error.code === HEAD_TIMEOUT_CODE ? TIMEOUT : NOT_HTTP);
+    if (hasAnswerDue || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    refusedSockets.add(socket);
+    socket.end(error.code === HEAD_TIMEOUT_CODE ? TIMEOUT : NOT_HTTP);
   });
   runtime.onConfig(({ config }) => {
     server.keepAliveTimeout = config.limits.idleTimeoutMs;
@@ -144,6 +151,10 @@
     relay: RelayHead | undefined,
   ): void {
     const { socket } = request;
+    if (refusedSockets.has(socket)) {
+      request.resume();
+      return;
+    }
     openRequests += 1;
     openRequestsBySocket.set(
       socket,
--- a/packages/gateway/src/createCallerServer/test.ts
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -20,8 +20,8 @@
   readonly closed: Promise<void>;
 }
 
-function connectCaller(port: number): RawCaller {
-  const socket = connect(port, '127.0.0.1');
+function connectCaller(port: number, allowHalfOpen = false): RawCaller {
+  const socket = connect({ port, host: '127.0.0.1', allowHalfOpen });
   const chunks: Buffer[] = [];
   socket.on('data', (chunk: Buffer) => chunks.push(chunk));
   socket.on('error', () => undefined);
@@ -77,6 +77,27 @@
     expect(caller.received()).to.match(/^HTTP\/1\.1 408 /);
   });
 
+  // Guards against a request that is refused as not run, because its head came too slowly for a new
+  // configuration, and runs when the rest of it arrives.
+  it('does not pass on a request that it has refused before it was read', async () => {
+    fleet = await startTestGateway({ targets: [streamForever] });
+    const config = testConfig();
+    const limits = { ...config.limits, headerTimeoutMs: HEADER_TIMEOUT_MS };
+    const caller = connectCaller(fleet.callerPort, true);
+    caller.socket.write(HEAD.slice(0, HEAD.length / 2));
+    await settle(50);
+    fleet.gateway.runtime.applyConfig(
+      { ...config, version: 2, limits },
+      'test',
+    );
+    while (!caller.received().includes('\r\n\r\n')) await settle(5);
+    caller.socket.write(HEAD.slice(HEAD.length / 2));
+    await settle(100);
+    caller.socket.destroy();
+    expect(caller.received()).to.match(/^HTTP\/1\.1 408 /);
+    expect(fleet.sends).to.deep.equal([]);
+  });
+
   // Guards against a request that is held until its deadline because its workspace cannot
   // be named in a header.
   it('refuses a request at once whose workspace has a name that cannot be sent', async () => {
