Let an entry of the product leave only after all answers have been received

The test failed before: a stream that a leaving entry relays was closed without its end.

What callers saw: a connection that closed in the middle of a stream, though the entry that runs it, and the target, went on. It happened to each relayed answer that was open when callers' entry lists had run out (`callers.entriesTtlMs`), and the entry goes on relaying until then.

Cause: an entry that leaves waits for the requests that it runs itself. A relayed request is never one of them, nor is an answer that is complete here but waits for a slow caller. The exit closes all connections.

Ruled out: an estimate that is used as a promise, as in `fitsGrace` before. The product's entries start nothing once they leave; late requests are relayed or refused, and `leaving.drainTimeoutMs` is a bound, not a forecast.

Fix: while it leaves, the entry counts the answers of its server for callers that are not delivered in full, and `leavingSlice` exits as drained only when there are none. The drain timeout and a second signal end the process as before.

--- a/packages/core/src/leaving/index.ts
+++ b/packages/core/src/leaving/index.ts
@@ -24,6 +24,8 @@
   readonly nowMs: number;
   readonly requestedAtMs: number;
   readonly openRequestIds: BucketMap<string>;
+  /** Answers that callers have not received in full, relayed ones included. */
+  readonly openAnswers: number;
   readonly selfId: string;
   /** Whether another live entry can take new requests. */
   readonly hasPeers: boolean;
@@ -37,11 +39,19 @@
 }
 
 /** Events of the leaving slice. */
-export type LeavingEvent = EventBase & {
-  readonly type: 'leaving.configured';
-  readonly lingerMs: number;
-  readonly drainTimeoutMs: number;
-};
+export type LeavingEvent = EventBase &
+  (
+    | {
+        readonly type: 'leaving.configured';
+        readonly lingerMs: number;
+        readonly drainTimeoutMs: number;
+      }
+    /** The number of answers that callers have not received in full. */
+    | {
+        readonly type: 'leaving.answersCounted';
+        readonly openAnswers: number;
+      }
+  );
 
 /** Effects of the leaving slice. */
 export interface LeavingEffect {
@@ -61,6 +71,7 @@
   nowMs: 0,
   requestedAtMs: 0,
   openRequestIds: emptyBucketMap(),
+  openAnswers: 0,
   selfId: '',
   hasPeers: false,
   lingerMs: LEAVING_PROPAGATION_MS,
@@ -71,9 +82,9 @@
  * Shuts an entry down gracefully, without cutting off requests.
  *
  * As soon as the entry is told to stop, new requests are relayed to another
- * entry or refused. The process exits when all requests have ended and the
- * linger time has passed, in which callers refresh their cached entry lists. It
- * also exits when the drain timeout expires, and immediately on a second stop
+ * entry or refused. The process exits when all requests have ended, callers have
+ * received all answers, relayed ones included, and the linger time has passed, in
+ * which callers refresh their cached entry lists. It also exits when the drain timeout expires, and immediately on a second stop
  * request.
  */
 export const leavingSlice: Slice<LeavingState, LeavingEvent, LeavingEffect> = {
@@ -88,6 +99,8 @@
           lingerMs: Math.max(LEAVING_PROPAGATION_MS, event.lingerMs),
           drainTimeoutMs: event.drainTimeoutMs,
         });
+      case 'leaving.answersCounted':
+        return unchanged({ ...state, openAnswers: event.openAnswers });
       case 'request.received':
         return unchanged(addOpenRequest(state, event.request.requestId));
       case 'request.ended':
@@ -142,7 +155,8 @@
   }
   // Without another live entry, late requests cannot be relayed.
   const lingerMs = state.hasPeers ? state.lingerMs : 0;
-  if (elapsedMs >= lingerMs && state.openRequestIds.size === 0) {
+  const hasEnded = state.openRequestIds.size === 0 && state.openAnswers === 0;
+  if (elapsedMs >= lingerMs && hasEnded) {
     return exit(next, event, 'drained');
   }
   return unchanged(next);
--- a/packages/core/src/leaving/test.ts
+++ b/packages/core/src/leaving/test.ts
@@ -74,6 +74,28 @@
     expect(afterLinger.effects).toMatchSnapshot();
   });
 
+  // Guards against an exit that cuts off answers which the entry relays, or which callers still
+  // read.
+  it('exits when callers have received all answers', () => {
+    const counted = (openAnswers: number): Input => ({
+      type: 'leaving.answersCounted',
+      openAnswers,
+    });
+    const whileOpen = [
+      ...setupEvents,
+      [20, requested],
+      [30, counted(1)],
+      [16_000, ticked],
+    ] as const;
+    expect(reduceAll(whileOpen).effects).to.deep.equal([]);
+    const { effects } = reduceAll([
+      ...whileOpen,
+      [17_000, counted(0)],
+      [17_000, ticked],
+    ]);
+    expect(effects[1]).to.include({ reason: 'drained' });
+  });
+
   it('skips the linger time when there is no other entry', () => {
     const result = reduceAll([
       [0, started],
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -9,6 +9,7 @@
 import { createMeteredPlatform } from '../store/index.ts';
 import type { FastifyInstance } from 'fastify';
 import { startAdminServer } from '../admin/index.ts';
+import { countOpenAnswers } from '../countOpenAnswers/index.ts';
 import { createAdminPorts } from '../createAdminPorts/index.ts';
 import {
   createCallersServer,
@@ -162,6 +163,7 @@
     },
     settings.callers,
   );
+  const openAnswers = countOpenAnswers(server);
   registerHomeRelay(server, { view, runtime, peering });
   await server.listen({ port: settings.callers.port, host: listenHost });
   const { port } = server.server.address() as AddressInfo;
@@ -187,7 +189,7 @@
     }),
   });
   const operatorsPort = (admin.server.address() as AddressInfo).port;
-  const stopTimers = startTimers({ runtime, querySeeds });
+  const stopTimers = startTimers({ runtime, openAnswers, querySeeds });
   const stopFollowing = suspects.follow(runtime);
   logger.info('entry.listening', {
     port,
@@ -247,9 +249,11 @@
 
 function startTimers(entry: {
   readonly runtime: Runtime;
+  readonly openAnswers: () => number;
   readonly querySeeds: () => void;
 }): () => void {
   const tickTimer = setInterval(() => {
+    reportOpenAnswers(entry);
     entry.runtime.dispatch({ type: 'clock.ticked' });
   }, TICK_PERIOD_MS);
   entry.querySeeds();
@@ -258,6 +262,19 @@
   };
 }
 
+/** Tells an entry that leaves how many answers are open, when the number has changed. */
+function reportOpenAnswers(entry: {
+  readonly runtime: Runtime;
+  readonly openAnswers: () => number;
+}): void {
+  const { leaving } = entry.runtime.state();
+  const openAnswers = entry.openAnswers();
+  if (leaving.phase !== 'leaving' || openAnswers === leaving.openAnswers) {
+    return;
+  }
+  entry.runtime.dispatch({ type: 'leaving.answersCounted', openAnswers });
+}
+
 function createSeedQuery(entry: {
   readonly seeds: readonly string[];
   readonly runtime: () => Runtime;
