--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -7,6 +7,7 @@
   validateHeaderValue,
 } from 'node:http';
 import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import {
   matchRoute,
   newestReported,
@@ -108,6 +109,9 @@
   const { runtime, log } = context;
   const sockets = new Set<Socket>();
   const openRequests = createOpenRequests();
+  /** Connections whose last request was refused before it was read. The rest of it may still
+   * arrive. */
+  const refusedSockets = new WeakSet<Duplex>();
 
   const server = createServer(
     {
@@ -129,8 +133,12 @@
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     log.warn('caller.badRequest', { reason: error.message });
     const hasAnswerDue = openRequests.count(socket) > 0;
-    if (hasAnswerDue || !socket.writable) socket.destroy();
-    else socket.end(error.code === HEAD_TIMEOUT_CODE ? TIMEOUT : NOT_HTTP);
+    if (hasAnswerDue || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    refusedSockets.add(socket);
+    socket.end(error.code === HEAD_TIMEOUT_CODE ? TIMEOUT : NOT_HTTP);
   });
   runtime.onConfig(({ config }) => {
     server.keepAliveTimeout = config.limits.idleTimeoutMs;
@@ -142,6 +150,10 @@
     response: ServerResponse,
     relay: RelayHead | undefined,
   ): void {
+    if (refusedSockets.has(request.socket)) {
+      request.resume();
+      return;
+    }
     openRequests.add(request, response);
     const reply = createReply(request, response, {
       isLastResponse: () => options.isLeaving() && openRequests.isLast(request),
