Send no request that comes behind an answer which closes its connection

What callers saw: a request that crossed the 'Connection: close' of an entry that shuts down reached a target, and its connection was closed without an answer.

Cause: Node reads on after such an answer has begun, until it has ended.

Fix: a request that is read behind such an answer is ignored and logged (request.ignored). It has not run, and the caller may send it again.

Evidence: 'sends no request behind an answer that closes the connection' failed before (two requests at the target) and passes.

--- a/packages/gateway/src/createCallerServer/_lib/openRequests.ts
+++ b/packages/gateway/src/createCallerServer/_lib/openRequests.ts
@@ -3,7 +3,13 @@
 
 /** Requests that were read and have no complete response yet. */
 export interface OpenRequests {
-  readonly add: (request: IncomingMessage, response: ServerResponse) => void;
+  /**
+   * Adds a request.
+   *
+   * @returns False if it came behind a response that closes its connection, so that it
+   * cannot be answered.
+   */
+  readonly add: (request: IncomingMessage, response: ServerResponse) => boolean;
   /** Whether a request is the last one that was read from its connection. */
   readonly isLast: (request: IncomingMessage) => boolean;
   /** Number of open requests of a connection, or of all. */
@@ -14,6 +20,7 @@
 interface Connection {
   readonly responses: Set<ServerResponse>;
   last: IncomingMessage;
+  isClosing: boolean;
 }
 
 /**
@@ -21,7 +28,7 @@
  * follow in the same order.
  *
  * @example
- * openRequests.add(request, response);
+ * if (openRequests.add(request, response)) answer(request, response);
  */
 export function createOpenRequests(): OpenRequests {
   const connections = new Map<Duplex, Connection>();
@@ -31,6 +38,7 @@
     const connection: Connection = {
       responses: new Set(),
       last: request,
+      isClosing: false,
     };
     connections.set(socket, connection);
     socket.once('close', () => {
@@ -45,11 +53,15 @@
     add(request, response) {
       const connection = connections.get(request.socket) ?? connect(request);
       const { responses } = connection;
+      connection.isClosing ||= [...responses].some(closesConnection);
+      if (connection.isClosing) return false;
       connection.last = request;
       responses.add(response);
       response.once('close', () => {
         responses.delete(response);
+        connection.isClosing ||= closesConnection(response);
       });
+      return true;
     },
     isLast: (request) => connections.get(request.socket)?.last === request,
     count(socket) {
@@ -61,3 +73,7 @@
     },
   };
 }
+
+function closesConnection(response: ServerResponse): boolean {
+  return response.headersSent && !response.shouldKeepAlive;
+}
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -142,7 +142,11 @@
     response: ServerResponse,
     relay: RelayHead | undefined,
   ): void {
-    openRequests.add(request, response);
+    if (!openRequests.add(request, response)) {
+      log.info('request.ignored', { request: attemptOf(request) });
+      request.resume();
+      return;
+    }
     const reply = createReply(request, response, {
       isLastResponse: () => options.isLeaving() && openRequests.isLast(request),
     });
--- a/packages/gateway/src/testConnectionStop/test.ts
+++ b/packages/gateway/src/testConnectionStop/test.ts
@@ -98,6 +98,23 @@
     await until(() => isClosed);
   });
 
+  // A request that came behind an answer that announces the close of its connection reached a
+  // target, and got no answer.
+  it('sends no request behind an answer that closes the connection', async () => {
+    await start({ repeat: 'stream', resumable: false });
+    leave();
+    caller.write(request('a1'));
+    await until(() => open.length === 1);
+    open[0]?.write('id: 1\ndata: e1\n\n');
+    await until(() => received.includes('data: e1'));
+    caller.write(request('a2'));
+    await settle(50);
+    open[0]?.end('id: 2\ndata: e2\n\n');
+    await until(() => isClosed);
+    expect(received).to.include('data: e2');
+    expect(entry.sends).to.have.length(1);
+  });
+
   // Guards against work for a caller that has disconnected, and against an exit that waits for it.
   it('ends all requests of a connection that is reset', async () => {
     await start({ repeat: 'atMostOnce' });
