Say that a request has not run whose only sent attempt was refused

What callers saw: 504 at the deadline, or 502 at the end of an entry that shuts down, for a call that a target had refused as not run and whose next send was still reserving memory or connecting. These statuses promise nothing, so that a call that may run once is lost, although it could be sent again.

Cause: any open send counted as one that may run as soon as an earlier one had been sent.

Fix: each open send notes whether a byte of it has left the process.

Evidence: 'says that a request has not run that was refused and is not sent again before ...' failed before (504 at the deadline, 502 at the end of the entry) and gives 503 for both.

--- a/packages/gateway/src/forwardRequest/_lib/openSends.ts
+++ b/packages/gateway/src/forwardRequest/_lib/openSends.ts
@@ -8,6 +8,9 @@
   handle: SendHandle | undefined;
   /** Whether its target has been silent for too long since its last event. */
   isSilent: boolean;
+  /** Whether a byte has left this process, after memory was reserved and a connection was
+   * opened. */
+  wasSent: boolean;
 }
 
 /** The open sends of one request: several while a silent one is taken over. */
@@ -16,6 +19,8 @@
   readonly remove: (send: OpenSend) => void;
   readonly has: (send: OpenSend) => boolean;
   readonly isAny: () => boolean;
+  /** Whether any of them may run. */
+  readonly isAnySent: () => boolean;
   /** Sends to targets, not to peers. */
   readonly toTargets: () => readonly OpenSend[];
   /** Number of sends by whether they are silent. */
@@ -31,7 +36,12 @@
   const sends = new Set<OpenSend>();
   return {
     add(plan) {
-      const send: OpenSend = { plan, handle: undefined, isSilent: false };
+      const send: OpenSend = {
+        plan,
+        handle: undefined,
+        isSilent: false,
+        wasSent: false,
+      };
       sends.add(send);
       return send;
     },
@@ -40,6 +50,7 @@
     },
     has: (send) => sends.has(send),
     isAny: () => sends.size > 0,
+    isAnySent: () => [...sends].some((send) => send.wasSent),
     toTargets: () => [...sends].filter((send) => !send.plan.isRelay),
     count() {
       const silent = [...sends].filter((send) => send.isSilent).length;
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -256,6 +256,7 @@
       {
         onSent() {
           sentAtMs = now();
+          send.wasSent = true;
           onSent();
         },
         onEvent: (event, head) => onEvent(send, event, head),
@@ -445,7 +446,7 @@
   }
 
   function mayRun(): boolean {
-    return mayHaveRun || (openSends.isAny() && sends > 0);
+    return mayHaveRun || openSends.isAnySent();
   }
 
   /** Ends the request with this entry, with a complete response if none has begun. */
--- a/packages/gateway/src/forwardRequest/test.ts
+++ b/packages/gateway/src/forwardRequest/test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import type { RequestListener } from 'node:http';
-import { connect } from 'node:net';
+import { connect, Socket } from 'node:net';
 import {
   sign,
   type StartTestGatewayOptions,
@@ -15,6 +15,8 @@
 const FIRST_EVENT_SILENCE_MS = 1900;
 const PLAIN_SILENCE_MS = 1200;
 
+const GRACE_MS = 8000;
+
 const refuse: RequestListener = (_request, response) => {
   response.writeHead(503, { 'x-not-run': '1' }).end();
 };
@@ -92,6 +94,34 @@
     expect(answer).to.deep.equal({ status: 200, body: 'read', isWhole: true });
   });
 
+  // A call that a target had refused was answered with 504 or 502, after which its caller may not
+  // send it again, although the send after it was still connecting.
+  const endsOfTime: Readonly<Record<string, (entry: TestGateway) => void>> = {
+    'its time is up': () => undefined,
+    'the entry ends': ({ gateway, skip }) => {
+      gateway.leave(() => undefined);
+      skip(GRACE_MS);
+    },
+  };
+  Object.entries(endsOfTime).forEach(([when, end]) => {
+    it(`says that a request has not run that was refused and is not sent again before ${when}`, async () => {
+      let connections = 0;
+      fleet = await startTestGateway({
+        targets: [refuse, refuse],
+        route: { repeat: 'atMostOnce', timeoutMs: 300 },
+        connectTarget(target) {
+          connections += 1;
+          if (connections === 1) return connect(target);
+          end(fleet);
+          return new Socket();
+        },
+      });
+      const { status, isWhole } = await fleet.ask('/1');
+      expect({ status, isWhole }).to.deep.equal({ status: 503, isWhole: true });
+      expect([connections, fleet.sends.length]).to.deep.equal([2, 1]);
+    });
+  });
+
   it('ends the send to a silent target once another target goes on', async () => {
     let openConnections = 1;
     const silentForGood: RequestListener = (request, response) => {
--- a/packages/gateway/src/testGateway/index.ts
+++ b/packages/gateway/src/testGateway/index.ts
@@ -15,6 +15,7 @@
   ListedTarget,
 } from '@endivegate/contracts/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
+import type { Connect } from '../createConnectionPool/index.ts';
 import { createEventLog } from '../createEventLog/index.ts';
 import {
   createGatewayMetrics,
@@ -78,6 +79,8 @@
   /** Makes the targets engines, and requests with a size prompts. */
   readonly engine?: EngineCost;
   readonly queuesRequests?: boolean;
+  /** Opens connections to targets; `connect` of `node:net` by default. */
+  readonly connectTarget?: Connect;
   /** Name of the entry; `e1` by default. */
   readonly name?: string;
 }
@@ -244,11 +247,12 @@
     ),
   );
   const clock = createTestClock();
-  const { name = 'e1' } = options;
+  const { name = 'e1', connectTarget } = options;
   const started = await testGatewayOptions({
     name,
     now: clock.now,
     queuesRequests: options.queuesRequests,
+    ...(connectTarget === undefined ? {} : { connectTarget }),
     log: createEventLog({
       entryId: name,
       write: (text, done) => {
