Send nothing to a target that left the list while the send was being prepared

What callers saw: nothing in the test; a request that waits for memory or for a connection was sent to a target that had drained and gone meanwhile, or to whatever uses its address by now.

Cause: a planned send is checked again just before it, but a target that was not listed any more had no obstacle, though one that drains or is missing has.

Fix: not listed is an obstacle as well, as 'leaving'; the request goes to another target, as one that was not sent.

Evidence: 'is sent nothing that was chosen for it before it is not listed any more' failed before (sent to t0) and passes. Five tests beside it passed before: open streams go on to their end when their target drains, is not listed any more, or is evacuated (only idle connections are closed), and what was chosen for a target before it drains or is evacuated goes to another one.

--- a/packages/gateway/src/runSend/_lib/sendObstacle.ts
+++ b/packages/gateway/src/runSend/_lib/sendObstacle.ts
@@ -25,8 +25,9 @@
   return [plan.target, ...plan.helpers]
     .flatMap(({ id, bornMs }) => {
       const listed = state.roster.targets.get(id);
+      if (listed === undefined) return ['leaving' as const];
       const obstacle =
-        listed?.bornMs === bornMs
+        listed.bornMs === bornMs
           ? targetAvailability(listed, nowMs, conditions)
           : undefined;
       return obstacle === undefined ? [] : [obstacle.obstacle];
