--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -150,11 +150,12 @@
     response: ServerResponse,
     relay: RelayHead | undefined,
   ): void {
-    if (refusedSockets.has(request.socket)) {
+    const isRefused = refusedSockets.has(request.socket);
+    if (isRefused || !openRequests.add(request, response)) {
+      log.info('request.ignored', { request: attemptOf(request) });
       request.resume();
       return;
     }
-    openRequests.add(request, response);
     const reply = createReply(request, response, {
       isLastResponse: () => options.isLeaving() && openRequests.isLast(request),
     });
