Finish an answer in progress before the next head is refused as late

The test failed before: a stream lost its end.

What callers saw: the connection of an open answer was closed, when the head of another request on it, sent before the answer had ended, was not complete within HeaderTimeoutMs. The first request had been read, passed on and partly answered. A configuration with a shorter limit is enough.

Cause: an error of the parser closes a connection on which an answer is due at once, since a status line must not be written into it. For bytes that are not HTTP this stays so; a late head is no fault of the request before it.

Fix: the connection is marked as refused, so that nothing more is read from it, and gets its 408 after the last answer that is due.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -108,8 +108,8 @@
   const { runtime, log } = context;
   const sockets = new Set<Socket>();
   const openRequestsBySocket = new Map<Duplex, number>();
-  /** Connections whose last request was refused before it was read. The rest of it may still
-   * arrive. */
+  /** Connections whose last request is refused before it was read, once earlier ones are
+   * answered. The rest of it may still arrive. */
   const refusedSockets = new WeakSet<Duplex>();
   let openRequests = 0;
 
@@ -131,14 +131,17 @@
     });
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    // Node reports a late head again and again.
+    if (refusedSockets.has(socket)) return;
     log.warn('caller.badRequest', { reason: error.message });
     const hasAnswerDue = openRequestsBySocket.has(socket);
-    if (hasAnswerDue || !socket.writable) {
+    const isLate = error.code === HEAD_TIMEOUT_CODE;
+    if ((hasAnswerDue && !isLate) || !socket.writable) {
       socket.destroy();
       return;
     }
     refusedSockets.add(socket);
-    socket.end(error.code === HEAD_TIMEOUT_CODE ? TIMEOUT : NOT_HTTP);
+    if (!hasAnswerDue) socket.end(isLate ? TIMEOUT : NOT_HTTP);
   });
   runtime.onConfig(({ config }) => {
     server.keepAliveTimeout = config.limits.idleTimeoutMs;
@@ -163,8 +166,12 @@
     response.once('close', () => {
       openRequests -= 1;
       const remaining = (openRequestsBySocket.get(socket) ?? 1) - 1;
-      if (remaining > 0) openRequestsBySocket.set(socket, remaining);
-      else openRequestsBySocket.delete(socket);
+      if (remaining > 0) {
+        openRequestsBySocket.set(socket, remaining);
+        return;
+      }
+      openRequestsBySocket.delete(socket);
+      if (refusedSockets.has(socket) && socket.writable) socket.end(TIMEOUT);
     });
     const reply = createReply(request, response, options);
     const table = runtime.table();
--- a/packages/gateway/src/createCallerServer/test.ts
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -98,6 +98,37 @@
     expect(fleet.sends).to.deep.equal([]);
   });
 
+  // Guards against a stream that is cut off since the head of the next request on its connection,
+  // which was sent before the stream had ended, came too slowly.
+  it('ends an answer in progress before it refuses the next head as late', async () => {
+    let end: () => unknown = () => undefined;
+    fleet = await startTestGateway({
+      targets: [
+        (request, response) => {
+          sign(request, response);
+          response.write(FIRST_EVENT);
+          end = () => response.end('id: 2\ndata: e2\n\n');
+        },
+      ],
+    });
+    const config = testConfig();
+    const limits = { ...config.limits, headerTimeoutMs: HEADER_TIMEOUT_MS };
+    fleet.gateway.runtime.applyConfig(
+      { ...config, version: 2, limits },
+      'test',
+    );
+    const caller = connectCaller(fleet.callerPort);
+    caller.socket.write(HEAD + HEAD.slice(0, HEAD.length / 2));
+    while (!caller.received().includes(FIRST_EVENT)) await settle(5);
+    await settle(6 * HEADER_TIMEOUT_MS);
+    end();
+    await caller.closed;
+    expect(caller.received()).to.match(
+      /data: e2\n\n\r\n0\r\n\r\nHTTP\/1\.1 408 /,
+    );
+    expect(fleet.sends).to.have.length(1);
+  });
+
   // Guards against a request that is held until its deadline because its workspace cannot
   // be named in a header.
   it('refuses a request at once whose workspace has a name that cannot be sent', async () => {
