Let an entry of the product that is told to stop while it starts leave

What callers saw: a connection that was closed without an answer, when the entry got SIGTERM just after it had opened its port.

Cause: the handlers of SIGTERM and SIGINT were set once the entry had started, some milliseconds after its server for callers, since the server for operators starts between.

Fix: the handlers are set before the entry starts. A signal that comes meanwhile is acted on when it has started. The platform's program is not affected: it starts in one turn of the event loop.

--- a/packages/daemon/src/runDev/index.ts
+++ b/packages/daemon/src/runDev/index.ts
@@ -31,7 +31,7 @@
     onExit: exit.resolve,
   });
   fleet.entries.forEach((entry) => {
-    leaveOnSignals(entry);
+    leaveOnSignals(Promise.resolve(entry));
     process.stdout.write(formatWelcome(entry));
   });
   const exitCode = await exit.promise;
--- a/packages/daemon/src/runServe/index.ts
+++ b/packages/daemon/src/runServe/index.ts
@@ -58,8 +58,9 @@
     return 1;
   }
   const exit = createDeferredExitCode();
-  const entry = await startHttpEntry(loaded.right, { onExit: exit.resolve });
-  leaveOnSignals(entry);
+  const starting = startHttpEntry(loaded.right, { onExit: exit.resolve });
+  leaveOnSignals(starting);
+  const entry = await starting;
   const exitCode = await exit.promise;
   await entry.stop();
   return exitCode;
@@ -85,12 +86,21 @@
 }
 
 /**
- * Makes an entry leave on SIGTERM or SIGINT; a second signal exits immediately.
+ * Makes an entry leave on SIGTERM or SIGINT; a second signal exits immediately. An entry that
+ * is told while it starts leaves once it has started, as it may have read requests.
  *
- * @param entry - The running entry.
+ * @param starting - Resolves when the entry has started.
  */
-export function leaveOnSignals(entry: Pick<Entry, 'leave'>): void {
+export function leaveOnSignals(starting: Promise<Pick<Entry, 'leave'>>): void {
+  const leave = (): void => {
+    starting.then(
+      (entry) => {
+        entry.leave();
+      },
+      () => undefined,
+    );
+  };
   ['SIGTERM', 'SIGINT'].forEach((signal) => {
-    process.on(signal, entry.leave);
+    process.on(signal, leave);
   });
 }
