--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -109,8 +109,8 @@
   const { runtime, log } = context;
   const sockets = new Set<Socket>();
   const openRequests = createOpenRequests();
-  /** Connections whose last request was refused before it was read. The rest of it may still
-   * arrive. */
+  /** Connections whose last request is refused before it was read, once earlier ones are
+   * answered. The rest of it may still arrive. */
   const refusedSockets = new WeakSet<Duplex>();
 
   const server = createServer(
@@ -131,14 +131,17 @@
     });
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    // Node reports a late head again and again.
+    if (refusedSockets.has(socket)) return;
     log.warn('caller.badRequest', { reason: error.message });
     const hasAnswerDue = openRequests.count(socket) > 0;
-    if (hasAnswerDue || !socket.writable) {
+    const isLate = error.code === HEAD_TIMEOUT_CODE;
+    if ((hasAnswerDue && !isLate) || !socket.writable) {
       socket.destroy();
       return;
     }
     refusedSockets.add(socket);
-    socket.end(error.code === HEAD_TIMEOUT_CODE ? TIMEOUT : NOT_HTTP);
+    if (!hasAnswerDue) socket.end(isLate ? TIMEOUT : NOT_HTTP);
   });
   runtime.onConfig(({ config }) => {
     server.keepAliveTimeout = config.limits.idleTimeoutMs;
@@ -150,12 +153,17 @@
     response: ServerResponse,
     relay: RelayHead | undefined,
   ): void {
-    const isRefused = refusedSockets.has(request.socket);
-    if (isRefused || !openRequests.add(request, response)) {
+    const { socket } = request;
+    if (refusedSockets.has(socket) || !openRequests.add(request, response)) {
       log.info('request.ignored', { request: attemptOf(request) });
       request.resume();
       return;
     }
+    response.once('close', () => {
+      const isAnswered = openRequests.count(socket) === 0;
+      const isRefused = refusedSockets.has(socket) && socket.writable;
+      if (isAnswered && isRefused) socket.end(TIMEOUT);
+    });
     const reply = createReply(request, response, {
       isLastResponse: () => options.isLeaving() && openRequests.isLast(request),
     });
