--- a/packages/daemon/src/countOpenAnswers/test.ts
+++ b/packages/daemon/src/countOpenAnswers/test.ts
@@ -16,6 +16,7 @@
     server = fastify();
     openAnswers = countOpenAnswers(server);
     server.get('/small', () => 'small');
+    server.get('/held', () => new Promise(() => undefined));
     server.get('/large', () => 'x'.repeat(LARGE_BYTES));
     await server.listen({ host: '127.0.0.1', port: 0 });
     const { port } = server.server.address() as AddressInfo;
@@ -62,4 +63,14 @@
     caller.destroy();
     await untilCount(0);
   });
+
+  // Guards against an entry that waits until its drain timeout for callers that have disconnected.
+  it('forgets all answers of a connection that is reset', async () => {
+    send('/held');
+    send('/held');
+    await untilCount(2);
+    caller.resetAndDestroy();
+    await new Promise((resolve) => setTimeout(resolve, 500));
+    expect(openAnswers()).to.equal(0);
+  });
 });
