Show that a relayed request reaches more targets than its route allows

Fails on: a target of the peer has refused the request while the peer shuts down; with one attempt allowed, a target of another peer receives it as well.

--- a/packages/gateway/src/testRelayedStop/test.ts
+++ b/packages/gateway/src/testRelayedStop/test.ts
@@ -210,6 +210,24 @@
     expect(peers[1]?.sends).to.have.length(0);
   });
 
+  // Guards against attempts beyond those that the route allows: a target that refused the request
+  // had received it, whatever state its entry is in.
+  it('counts what a target of a peer that shuts down has refused', async () => {
+    const refuseWhileStopping: RequestListener = (request, response) => {
+      peers[0]?.gateway.leave(() => undefined);
+      response.setHeader('x-request', String(request.headers['x-request']));
+      response.setHeader('x-not-run', '1');
+      response.statusCode = 503;
+      response.end();
+    };
+    await start([refuseWhileStopping, answer], {
+      repeat: 'atMostOnce',
+      maxAttempts: 1,
+    });
+    await ask();
+    expect(peers.flatMap(({ sends }) => sends)).to.have.length(1);
+  });
+
   // Guards against a request that goes round, or gets no answer.
   it('refuses what no peer takes, as not run', async () => {
     await start([answer, answer], { repeat: 'atMostOnce' });
