--- a/packages/gateway/src/testShutdown/test.ts
+++ b/packages/gateway/src/testShutdown/test.ts
@@ -10,6 +10,12 @@
 /** Answers of a quiet time, enough for the entry to rely on. */
 const QUICK_ANSWERS = 20;
 
+/** How late a busy process handles a signal. */
+const HANDLED_AFTER_MS = 500;
+
+/** Later than any caller holds the address of an entry that shuts down. */
+const SENT_AFTER_MS = 3100;
+
 const EVENT = 'id: 1\ndata: e1\n\n';
 
 const settle = (forMs: number): Promise<void> =>
@@ -104,4 +110,27 @@
     entry.skip(4000);
     expect((await late).isWhole).to.equal(true);
   });
+
+  // A process without processor time handles the signal later than it was sent. Its requests are cut
+  // off as above, and it counts the grace period from too late a time.
+  it('counts the grace period from the signal, though it is handled late', async () => {
+    const entry = await start();
+    await answerQuickly(entry);
+    const handled = new Promise<void>((resolve) => {
+      process.once('SIGTERM', () => {
+        entry.gateway.leave(() => undefined);
+        resolve();
+      });
+    });
+    const signalledAtMs = performance.now();
+    process.kill(process.pid, 'SIGTERM');
+    while (performance.now() - signalledAtMs < HANDLED_AFTER_MS);
+    await handled;
+    entry.skip(SENT_AFTER_MS - (performance.now() - signalledAtMs));
+    isSlow = true;
+    const late = entry.ask('/late');
+    await settle(100);
+    entry.skip(8000);
+    expect((await late).isWhole).to.equal(true);
+  });
 });
