Read what has arrived before an entry that shuts down exits, and close nothing before

What callers saw: requests that were sent to an entry that shuts down, up to 2.5 s before, were reset without an answer (soak, planned stops on a machine under load,: entries that had stood still for 0.3 to 2.4 s, five to seven requests in a stop, some sent within 3 s of the signal). And an answer of 8 MB that had ended long before the end of the grace period reached a slow caller in part: 3.9 MB.

Causes: Node runs timers before it polls sockets, so that an entry that wakes late saw no open request and exited with requests unread in its sockets. And http.Server.close(), called at the end of requests, destroys each connection whose response has ended, whether or not it is flushed; this took back what claims for slow readers.

Fix: before requests end, and before the exit, the entry lets the event loop read what has arrived, and does neither while more arrives. The server is closed at the exit only; until then it accepts requests and refuses them.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -43,6 +43,8 @@
   readonly serveRelayed: RequestListener;
   /** Number of requests in progress. */
   readonly openRequests: () => number;
+  /** Bytes received from callers since the start. */
+  readonly receivedBytes: () => number;
   /** Closes connections without a request in progress. */
   readonly closeIdle: () => void;
 }
@@ -108,6 +110,7 @@
 ): CallerServer {
   const { runtime, log } = context;
   const sockets = new Set<Socket>();
+  let bytesOfClosed = 0;
   const openRequests = createOpenRequests();
   /** Connections whose last request is refused before it was read, once earlier ones are
    * answered. The rest of it may still arrive. */
@@ -128,6 +131,7 @@
     sockets.add(socket);
     socket.once('close', () => {
       sockets.delete(socket);
+      bytesOfClosed += socket.bytesRead;
     });
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
@@ -291,6 +295,11 @@
     server,
     serveRelayed,
     openRequests: () => openRequests.count(),
+    receivedBytes: () =>
+      [...sockets].reduce(
+        (bytes, socket) => bytes + socket.bytesRead,
+        bytesOfClosed,
+      ),
     closeIdle() {
       [...sockets]
         .filter((socket) => openRequests.count(socket) === 0)
--- a/packages/gateway/src/startGateway/_lib/finishRequests/index.ts
+++ b/packages/gateway/src/startGateway/_lib/finishRequests/index.ts
@@ -7,10 +7,7 @@
 export interface FinishRequestsOptions {
   readonly shutdown: ShutdownState;
   readonly budget: ShutdownBudget;
-  readonly callerServer: Pick<
-    CallerServer,
-    'server' | 'openRequests' | 'closeIdle'
-  >;
+  readonly callerServer: Pick<CallerServer, 'openRequests' | 'receivedBytes'>;
   readonly log: EventLog;
 }
 
@@ -18,7 +15,8 @@
 
 /**
  * Waits until an entry that shuts down has no open request, or ends those that are open at
- * the end of its grace period, and waits for callers that still read their answers.
+ * the end of its grace period, and waits for callers that still read their answers. The server
+ * goes on accepting requests until then, so that each one gets a complete response.
  *
  * @param options - The shutdown, which has begun, and the server for callers.
  * @param done - Called when the process may exit.
@@ -27,29 +25,48 @@
   { shutdown, budget, callerServer, log }: FinishRequestsOptions,
   done: () => void,
 ): void {
-  const { openRequests } = callerServer;
-  let isClosed = false;
+  const { openRequests, receivedBytes } = callerServer;
+  const elapsedMs = (): number => shutdown.grace()?.elapsedMs ?? 0;
+  let hasEnded = false;
+  let isOver = false;
   const check = setInterval(() => {
-    const { elapsedMs = 0 } = shutdown.grace() ?? {};
-    const isDrained = openRequests() === 0 && elapsedMs >= budget.idleMs;
-    if (!isClosed && (isDrained || elapsedMs >= budget.endMs)) {
-      isClosed = true;
-      close({ elapsedMs, reason: isDrained ? 'drained' : 'graceEnded' });
-    }
-    if (!isClosed) return;
-    if (openRequests() > 0 && elapsedMs < budget.exitMs) return;
-    clearInterval(check);
-    log.info('left', { elapsedMs, openRequests: openRequests() });
-    done();
+    const receivedBefore = receivedBytes();
+    afterPending(() => {
+      if (isOver) return;
+      const isQuiet =
+        openRequests() === 0 && receivedBytes() === receivedBefore;
+      if (hasEnded) exitIfAnswered(isQuiet);
+      else endIfDue(isQuiet);
+    });
   }, CHECK_INTERVAL_MS);
 
-  function close(fields: {
-    readonly elapsedMs: number;
-    readonly reason: string;
-  }): void {
-    log.info('closing', { ...fields, openRequests: openRequests() });
+  function endIfDue(isQuiet: boolean): void {
+    const isDrained = isQuiet && elapsedMs() >= budget.idleMs;
+    if (!isDrained && elapsedMs() < budget.endMs) return;
+    hasEnded = true;
+    log.info('closing', {
+      elapsedMs: elapsedMs(),
+      openRequests: openRequests(),
+      reason: isDrained ? 'drained' : 'graceEnded',
+    });
     shutdown.end();
-    callerServer.server.close();
-    callerServer.closeIdle();
+    if (isDrained) exit();
+  }
+
+  function exitIfAnswered(isQuiet: boolean): void {
+    if (isQuiet || elapsedMs() >= budget.exitMs) exit();
+  }
+
+  function exit(): void {
+    isOver = true;
+    clearInterval(check);
+    log.info('left', { elapsedMs: elapsedMs(), openRequests: openRequests() });
+    done();
   }
 }
+
+/** Calls a function once what had arrived before has been read: timers run before sockets are
+ * polled, and the data of a new connection is read one pass after it is accepted. */
+function afterPending(act: () => void): void {
+  setImmediate(() => setImmediate(() => setImmediate(act)));
+}
--- a/packages/gateway/src/startGateway/_lib/finishRequests/test.ts
+++ b/packages/gateway/src/startGateway/_lib/finishRequests/test.ts
@@ -1,6 +1,5 @@
 import { expect } from 'chai';
 import { shutdownBudget } from '@endivegate/core/forwarding';
-import { createServer } from 'node:http';
 import { createEventLog } from '../../../createEventLog/index.ts';
 import { createShutdownState } from '../shutdownState.ts';
 import { finishRequests } from './index.ts';
@@ -14,7 +13,7 @@
   });
 
 /** An entry that has begun to shut down, with a clock of its own. */
-function startShutdown() {
+function startShutdown({ receivedBytes = (): number => 0 } = {}) {
   const seen: string[] = [];
   let elapsedMs = 0;
   let openRequests = 1;
@@ -26,11 +25,7 @@
     {
       shutdown,
       budget,
-      callerServer: {
-        server: createServer(),
-        openRequests: () => openRequests,
-        closeIdle: () => seen.push('idle closed'),
-      },
+      callerServer: { openRequests: () => openRequests, receivedBytes },
       log: createEventLog({ entryId: 'e', write: () => true }),
     },
     () => seen.push('exit'),
@@ -43,7 +38,7 @@
   };
 }
 
-const ENDED = ['requests ended', 'idle closed'];
+const ENDED = ['requests ended'];
 
 describe('finishRequests', () => {
   it('exits once callers hold no address and no request is open', async () => {
@@ -53,6 +48,17 @@
     expect(await at(3600, 0)).to.deep.equal([...ENDED, 'exit']);
   });
 
+  // A process that had stood still exited before it had read the requests that had arrived.
+  it('does not exit while requests arrive', async () => {
+    let bytes = 0;
+    let isBusy = true;
+    const receivedBytes = (): number => (isBusy ? (bytes += 100) : bytes);
+    const at = startShutdown({ receivedBytes });
+    expect(await at(3600, 0)).to.deep.equal([]);
+    isBusy = false;
+    expect(await at(3600, 0)).to.deep.equal([...ENDED, 'exit']);
+  });
+
   // A whole answer was lost where its caller had not read it 150 ms after the end of requests.
   it('waits for callers that still read their answers', async () => {
     const at = startShutdown();
