Let a relayed request go to another peer only if no target has received it

What targets saw: a call with one attempt reached two of them. Its peer had begun to shut down, its target refused it, and the peer said that this was its own affair, upon which the attempt was taken back and the next peer was asked.

Fix: an entry says that a refusal is its own affair only before it has sent the request to a target. The test 'counts what a target of a peer that shuts down has refused' failed before (2 sends) and passes (1).

--- a/packages/gateway/src/forwardRequest/_lib/replies.ts
+++ b/packages/gateway/src/forwardRequest/_lib/replies.ts
@@ -54,10 +54,13 @@
 }
 
 /** Says that the entry ends before the target has answered. */
-export function replyEnded(reply: Reply, mayRun: boolean): void {
+export function replyEnded(
+  reply: Reply,
+  { mayRun, isLocal }: { readonly mayRun: boolean; readonly isLocal: boolean },
+): void {
   const message = 'the entry is shutting down';
   if (mayRun) reply.fail({ status: BAD_GATEWAY, message });
-  else replyRefused(reply, { message, retryAfterMs: 0, isLocal: true });
+  else replyRefused(reply, { message, retryAfterMs: 0, isLocal });
 }
 
 /** Says that the time is up, and whether the request may have run. */
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -164,12 +164,13 @@
     return context.shutdown?.grace() !== undefined;
   }
 
-  /** Whether the state of this entry alone keeps it from serving requests. */
+  /** Whether the request is refused for the state of this entry alone, and no target has
+   * received it. */
   function isLocalRefusal(): boolean {
     const { targetReach, roster } = runtime.state();
     const hasNoTarget =
       targetReach.phase === 'cutOff' || roster.targets.size === 0;
-    return hasNoTarget || isShuttingDown();
+    return sends === 0 && (hasNoTarget || isShuttingDown());
   }
 
   function timeLeftNow(): TimeLeft {
@@ -466,8 +467,9 @@
       deliver(heldAnswer);
     } else {
       const hasRun = mayRun();
+      const isLocal = isLocalRefusal();
       finish(hasRun ? 'failed' : 'refused');
-      replyEnded(reply, hasRun);
+      replyEnded(reply, { mayRun: hasRun, isLocal });
     }
   }
 
