Forget all open answers of a connection that closes

What operators would see: an entry of the product that leaves waits for its drain timeout and exits with code 1, as a caller had sent two requests at once and reset the connection.

Cause: Node emits 'close' only for the answer that is being written.

Fix: answers whose connection has closed are left out. 'forgets all answers of a connection that is reset' failed before (1 counted, 4 of 4 runs) and passes.

--- a/packages/daemon/src/countOpenAnswers/index.ts
+++ b/packages/daemon/src/countOpenAnswers/index.ts
@@ -1,4 +1,5 @@
 import type { FastifyInstance } from 'fastify';
+import type { ServerResponse } from 'node:http';
 
 /**
  * Counts the answers of a server that are not complete, or that wait for a caller who reads
@@ -11,13 +12,17 @@
  * const openAnswers = countOpenAnswers(server);
  */
 export function countOpenAnswers(server: FastifyInstance): () => number {
-  let count = 0;
-  server.addHook('onRequest', (_request, reply, done) => {
-    count += 1;
-    reply.raw.once('close', () => {
-      count -= 1;
-    });
+  const open = new Set<ServerResponse>();
+  server.addHook('onRequest', (_request, { raw }, done) => {
+    open.add(raw);
+    raw.once('close', () => open.delete(raw));
     done();
   });
-  return () => count;
+  return () => {
+    // When a connection closes, Node emits 'close' only for the answer that is being written.
+    [...open]
+      .filter(({ req }) => req.socket.destroyed)
+      .forEach((answer) => open.delete(answer));
+    return open.size;
+  };
 }
