Count the grace period from the time at which a signal may have been sent

It handles the signal late, counts its grace period from then, and takes a stream on an estimate that was sent later than 3 s after the signal. Its exit is late against the kill as well.

Cause: that a signal is handled within 100 ms was taken for granted.

Fix: a signal waits while the event loop is busy, and the entry knows for how long it was busy in the last two ticks. The shutdown begins that much earlier; the 100 ms stay for a process that waits for a processor.

--- a/packages/gateway/src/startGateway/_lib/finishRequests/test.ts
+++ b/packages/gateway/src/startGateway/_lib/finishRequests/test.ts
@@ -20,7 +20,7 @@
   const budget = shutdownBudget({ graceMs: 8000 });
   const shutdown = createShutdownState({ budget, now: () => elapsedMs });
   shutdown.onEnd(() => seen.push('requests ended'));
-  shutdown.begin();
+  shutdown.begin(0);
   finishRequests(
     {
       shutdown,
--- a/packages/gateway/src/startGateway/_lib/shutdownState.ts
+++ b/packages/gateway/src/startGateway/_lib/shutdownState.ts
@@ -3,7 +3,8 @@
 
 /** Controls the shutdown of an entry. */
 export interface ShutdownState extends Shutdown {
-  readonly begin: () => void;
+  /** Begins the shutdown, at a monotonic time in ms that may have passed. */
+  readonly begin: (atMs: number) => void;
   /** Ends the grace period: calls the listeners, whose requests end with it. */
   readonly end: () => void;
 }
@@ -25,8 +26,8 @@
   let sinceMs: number | undefined;
   let isEnded = false;
   return {
-    begin() {
-      sinceMs ??= now();
+    begin(atMs) {
+      sinceMs ??= atMs;
     },
     end() {
       isEnded = true;
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -18,6 +18,7 @@
 import { informedEntries } from './_lib/informedEntries.ts';
 import { finishRequests } from './_lib/finishRequests/index.ts';
 import { createShutdownState } from './_lib/shutdownState.ts';
+import { createSignalDelay, eventLoopBusyMs } from './_lib/signalDelay.ts';
 import type { EventLog } from '../createEventLog/index.ts';
 import { createColdTargetTicker } from '../coldTargetTicker/index.ts';
 import { createCallerServer } from '../createCallerServer/index.ts';
@@ -56,6 +57,9 @@
   readonly connectTarget?: Connect;
   /** Monotonic time in ms. */
   readonly now?: () => number;
+  /** Time in ms for which the process has been busy since its start, so that it handled no
+   * signal; that of its event loop by default. */
+  readonly busyMs?: () => number;
   readonly unixNow?: () => number;
 }
 
@@ -137,6 +141,7 @@
       : undefined;
   const budget = shutdownBudget(bounds);
   const shutdown = createShutdownState({ budget, now });
+  const signalDelay = createSignalDelay(options.busyMs ?? eventLoopBusyMs);
   const isLeaving = (): boolean => shutdown.grace() !== undefined;
 
   const callerServer = createCallerServer(
@@ -233,6 +238,7 @@
 
   function tick(): void {
     const atMs = now();
+    signalDelay.tick();
     runtime.dispatch({ type: 'roster.ticked', atMs });
     tickColdTargets();
     metrics.heldRemovals(heldRemovals(runtime.state().roster, atMs));
@@ -280,9 +286,13 @@
 
   function leave(done: () => void): void {
     if (isLeaving()) return;
-    shutdown.begin();
-    const sinceMs = now();
-    log.info('leaving', { openRequests: callerServer.openRequests() });
+    const delayMs = signalDelay.longestMs();
+    const sinceMs = now() - delayMs;
+    shutdown.begin(sinceMs);
+    log.info('leaving', {
+      openRequests: callerServer.openRequests(),
+      delayMs: Math.round(delayMs),
+    });
     peers.broadcast();
     admission?.startUntil(sinceMs + budget.queueMs);
     finishRequests({ shutdown, budget, callerServer, log }, () => {
--- a/packages/gateway/src/testGateway/index.ts
+++ b/packages/gateway/src/testGateway/index.ts
@@ -83,6 +83,8 @@
   readonly connectTarget?: Connect;
   /** Name of the entry; `e1` by default. */
   readonly name?: string;
+  /** Time for which the process has been busy since its start; 0 by default. */
+  readonly busyMs?: () => number;
 }
 
 const defaultRoute: ForwardingRoute = {
@@ -161,6 +163,7 @@
     }),
     metrics: createGatewayMetrics(),
     now: createTestClock().now,
+    busyMs: () => 0,
     ...options,
   };
 }
@@ -247,9 +250,10 @@
     ),
   );
   const clock = createTestClock();
-  const { name = 'e1', connectTarget } = options;
+  const { name = 'e1', connectTarget, busyMs = () => 0 } = options;
   const started = await testGatewayOptions({
     name,
+    busyMs,
     now: clock.now,
     queuesRequests: options.queuesRequests,
     ...(connectTarget === undefined ? {} : { connectTarget }),
--- a/packages/gateway/src/testShutdown/test.ts
+++ b/packages/gateway/src/testShutdown/test.ts
@@ -159,7 +159,9 @@
   // A process without processor time handles the signal later than it was sent. Its requests are cut
   // off as above, and it counts the grace period from too late a time.
   it('counts the grace period from the signal, though it is handled late', async () => {
-    const entry = await start();
+    const entry = await start({
+      busyMs: () => performance.eventLoopUtilization().active,
+    });
     await answerQuickly(entry);
     const handled = new Promise<void>((resolve) => {
       process.once('SIGTERM', () => {
