Refuse what waits in the queue as soon as it may not end before the entry does

What callers saw: with requests waiting in queues, a request at an entry that shuts down went on waiting for capacity although it could no longer end in time, and was refused later.

Cause: whether it ends in time was asked before it was queued and after it had left the queue only.

With few quick answers the forecast alone refuses such requests when they come.

--- a/packages/gateway/src/admissionControl/index.ts
+++ b/packages/gateway/src/admissionControl/index.ts
@@ -175,10 +175,21 @@
   }
 
   function drainAll(): void {
+    queues.forEach(giveBack);
     queues.forEach(drain);
     updateTimer();
   }
 
+  /** Lets requests decide anew that can no longer end before this entry does. */
+  function giveBack(queue: ServiceQueue): void {
+    queue.state.waiting.forEach((request) => {
+      const query = waiting.get(request.id)?.query;
+      if (query === undefined || query.endsInTime()) return;
+      leave(queue, request);
+      query.send();
+    });
+  }
+
   /** Takes all steps that are due. */
   function drain(queue: ServiceQueue): void {
     while (queue.state.waiting.length > 0) {
--- a/packages/gateway/src/admissionControl/test.ts
+++ b/packages/gateway/src/admissionControl/test.ts
@@ -209,6 +209,33 @@
   });
 
   // A 503 says that the request has not run; this one has.
+  // A request went on waiting for capacity in an entry that shuts down, though it could no longer
+  // end in time.
+  it('refuses what waits as soon as it may not end before the entry does', async () => {
+    await begin();
+    const quick = Array.from({ length: 30 }, () => 0);
+    for (const tookMs of [4000, ...quick]) {
+      const known = fleet.ask('/0', LONGER);
+      await until(() => open.length === 1);
+      fleet.skip(tookMs);
+      open.pop()?.end();
+      await known;
+    }
+    const first = fleet.ask('/1', { ...LONG, 'x-request': 'a1' });
+    await until(() => open.length === 1);
+    fleet.gateway.leave(() => undefined);
+    fleet.skip(1000);
+    const second = fleet.ask('/2', { ...LONGER, 'x-request': 'a2' });
+    await until(() => hasLogged('request.queued'));
+    fleet.skip(1600);
+    const { status, body } = await second;
+    expect(status).to.equal(503);
+    expect(body).to.include('the entry is shutting down');
+    open[0]?.end();
+    await first;
+    expect(open).to.have.length(1);
+  });
+
   it('cuts a stream off that has begun and finds no capacity to go on', async () => {
     const breakLater: RequestListener = (request, response) => {
       hold(request, response);
--- a/packages/gateway/src/forwardRequest/_lib/admitSend/index.ts
+++ b/packages/gateway/src/forwardRequest/_lib/admitSend/index.ts
@@ -19,6 +19,8 @@
   /** Plans the send again, with the load of that time. */
   readonly planNow: (left: TimeLeft) => SendPlan | undefined;
   readonly timeLeftNow: () => TimeLeft;
+  /** Whether the request may still be sent while this entry shuts down. */
+  readonly endsInTime: () => boolean;
   /** Sends as planned, at once or later; without a plan, decides anew. */
   readonly send: (plan?: SendPlan) => void;
   readonly refuse: (refusal: SendRefusal) => void;
--- a/packages/gateway/src/forwardRequest/_lib/admitSend/test.ts
+++ b/packages/gateway/src/forwardRequest/_lib/admitSend/test.ts
@@ -29,6 +29,7 @@
       mayHaveBegun: false,
       deadlineAtMs: 15_000,
       planNow: () => plan,
+      endsInTime: () => true,
       timeLeftNow: () => ({ latencyBudgetMs: 1000, patienceMs: 10_000 }),
       send: (sent) => seen.push(sent === undefined ? 'plan again' : 'send'),
       refuse: ({ message }) => seen.push(message),
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -113,7 +113,7 @@
   sendOnce();
 
   function sendOnce(admitted?: SendPlan): void {
-    if (!answerBegun && !endsInTime()) {
+    if (!endsInTime()) {
       if (!openSends.isAny()) onShutdown();
       return;
     }
@@ -129,8 +129,9 @@
     else admit(plan, left);
   }
 
-  /** Whether an answer that begins now ends before this entry does. */
+  /** Whether the answer has begun, or ends before this entry does if it begins now. */
   function endsInTime(): boolean {
+    if (answerBegun) return true;
     // The entry that relayed it does not shut down and can send it to another peer.
     if (call.isRelayed && sends === 0 && isShuttingDown()) return false;
     const plan = planToTargetNow;
@@ -147,9 +148,9 @@
     const isAlone = !openSends.isAny();
     const mayHaveBegun = mayHaveRun || answerBegun;
     const state = { isFirst: sends === 0, isAlone, mayHaveBegun };
-    const functions = { planNow, timeLeftNow, send: sendOnce, refuse, giveUp };
+    const functions = { planNow, timeLeftNow, endsInTime, refuse, giveUp };
     const query = { call, plan, left, deadlineAtMs, ...state, ...functions };
-    stopWaiting = admitSend(query, context);
+    stopWaiting = admitSend({ ...query, send: sendOnce }, context);
   }
 
   function refuse(refusal: SendRefusal): void {
