Test stops in series and during a loss of paths

Three tests that pass as the code is: an entry that is cut off and shuts down relays what it still takes, refuses at once what no peer serves, and a stream goes on whose peers end one after the other.

--- a/packages/gateway/src/testRelayedStop/test.ts
+++ b/packages/gateway/src/testRelayedStop/test.ts
@@ -44,6 +44,12 @@
   else response.write(event(1));
 };
 
+/** Falls silent after the second event. */
+const beginThenHold: RequestListener = (request, response) => {
+  sign(request, response);
+  response.write(event(2));
+};
+
 const staySilent: RequestListener = () => undefined;
 
 describe('an entry that is cut off and relays to a peer', () => {
@@ -210,6 +216,42 @@
     expect(peers[1]?.sends).to.have.length(0);
   });
 
+  // Guards against callers that are refused by an entry that is cut off and shuts down, though it
+  // still reaches peers.
+  it('relays during its own shutdown as well', async () => {
+    await start([answer, answer], { repeat: 'atMostOnce' });
+    cut?.entries[0]?.gateway.leave(() => undefined);
+    expect((await ask()).status).to.equal(200);
+  });
+
+  // Guards against a wait for targets that an entry without paths and peers cannot reach.
+  it('refuses requests during its own shutdown when no peer is known', async () => {
+    await start([answer, answer], { repeat: 'atMostOnce' });
+    const { gateway, callerPort = 0 } = cut?.entries[0] ?? {};
+    gateway?.leave(() => undefined);
+    const { status, isWhole } = await requestOf(callerPort);
+    expect({ status, isWhole }).to.deep.equal({ status: 503, isWhole: true });
+  });
+
+  // Guards against a stream that is cut off when entries stop in series.
+  it('resumes a stream that two peers end one after the other', async () => {
+    await start([beginOrResume, beginThenHold], {
+      timeoutMs: 60_000,
+      maxAttempts: 3,
+    });
+    const seen = ask();
+    await endGrace();
+    while (peers[1]?.sends.length !== 1) await settle(5);
+    cut?.entries[0]?.setPath('open');
+    peers[1].gateway.leave(() => undefined);
+    peers[1].skip(GRACE_MS);
+    const { body, isWhole } = await seen;
+    expect({ body, isWhole }).to.deep.equal({
+      body: event(1) + event(2),
+      isWhole: true,
+    });
+  });
+
   // Guards against a request that goes round, or gets no answer.
   it('refuses what no peer takes, as not run', async () => {
     await start([answer, answer], { repeat: 'atMostOnce' });
