Answer every request that was read on a connection before a shutdown closes it

What callers saw: of several requests sent on one connection without waiting for the answers, all were read and passed on, but after a SIGTERM the first answer said `Connection: close` and closed the connection; the others ran and got no answer. Likewise, a request that followed on a connection whose answer had begun with `Connection: close` was run in vain.

Cause: each answer decided by itself whether it closes the connection, though requests after it may have been read.

Fix: only the answer to the latest request on a connection closes it, and no request is read after an answer that says so, as HTTP demands.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -111,6 +111,7 @@
   /** Connections whose last request is refused before it was read, once earlier ones are
    * answered. The rest of it may still arrive. */
   const refusedSockets = new WeakSet<Duplex>();
+  const latestResponses = new WeakMap<Duplex, ServerResponse>();
   let openRequests = 0;
 
   const server = createServer(
@@ -154,10 +155,12 @@
     relay: RelayHead | undefined,
   ): void {
     const { socket } = request;
-    if (refusedSockets.has(socket)) {
+    const before = latestResponses.get(socket);
+    if (refusedSockets.has(socket) || closesConnection(before)) {
       request.resume();
       return;
     }
+    latestResponses.set(socket, response);
     openRequests += 1;
     openRequestsBySocket.set(
       socket,
@@ -173,7 +176,11 @@
       openRequestsBySocket.delete(socket);
       if (refusedSockets.has(socket) && socket.writable) socket.end(TIMEOUT);
     });
-    const reply = createReply(request, response, options);
+    const reply = createReply(request, response, {
+      // The answer to a later request on the connection is still to follow.
+      isLeaving: () =>
+        options.isLeaving() && latestResponses.get(socket) === response,
+    });
     const table = runtime.table();
     if (table === undefined) {
       reject(request, reply, {
@@ -302,6 +309,11 @@
   };
 }
 
+/** Whether a response says that its connection is closed after it. */
+function closesConnection(response: ServerResponse | undefined): boolean {
+  return response?.headersSent === true && !response.shouldKeepAlive;
+}
+
 interface CheckQuery {
   readonly table: RouteTable;
   readonly caller: CallerHead;
--- a/packages/gateway/src/createCallerServer/test.ts
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -129,6 +129,53 @@
     expect(fleet.sends).to.have.length(1);
   });
 
+  // Guards against a request that runs and gets no answer, since the answer before it on the same
+  // connection closes the connection of an entry that shuts down.
+  it('answers all requests that it has read on a connection when it shuts down', async () => {
+    const ends: (() => unknown)[] = [];
+    fleet = await startTestGateway({
+      targets: [
+        (request, response) => {
+          sign(request, response);
+          ends.push(() => response.end(`answer to ${request.url ?? ''}`));
+        },
+      ],
+      route: { repeat: 'idempotent', timeoutMs: 2000 },
+    });
+    const caller = connectCaller(fleet.callerPort);
+    caller.socket.write(HEAD + HEAD.replace('/1', '/2'));
+    while (ends.length < 2) await settle(5);
+    fleet.gateway.leave(() => undefined);
+    ends.forEach((end) => end());
+    await caller.closed;
+    expect(caller.received()).to.match(/answer to \/1HTTP.*answer to \/2$/s);
+    expect(caller.received().match(/Connection: close/g)).to.have.length(1);
+  });
+
+  it('reads no request after it has said that it closes the connection', async () => {
+    let end: () => unknown = () => undefined;
+    fleet = await startTestGateway({
+      targets: [
+        (request, response) => {
+          sign(request, response);
+          response.write(FIRST_EVENT);
+          end = () => response.end();
+        },
+      ],
+      route: { timeoutMs: 2000 },
+    });
+    fleet.gateway.leave(() => undefined);
+    const caller = connectCaller(fleet.callerPort);
+    caller.socket.write(HEAD);
+    while (!caller.received().includes(FIRST_EVENT)) await settle(5);
+    caller.socket.write(HEAD);
+    await settle(100);
+    end();
+    await caller.closed;
+    expect(caller.received()).to.match(/Connection: close.*0\r\n\r\n$/s);
+    expect(fleet.sends).to.have.length(1);
+  });
+
   // Guards against a request that is held until its deadline because its workspace cannot
   // be named in a header.
   it('refuses a request at once whose workspace has a name that cannot be sent', async () => {
