Answer relayed requests that an entry of the product breaks off when it ends

What callers saw: a closed connection without any answer, where a relayed request was still open at `leaving.drainTimeoutMs` or at a second SIGTERM. Requests that the entry runs itself get a complete error that says `ran: unknown`.

Cause: the exit ends only the requests that the entry runs, and then closes all connections.

Fix: the exit breaks off relayed requests as a broken connection to their entry does, which answers 502 if nothing has been written yet, and waits for at most 0.5 s until callers have these responses. It does not wait where none is open.

--- a/packages/daemon/src/createEntry/_lib/createHandlers.ts
+++ b/packages/daemon/src/createEntry/_lib/createHandlers.ts
@@ -18,6 +18,9 @@
 import { createPauseLogger } from './logEvents.ts';
 import { waitUntilZero } from './waitUntilZero.ts';
 
+/** Time for the responses to requests that are broken off at the exit. */
+const LAST_BYTES_MS = 500;
+
 /** Parts of an entry that its effect handlers use. */
 export interface CreateHandlersOptions extends CreateEntryOptions {
   readonly metrics: Metrics;
@@ -29,6 +32,10 @@
   readonly notifyPeer: NotifyPeer;
   /** Returns the number of claims whose outcome is not yet written. */
   readonly countOpenClaims: () => number;
+  /** Returns the number of answers that callers have not received in full. */
+  readonly countOpenAnswers: () => number;
+  /** Breaks off relayed requests with a response. */
+  readonly breakOffRelays: () => void;
   /** Called when the instance list cannot be read. */
   readonly onInstanceListError: (error: { readonly type: string }) => void;
 }
@@ -63,8 +70,17 @@
         };
         if (reason === 'drained') {
           void waitUntilZero(options.countOpenClaims).then(logAndExit);
-        } else {
+          return;
+        }
+        options.breakOffRelays();
+        const exitNow = () => {
           logAndExit(options.countOpenClaims());
+        };
+        if (options.countOpenAnswers() === 0) exitNow();
+        else {
+          void waitUntilZero(options.countOpenAnswers, LAST_BYTES_MS).then(
+            exitNow,
+          );
         }
       },
     }),
--- a/packages/daemon/src/createEntry/index.ts
+++ b/packages/daemon/src/createEntry/index.ts
@@ -22,7 +22,7 @@
 import { fromWireUpdate } from '../membership/index.ts';
 import { createOpenRequests } from '../createOpenRequests/index.ts';
 import { recordMetrics, recordRequestEnd } from '../recordMetrics/index.ts';
-import { registerRelay } from '../relay/index.ts';
+import { type OpenRelays, registerRelay } from '../relay/index.ts';
 import { createRuntime, type Runtime } from '../runtime/index.ts';
 import { type Peering, startPeering } from '../startPeering/index.ts';
 import { createSuspectsHandler } from '../suspects/index.ts';
@@ -124,6 +124,10 @@
       suspects,
       findTarget: (targetId) => view.findTarget(targetId),
       countOpenClaims: () => countOpenClaims(runtime.state().once),
+      countOpenAnswers: () => openAnswers(),
+      breakOffRelays: () => {
+        relays.breakOff();
+      },
       onInstanceListError: (error) => {
         logger.warn('instances.unread', { reason: error.type });
         const { members } = runtime.state().membership;
@@ -164,7 +168,7 @@
     settings.callers,
   );
   const openAnswers = countOpenAnswers(server);
-  registerHomeRelay(server, { view, runtime, peering });
+  const relays = registerHomeRelay(server, { view, runtime, peering });
   await server.listen({ port: settings.callers.port, host: listenHost });
   const { port } = server.server.address() as AddressInfo;
   const callersUrl = `http://${settings.host}:${port}`;
@@ -238,8 +242,8 @@
     readonly runtime: Runtime;
     readonly peering: Peering;
   },
-): void {
-  registerRelay(server, {
+): OpenRelays {
+  return registerRelay(server, {
     client: entry.peering.client,
     decide: () => decideNewRequest(entry.runtime.state().leaving),
     homesFor: (request) => entry.view.relayHomesFor(request.headers),
--- a/packages/daemon/src/relay/registerRelay/index.ts
+++ b/packages/daemon/src/relay/registerRelay/index.ts
@@ -32,6 +32,13 @@
   readonly timeoutMs?: number;
 }
 
+/** The requests that a callers' server relays. */
+export interface OpenRelays {
+  /** Breaks off all relayed requests that are open. Their callers are told that it is unknown
+   * whether they ran. */
+  readonly breakOff: () => void;
+}
+
 /** Maximum duration of a relayed request. */
 const RELAY_TIMEOUT_MS = 900_000;
 
@@ -48,11 +55,13 @@
  * @param server - The callers' server, before it listens.
  * @param options - The home entries, the decision on new requests and the
  *   responses to requests that are not relayed.
+ * @returns The relayed requests that are open.
  */
 export function registerRelay(
   server: FastifyInstance,
   options: RegisterRelayOptions,
-): void {
+): OpenRelays {
+  const openRelays = new Set<AbortController>();
   server.addHook('preHandler', async (request, reply) => {
     if (request.method !== 'POST' || request.headers[RELAYED_HEADER] === '1') {
       return;
@@ -64,11 +73,19 @@
       request,
       reply,
       options,
+      openRelays,
     });
     if (handled || decision.type === 'serve') return;
     // A leaving entry does not start to serve requests itself.
     return options.refuse(reply, LEAVING_REFUSAL);
   });
+  return {
+    breakOff: () => {
+      openRelays.forEach((relay) => {
+        relay.abort();
+      });
+    },
+  };
 }
 
 const LEAVING_REFUSAL: NewRequestRefusal = {
@@ -81,6 +98,7 @@
   readonly request: FastifyRequest;
   readonly reply: FastifyReply;
   readonly options: RegisterRelayOptions;
+  readonly openRelays: Set<AbortController>;
 }
 
 /**
@@ -105,12 +123,13 @@
 /** Relays to one entry; returns an error if the answer is not complete. */
 async function relayTo(
   home: EntryAddress,
-  { request, reply, options }: RelayContext,
+  { request, reply, options, openRelays }: RelayContext,
 ): Promise<RelayError | undefined> {
-  const callerAbort = new AbortController();
+  const relay = new AbortController();
+  openRelays.add(relay);
   const response = reply.raw;
   const onClose = () => {
-    if (!response.writableFinished) callerAbort.abort();
+    if (!response.writableFinished) relay.abort();
   };
   response.once('close', onClose);
   const end = await relayRequest(
@@ -128,17 +147,18 @@
         timeoutMs: options.timeoutMs ?? RELAY_TIMEOUT_MS,
       },
       body: bodyBytes(request.body),
-      signal: callerAbort.signal,
+      signal: relay.signal,
       sink: {
         writeHead: (head) => {
           writeHead(reply, head);
         },
-        writeChunk: (chunk) => writeChunk(response, chunk, callerAbort.signal),
+        writeChunk: (chunk) => writeChunk(response, chunk, relay.signal),
       },
     },
     { client: options.client },
   )();
   response.off('close', onClose);
+  openRelays.delete(relay);
   if (E.isLeft(end)) return end.left;
   response.end();
   return undefined;
