Show that a body on a kept connection outlasts a lower idle limit

No fault was found: the connection of a body that is being received is not idle, also when it was kept after an earlier request and the new limit is shorter than a pause between two chunks.

--- a/packages/gateway/src/testConfigChange/test.ts
+++ b/packages/gateway/src/testConfigChange/test.ts
@@ -84,6 +84,8 @@
   readonly route: Partial<ForwardingRoute>;
   /** Whether the last part of the body is sent after the change. */
   readonly sendsSlowly?: boolean;
+  /** Whether another request was answered on the connection before. */
+  readonly isKept?: boolean;
   /** Whether the caller reads nothing until the change is in force. */
   readonly readsSlowly?: boolean;
 }
@@ -97,6 +99,12 @@
     route: call,
     sendsSlowly: true,
   },
+  'a body that is being received on a kept connection': {
+    targets: [answerSlowly],
+    route: call,
+    sendsSlowly: true,
+    isKept: true,
+  },
   'a call': { targets: [answerSlowly], route: call },
   'a stream': { targets: [streamSlowly], route: stream },
   'a stream whose caller reads slowly': {
@@ -237,19 +245,23 @@
   const socket = connect(fleet.callerPort, '127.0.0.1');
   const chunks: Buffer[] = [];
   let isWhole = false;
-  const ended = new Promise<void>((resolve) => {
-    socket.on('close', () => {
-      resolve();
-    });
-    socket.on('data', (chunk: Buffer) => {
-      chunks.push(chunk);
-      const end = Buffer.concat(chunks.slice(-2)).toString('latin1');
-      isWhole = ENDS.some((text) => end.endsWith(text));
-      if (isWhole) resolve();
-    });
+  let isClosed = false;
+  socket.on('close', () => {
+    isClosed = true;
+  });
+  socket.on('data', (chunk: Buffer) => {
+    chunks.push(chunk);
+    const end = Buffer.concat(chunks.slice(-2)).toString('latin1');
+    isWhole = ENDS.some((text) => end.endsWith(text));
   });
   socket.on('error', () => undefined);
   if (open.readsSlowly === true) socket.pause();
+  if (open.isKept === true) {
+    socket.write(`${HEAD}\r\n${FIRST_CHUNK}${LAST_CHUNKS}`);
+    await until(() => isWhole);
+    isWhole = false;
+    chunks.length = 0;
+  }
   const sendsSlowly = open.sendsSlowly === true;
   if (sendsSlowly) {
     socket.write(`${HEAD}${EXPECT_CONTINUE}\r\n${FIRST_CHUNK}`);
@@ -263,7 +275,7 @@
   if (sendsSlowly || open.readsSlowly === true) await settle(PAUSE_MS);
   if (sendsSlowly) socket.write(LAST_CHUNKS);
   socket.resume();
-  await ended;
+  await until(() => isWhole || isClosed);
   socket.destroy();
   await fleet.stop();
   return { text: Buffer.concat(chunks).toString('latin1'), isWhole };
