Log when a request was read, and whether it may be repeated, during a shutdown

A refusal could not be told from a wrong one in the log, as the two inputs that decide late requests were missing: found in review. fitsGrace names the second one canEndEarly, since decideNext has another isRepeatable.

--- a/packages/core/src/forwarding/checkGrace/index.ts
+++ b/packages/core/src/forwarding/checkGrace/index.ts
@@ -42,6 +42,8 @@
 /** Whether an entry that shuts down takes a request, and what this rests on. */
 export interface GraceCheck extends ExpectedDuration {
   readonly isTaken: boolean;
+  /** Time from the beginning of the shutdown until the request was read. */
+  readonly readMs: number;
   /** Time after which the request ends at the latest. */
   readonly boundMs: number;
 }
@@ -64,14 +66,15 @@
   const { fits = fitsGrace } = options;
   const boundMs = query.deadlineAtMs - nowMs;
   const expected = expectedDuration(query, options);
+  const readMs = grace.elapsedMs - (nowMs - query.readAtMs);
   const isTaken = fits({
     ...grace,
-    readMs: grace.elapsedMs - (nowMs - query.readAtMs),
+    readMs,
     boundMs,
     longestMs: expected.expectedMs,
-    isRepeatable: query.repeat === 'idempotent',
+    canEndEarly: query.repeat === 'idempotent',
   });
-  return { isTaken, boundMs, ...expected };
+  return { isTaken, readMs, boundMs, ...expected };
 }
 
 /** Few answers may contradict the cost model, for example of slow engines. */
--- a/packages/core/src/forwarding/fitsGrace/index.ts
+++ b/packages/core/src/forwarding/fitsGrace/index.ts
@@ -15,9 +15,9 @@
   readonly boundMs: number;
   /** Longest time that such requests took; undefined if unknown. */
   readonly longestMs: number | undefined;
-  /** Whether the request may run again, and nothing is delivered before its whole answer, so
-   * that the entry can still end it without harm. */
-  readonly isRepeatable: boolean;
+  /** Whether the entry may end the request with an error: it may run again, and its answer is
+   * delivered only when it is whole. */
+  readonly canEndEarly: boolean;
 }
 
 /** Requests may take somewhat longer than the longest one so far. */
@@ -36,7 +36,7 @@
  *
  * Only its deadline and the timeout of its route bound a request. How long others took says
  * nothing about targets that become slower meanwhile. Once callers have other addresses, such an
- * estimate is used only for requests that can be repeated when it turns out to be wrong.
+ * estimate is used only for requests that can end early when it turns out to be wrong.
  *
  * @param query - The request, and the rest of the grace period.
  * @returns Whether the request is taken.
@@ -48,7 +48,7 @@
   const { elapsedMs, leftMs, boundMs, longestMs } = query;
   if (boundMs + MARGIN_MS <= leftMs) return true;
   const isLate = query.readMs > query.addressesMs;
-  if (isLate && !query.isRepeatable) return false;
+  if (isLate && !query.canEndEarly) return false;
   return longestMs === undefined
     ? elapsedMs < UNKNOWN_SHARE * (elapsedMs + leftMs)
     : longestMs * DURATION_FACTOR + MARGIN_MS <= leftMs;
--- a/packages/core/src/forwarding/fitsGrace/test.ts
+++ b/packages/core/src/forwarding/fitsGrace/test.ts
@@ -5,7 +5,7 @@
 const query: GraceQuery = {
   readMs: 2000,
   addressesMs: 3000,
-  isRepeatable: false,
+  canEndEarly: false,
   elapsedMs: 4000,
   leftMs: 3200,
   boundMs: 10_000,
@@ -34,7 +34,7 @@
   });
 
   // Guards against answers that are cut off because their targets are slower than before.
-  it('takes nothing late on an estimate, unless it can be repeated', () => {
+  it('takes nothing late on an estimate, unless it can end early', () => {
     fc.assert(
       fc.property(
         fc.integer({ min: 3001, max: 30_000 }),
@@ -49,7 +49,7 @@
       { seed: 56 },
     );
     const late = { ...query, readMs: 4000, longestMs: 2400 };
-    expect(fitsGrace({ ...late, isRepeatable: true })).to.equal(true);
+    expect(fitsGrace({ ...late, canEndEarly: true })).to.equal(true);
   });
 
   // Guards against requests that are passed on and then cut off.
--- a/packages/core/src/leaving/index.ts
+++ b/packages/core/src/leaving/index.ts
@@ -84,8 +84,8 @@
  * As soon as the entry is told to stop, new requests are relayed to another
  * entry or refused. The process exits when all requests have ended, callers have
  * received all answers, relayed ones included, and the linger time has passed, in
- * which callers refresh their cached entry lists. It also exits when the drain timeout expires, and immediately on a second stop
- * request.
+ * which callers refresh their cached entry lists. It also exits when the drain timeout
+ * expires, and immediately on a second stop request.
  */
 export const leavingSlice: Slice<LeavingState, LeavingEvent, LeavingEffect> = {
   initial,
--- a/packages/gateway/src/forwardRequest/_lib/checkShutdown.ts
+++ b/packages/gateway/src/forwardRequest/_lib/checkShutdown.ts
@@ -39,7 +39,9 @@
   const { call, readAtMs, deadlineAtMs } = query;
   const check = checkGrace(
     {
-      ...{ grace, readAtMs, deadlineAtMs },
+      grace,
+      readAtMs,
+      deadlineAtMs,
       nowMs: context.now(),
       kind: requestClass(call),
       repeat: call.route.repeat,
--- a/packages/gateway/src/forwardRequest/_lib/requestLog.ts
+++ b/packages/gateway/src/forwardRequest/_lib/requestLog.ts
@@ -121,6 +121,7 @@
       log.info('request.checkedForShutdown', {
         request,
         route: route.name,
+        repeat: route.repeat,
         isTaken: check.isTaken,
         elapsedMs: Math.round(now() - call.arrivedAtMs),
         graceElapsedMs: Math.round(check.grace.elapsedMs),
@@ -159,6 +160,7 @@
 
 function checkFields(check: ShutdownCheck): EventFields {
   return {
+    readMs: Math.round(check.readMs),
     boundMs: Math.round(check.boundMs),
     expectedMs: rounded(check.expectedMs),
     source: check.source,
