--- a/packages/daemon/src/testLeaving/test.ts
+++ b/packages/daemon/src/testLeaving/test.ts
@@ -92,6 +92,22 @@
     await until(() => exited.has(entry.self.entryId));
   });
 
+  it('ends after the answers that others relay from it', async () => {
+    await start(60_000);
+    const relaying = await findEntry('relays');
+    const homes = fleet.entries.filter((entry) => entry !== relaying);
+    const { body } = await request(
+      `${relaying.callersUrl}/v1/chat/completions`,
+      { method: 'POST', headers, body: JSON.stringify(chat) },
+    );
+    homes.forEach((home) => {
+      home.leave();
+    });
+    const text = await body.text();
+    expect(text.endsWith('data: [DONE]\n\n')).to.equal(true);
+    await until(() => homes.every(({ self }) => exited.has(self.entryId)));
+  });
+
   // Guards against requests that get no response at the end of the drain timeout, though it is
   // known by then that they are not answered.
   (['runs', 'relays'] as const).forEach((kind) => {
