--- a/mocha.setup.ts
+++ b/mocha.setup.ts
@@ -4,6 +4,8 @@
 import { jestSnapshotPlugin } from 'mocha-chai-jest-snapshot';
 
 chai.use(jestSnapshotPlugin());
+// Lists of findings are shown, not only counted.
+chai.config.truncateThreshold = 4000;
 
 /** Lines of KNOWN-RED.txt that name a test by its full title: `test` if it always fails,
  * `sometimes` if it fails in some runs. */
