--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -54,15 +54,16 @@
 
 /**
  * The platform's store. `outage` is 'none', 'silent' (no call is answered) or 'reset'
- * (connections are reset). Leases pause while the store is down.
+ * (connections are reset). Leases pause while the store is down. Revisions are integers of any
+ * size, written as JSON numbers.
  */
-export async function startStore(ip) {
+export async function startStore(ip, { firstRevision = 10n } = {}) {
   const items = new Map();
   const events = [];
   const leases = new Map();
   const sockets = new Set();
   let watches = [];
-  let revision = 10;
+  let revision = BigInt(firstRevision);
   let lastLease = 70_000;
   let outage = 'none';
   const server = createServer((request, response) => {
@@ -87,7 +88,7 @@
     const url = new URL(request.url, 'http://store');
     const reply = (status, value) => {
       response.writeHead(status, { 'Content-Type': 'application/json' });
-      response.end(JSON.stringify(value));
+      response.end(toJson(value));
     };
     const query = url.searchParams;
     const call = `${request.method} ${url.pathname}`;
@@ -126,7 +127,7 @@
 
   function watch(query, reply) {
     const prefix = query.get('Prefix') ?? '';
-    const after = Number(query.get('After'));
+    const after = BigInt(query.get('After'));
     let isDone = false;
     const tryAnswer = (isLast) => {
       if (isDone || outage !== 'none') return isDone;
@@ -145,7 +146,8 @@
 
   function transact({ Expected = [], Writes = [], Remove = [] }, reply) {
     const fits = Expected.every(
-      ({ Key, Revision }) => (items.get(Key)?.Revision ?? 0) === Revision,
+      ({ Key, Revision }) =>
+        (items.get(Key)?.Revision ?? 0n) === BigInt(Revision),
     );
     const isAllowed = [...Writes.map(({ Key }) => Key), ...Remove].every(
       (key) => !key.startsWith('op/') && !key.startsWith('servers/'),
@@ -166,7 +168,7 @@
   }
 
   function write(Key, Value, Lease) {
-    revision += 1;
+    revision += 1n;
     const Created = items.get(Key)?.Created ?? revision;
     const row = { Key, Value, Revision: revision, Created, Lease };
     items.set(Key, row);
@@ -175,7 +177,7 @@
 
   function remove(Key) {
     if (!items.delete(Key)) return;
-    revision += 1;
+    revision += 1n;
     publish({ Key, Revision: revision, Deleted: true });
   }
 
@@ -198,6 +200,7 @@
 
   return {
     address: `${ip}:${port}`,
+    revision: () => revision,
     /** Writes of the operator and of servers. Returns false while the store is down. */
     put(key, value) {
       if (outage !== 'none') return false;
@@ -228,6 +231,14 @@
   };
 }
 
+/** Writes a value as JSON, with the digits of large integers. */
+function toJson(value) {
+  const text = JSON.stringify(value, (_name, part) =>
+    typeof part === 'bigint' ? `bigint:${part}` : part,
+  );
+  return text.replace(/"bigint:(\d+)"/g, '$1');
+}
+
 /** Fills in the deploy file's template of the settings. */
 function fillTemplate(template, fields) {
   return template.replace(/\{\{([\w.]+)\|json\}\}/g, (_match, path) => {
