--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -387,6 +387,7 @@
               resolve({
                 status: response.statusCode,
                 stamp: response.headers['endivegate-server-stamp'],
+                retryAfterS: Number(response.headers['retry-after'] ?? 0),
                 isWhole: response.complete,
                 body: Buffer.concat(chunks),
               });
