Keep the bytes of a body instead of its chunks

Callers saw: one body of legal size in chunks of one byte ended the entry that read it (SIGABRT), and all requests that were open there.

Cause: each chunk was kept as a buffer of its own until the end of the body, over a hundred bytes of heap for one byte. Ruled out: the parser and the stream; with the chunks copied and dropped, the heap does not grow.

Chunks are now copied into the blocks of collectBytes, which no longer doubles one buffer but adds blocks of up to 256 KiB, so that memory is at most the bytes and one block, and a body is copied once more only at its end.

--- a/packages/core/src/forwarding/collectBytes/index.ts
+++ b/packages/core/src/forwarding/collectBytes/index.ts
@@ -7,6 +7,8 @@
   readonly add: (chunk: Uint8Array) => boolean;
   /** Number of bytes added, without dropped ones. */
   readonly byteLength: () => number;
+  /** Memory that is held for them, in bytes. */
+  readonly heldBytes: () => number;
   /** All bytes; valid until the next call of `add`. */
   readonly bytes: () => Uint8Array;
 }
@@ -16,14 +18,13 @@
   readonly maxBytes: number;
 }
 
-const INITIAL_BYTES = 4096;
-
-const GROWTH_FACTOR = 2;
+/** Sizes of the first block, and of the largest one unless a chunk is larger. */
+const MIN_BLOCK_BYTES = 4096;
+const MAX_BLOCK_BYTES = 256 * 1024;
 
 /**
- * Creates a collector of bytes. Chunks are copied into one buffer that grows as
- * needed, since a chunk of a few bytes would keep the whole block in memory with
- * which it was received.
+ * Creates a collector of bytes. Chunks are copied into a few blocks, since a chunk of a
+ * few bytes would keep the whole block in memory with which it was received.
  *
  * @param options - Limit.
  * @returns The collector.
@@ -33,36 +34,67 @@
  * if (!body.add(chunk)) connection.close();
  */
 export function collectBytes({ maxBytes }: CollectBytesOptions): ByteCollector {
-  let buffer = new Uint8Array(0);
-  let length = 0;
+  let fullBlocks: Uint8Array[] = [];
+  let fullBytes = 0;
+  let block = new Uint8Array(0);
+  let blockLength = 0;
   let isExceeded = false;
 
-  function grow(neededBytes: number): void {
-    const size = Math.max(
-      neededBytes,
-      Math.min(buffer.length * GROWTH_FACTOR, maxBytes),
-      INITIAL_BYTES,
+  function beginBlock(neededBytes: number): void {
+    if (blockLength > 0) fullBlocks.push(block);
+    fullBytes += blockLength;
+    const usualBytes = Math.min(
+      Math.max(fullBytes, MIN_BLOCK_BYTES),
+      MAX_BLOCK_BYTES,
+      maxBytes - fullBytes,
     );
-    const larger = new Uint8Array(size);
-    larger.set(buffer.subarray(0, length));
-    buffer = larger;
+    block = new Uint8Array(Math.max(neededBytes, usualBytes));
+    blockLength = 0;
+  }
+
+  function drop(): void {
+    fullBlocks = [];
+    fullBytes = 0;
+    block = new Uint8Array(0);
+    blockLength = 0;
+  }
+
+  function append(chunk: Uint8Array): void {
+    block.set(chunk, blockLength);
+    blockLength += chunk.length;
   }
 
   return {
     add(chunk) {
-      const neededBytes = length + chunk.length;
-      if (isExceeded || neededBytes > maxBytes) {
+      if (isExceeded || fullBytes + blockLength + chunk.length > maxBytes) {
         isExceeded = true;
-        buffer = new Uint8Array(0);
-        length = 0;
+        drop();
         return false;
       }
-      if (neededBytes > buffer.length) grow(neededBytes);
-      buffer.set(chunk, length);
-      length = neededBytes;
+      const freeBytes = block.length - blockLength;
+      if (chunk.length <= freeBytes) {
+        append(chunk);
+        return true;
+      }
+      append(chunk.subarray(0, freeBytes));
+      beginBlock(chunk.length - freeBytes);
+      append(chunk.subarray(freeBytes));
       return true;
     },
-    byteLength: () => length,
-    bytes: () => buffer.subarray(0, length),
+    byteLength: () => fullBytes + blockLength,
+    heldBytes: () => fullBytes + block.length,
+    bytes() {
+      const last = block.subarray(0, blockLength);
+      if (fullBlocks.length === 0) return last;
+      const joined = new Uint8Array(fullBytes + blockLength);
+      [...fullBlocks, last].reduce((offset, part) => {
+        joined.set(part, offset);
+        return offset + part.length;
+      }, 0);
+      drop();
+      block = joined;
+      blockLength = joined.length;
+      return joined;
+    },
   };
 }
--- a/packages/core/src/forwarding/collectBytes/test.ts
+++ b/packages/core/src/forwarding/collectBytes/test.ts
@@ -33,6 +33,30 @@
     expect([...collector.bytes()]).to.deep.equal([1, 2]);
   });
 
+  // Guards against memory that follows the number of chunks instead of their bytes.
+  it('holds little more than the bytes, however small the chunks are', () => {
+    const maxBytes = 1_000_000;
+    const heldBytes = [1, 7, 4096, 70_000].map((size) => {
+      const collector = collectBytes({ maxBytes });
+      const chunk = new Uint8Array(size).fill(1);
+      Array.from({ length: Math.floor(maxBytes / size) }).forEach(() =>
+        collector.add(chunk),
+      );
+      expect(collector.bytes().every((byte) => byte === 1)).to.equal(true);
+      return collector.heldBytes() / collector.byteLength();
+    });
+    expect(Math.max(...heldBytes)).to.be.at.most(1.3);
+  });
+
+  it('collects on after its bytes were read', () => {
+    const collector = collectBytes({ maxBytes: 20_000 });
+    collector.add(new Uint8Array(5000).fill(1));
+    collector.bytes();
+    collector.add(new Uint8Array(5000).fill(2));
+    expect(collector.bytes().length).to.equal(10_000);
+    expect(collector.bytes()[9999]).to.equal(2);
+  });
+
   it('stays over its limit once it was exceeded', () => {
     const collector = collectBytes({ maxBytes: 2 });
     expect(collector.add(Uint8Array.of(1, 2, 3))).to.equal(false);
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -9,6 +9,7 @@
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import {
+  collectBytes,
   matchRoute,
   newestReported,
   pickService,
@@ -413,20 +414,17 @@
   maxBytes: number,
   done: (body: Buffer | undefined) => void,
 ): void {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const collector = collectBytes({ maxBytes });
   let isOver = false;
   request.on('data', (chunk: Buffer) => {
-    if (isOver) return;
-    bytes += chunk.length;
-    chunks.push(chunk);
-    if (bytes <= maxBytes) return;
+    if (isOver || collector.add(chunk)) return;
     isOver = true;
     done(undefined);
   });
   request.on('end', () => {
     if (isOver || !request.complete) return;
     isOver = true;
-    done(Buffer.concat(chunks));
+    const { buffer, byteOffset, byteLength } = collector.bytes();
+    done(Buffer.from(buffer, byteOffset, byteLength));
   });
 }
