Bound the memory of all bodies that callers send

Callers saw: many bodies of legal size at once, whole or short of their end, took an entry beyond the memory of its machine, where the platform kills it with all requests that are open there.

Cause: nothing bounded the bodies that are read, wait or are sent together; each is held until its request ends. Ruled out: garbage; the peak follows the bytes that are held (40 bodies of 4 MiB: 240 MB; whole ones twice that, as they are copied at their end).

One budget, core/forwarding/byteBudget, now counts what is held for every body from its first block until its response has ended, also for relayed requests.

- connections and addresses are not counted: many callers may share an address.

A body without room is refused with 503, Retry-After 1 s, before any target has seen it, so "not run" is true; for a relayed request the peer may ask another.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -9,7 +9,7 @@
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import {
-  collectBytes,
+  createByteBudget,
   matchRoute,
   newestReported,
   pickService,
@@ -28,6 +28,7 @@
 import { forwardRequest } from '../forwardRequest/index.ts';
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 import type { CallerHead } from '../httpDialect/index.ts';
+import { type BodyError, readBody } from '../readBody/index.ts';
 import { createOpenRequests } from './_lib/openRequests.ts';
 import {
   readRelay,
@@ -54,6 +55,8 @@
 export interface CreateCallerServerOptions {
   /** Whether this entry is shutting down. */
   readonly isLeaving: () => boolean;
+  /** Memory of the machine in bytes; that of a small one by default. */
+  readonly memoryBytes?: number | undefined;
 }
 
 /** Result of checking a caller's request against the configuration. */
@@ -85,18 +88,27 @@
 /** Above any configured limit, so that the configured limits apply first. */
 export const MAX_PARSED_HEADER_BYTES = 64 * 1024;
 
+const DEFAULT_MEMORY_BYTES = 250_000_000;
+
+/** Part of the machine's memory that bodies of requests may take. */
+const BODY_SHARE = 0.2;
+
 /** How often Node's HTTP server checks for header timeouts. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
 /** Bytes of `: ` and CRLF in a header line. */
 const HEADER_OVERHEAD_BYTES = 4;
 
+/** Retry-After while there is no memory for a body, which open requests give back. */
+const NO_ROOM_RETRY_AFTER_MS = 1000;
+
 /** Retry-After while there is no usable configuration. */
 const NO_CONFIG_RETRY_AFTER_MS = 300;
 
 /**
  * Creates the server for callers. It checks each request against the active
- * configuration, buffers its body and forwards it.
+ * configuration, buffers its body and forwards it. The bodies of all requests together
+ * take a part of the machine's memory.
  *
  * @param context - State, connection pool and limits of the gateway.
  * @param options - Whether this entry is leaving.
@@ -112,6 +124,8 @@
   const { runtime, log } = context;
   const sockets = new Set<Socket>();
   let bytesOfClosed = 0;
+  const { memoryBytes = DEFAULT_MEMORY_BYTES } = options;
+  const budget = createByteBudget({ maxBytes: memoryBytes * BODY_SHARE });
   const openRequests = createOpenRequests();
   /** Connections whose last request is refused before it was read, once earlier ones are
    * answered. The rest of it may still arrive. */
@@ -198,7 +212,7 @@
       isRelayed: relay !== undefined,
     });
     if (checked.type === 'rejected') reject(request, reply, checked.failure);
-    else accept(request, reply, { table, caller, checked, relay });
+    else accept(request, response, { reply, table, caller, checked, relay });
   }
 
   function attemptOf({ headers }: IncomingMessage): string {
@@ -225,26 +239,31 @@
 
   function accept(
     request: IncomingMessage,
-    reply: Reply,
+    response: ServerResponse,
     accepted: {
+      readonly reply: Reply;
       readonly table: RouteTable;
       readonly caller: CallerHead;
       readonly checked: Extract<CheckResult, { type: 'accepted' }>;
       readonly relay: RelayHead | undefined;
     },
   ): void {
-    const { table, caller, checked, relay } = accepted;
+    const { reply, table, caller, checked, relay } = accepted;
     const arrivedAtMs = context.now() - (relay?.ageMs ?? 0);
     const { maxBodyBytes } = table.config.limits;
-    readBody(request, maxBodyBytes, (body) => {
-      if (body === undefined) {
-        reject(request, reply, {
-          status: TOO_LARGE,
-          message: `body over ${maxBodyBytes} bytes`,
-          closeConnection: true,
-        });
+    const options = {
+      maxBytes: maxBodyBytes,
+      budget,
+      owner: checked.workspace ?? '',
+    };
+    readBody(request, options, (read) => {
+      if (E.isLeft(read)) {
+        reject(request, reply, bodyFailures(maxBodyBytes)[read.left]);
         return;
       }
+      const { bytes: body, release } = read.right;
+      response.once('close', release);
+      if (response.closed || request.socket.destroyed) release();
       const name = pickService(checked.route, Math.random());
       const service = table.servicesByName.get(name ?? '');
       if (service === undefined) {
@@ -402,29 +421,27 @@
     : undefined;
 }
 
-function rejected(failure: GatewayError): CheckResult {
-  return { type: 'rejected', failure };
+/** Failures of a request whose body was not read to its end, so that it has not run. */
+function bodyFailures(
+  maxBytes: number,
+): Readonly<Record<BodyError, GatewayError>> {
+  const closeConnection = true;
+  return {
+    tooLarge: {
+      status: TOO_LARGE,
+      message: `body over ${maxBytes} bytes`,
+      closeConnection,
+    },
+    noRoom: {
+      status: UNAVAILABLE,
+      message: 'no memory is left for the body',
+      retryAfterMs: NO_ROOM_RETRY_AFTER_MS,
+      isLocal: true,
+      closeConnection,
+    },
+  };
 }
 
-/**
- * Buffers a request body; calls `done` with undefined if it exceeds the limit.
- */
-function readBody(
-  request: IncomingMessage,
-  maxBytes: number,
-  done: (body: Buffer | undefined) => void,
-): void {
-  const collector = collectBytes({ maxBytes });
-  let isOver = false;
-  request.on('data', (chunk: Buffer) => {
-    if (isOver || collector.add(chunk)) return;
-    isOver = true;
-    done(undefined);
-  });
-  request.on('end', () => {
-    if (isOver || !request.complete) return;
-    isOver = true;
-    const { buffer, byteOffset, byteLength } = collector.bytes();
-    done(Buffer.from(buffer, byteOffset, byteLength));
-  });
+function rejected(failure: GatewayError): CheckResult {
+  return { type: 'rejected', failure };
 }
--- /dev/null
+++ b/packages/gateway/src/readBody/index.ts
@@ -0,0 +1,89 @@
+import type { IncomingMessage } from 'node:http';
+import { type ByteBudget, collectBytes } from '@endivegate/core/forwarding';
+import * as E from 'fp-ts/lib/Either.js';
+
+/** Why the body of a request was not read to its end. */
+export type BodyError =
+  /** It exceeds the limit of a body. */
+  | 'tooLarge'
+  /** There is no memory left for it. */
+  | 'noRoom';
+
+/** The body of a request. */
+export interface ReceivedBody {
+  readonly bytes: Buffer;
+  /** Gives back the memory that is set aside for it. */
+  readonly release: () => void;
+}
+
+/** Options of {@link readBody}. */
+export interface ReadBodyOptions {
+  readonly maxBytes: number;
+  /** Memory for the bodies of all callers. */
+  readonly budget: ByteBudget;
+  /** Who the body counts for, such as the workspace. */
+  readonly owner: string;
+}
+
+/**
+ * Reads the body of a request into memory.
+ *
+ * @param request - A request whose body nothing has read yet.
+ * @param options - Limits.
+ * @param done - Called once with the body, or the reason why it is not read on; not called
+ * if the connection is closed first.
+ *
+ * @example
+ * readBody(request, options, (body) => { if (E.isRight(body)) forward(body.right); });
+ */
+export function readBody(
+  request: IncomingMessage,
+  options: ReadBodyOptions,
+  done: (body: E.Either<BodyError, ReceivedBody>) => void,
+): void {
+  const { maxBytes } = options;
+  const collector = collectBytes({ maxBytes });
+  const holding = options.budget.hold({
+    owner: options.owner,
+    onEvict() {
+      fail('noRoom');
+    },
+  });
+  let isOver = false;
+
+  function stop(): void {
+    isOver = true;
+    request.off('data', onData);
+  }
+
+  function fail(error: BodyError): void {
+    if (isOver) return;
+    stop();
+    holding.release();
+    done(E.left(error));
+  }
+
+  function onData(chunk: Buffer): void {
+    const heldBytes = collector.heldBytes();
+    if (!collector.add(chunk)) fail('tooLarge');
+    else if (collector.heldBytes() !== heldBytes) {
+      if (!holding.resize(collector.heldBytes())) fail('noRoom');
+    }
+  }
+
+  request.on('data', onData);
+  request.on('end', () => {
+    if (isOver || !request.complete) return;
+    stop();
+    const { buffer, byteOffset, byteLength } = collector.bytes();
+    holding.settle();
+    holding.resize(byteLength);
+    const bytes = Buffer.from(buffer, byteOffset, byteLength);
+    done(E.right({ bytes, release: holding.release }));
+  });
+  request.on('close', () => {
+    if (isOver) return;
+    stop();
+    holding.release();
+  });
+}
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -51,6 +51,9 @@
   readonly orders: OrderPort;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
+  /** Memory of the machine in bytes, part of which is for the bodies of requests; 250 MB by
+   * default. */
+  readonly memoryBytes?: number | undefined;
   /** Whether requests without capacity wait in a queue; false by default. */
   readonly queuesRequests?: boolean | undefined;
   /** Opens connections to targets; `connect` of `node:net` by default. */
@@ -163,7 +166,7 @@
       startedAtMs: now(),
       now,
     },
-    { isLeaving },
+    { isLeaving, memoryBytes: options.memoryBytes },
   );
   listen(callerServer.server, options.callerAddress);
   const peers = createPeerLink({
