End a body that is not complete by its deadline, or stands still

Callers saw: a request whose body stopped just short of its end was kept until the caller closed the connection, with its memory and its descriptor; several such callers hold an entry's resources for ever.

Cause: only heads had a time limit. When a head has been read, the time after which the request cannot be answered is known: the smaller of its deadline and the timeout of its route, less the age that a relaying entry names. The body now has that time, and no pause in it may be longer than the idle limit of the configuration. Both ends are a 408, before any target has seen the request, and the connection is closed. Clients within the platform's limits meet neither: they would have no answer in time, or be idle for too long. After a freeze, what has arrived meanwhile is read before a body counts as late.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -71,6 +71,7 @@
 
 const UNAUTHORIZED = 401;
 const NOT_FOUND = 404;
+const TIMED_OUT = 408;
 const TOO_LARGE = 413;
 const HEADERS_TOO_LARGE = 431;
 const BAD_REQUEST = 400;
@@ -250,11 +251,17 @@
   ): void {
     const { reply, table, caller, checked, relay } = accepted;
     const arrivedAtMs = context.now() - (relay?.ageMs ?? 0);
-    const { maxBodyBytes } = table.config.limits;
+    const { maxBodyBytes, idleTimeoutMs } = table.config.limits;
+    const waitMs = Math.min(
+      checked.route.timeoutMs,
+      caller.deadlineMs ?? Infinity,
+    );
     const options = {
       maxBytes: maxBodyBytes,
       budget,
       owner: checked.workspace ?? '',
+      timeoutMs: arrivedAtMs + waitMs - context.now(),
+      idleTimeoutMs,
     };
     readBody(request, options, (read) => {
       if (E.isLeft(read)) {
@@ -432,6 +439,11 @@
       message: `body over ${maxBytes} bytes`,
       closeConnection,
     },
+    tooSlow: {
+      status: TIMED_OUT,
+      message: 'the body did not arrive in time',
+      closeConnection,
+    },
     noRoom: {
       status: UNAVAILABLE,
       message: 'no memory is left for the body',
--- a/packages/gateway/src/readBody/index.ts
+++ b/packages/gateway/src/readBody/index.ts
@@ -7,7 +7,9 @@
   /** It exceeds the limit of a body. */
   | 'tooLarge'
   /** There is no memory left for it. */
-  | 'noRoom';
+  | 'noRoom'
+  /** It did not arrive in time. */
+  | 'tooSlow';
 
 /** The body of a request. */
 export interface ReceivedBody {
@@ -23,6 +25,12 @@
   readonly budget: ByteBudget;
   /** Who the body counts for, such as the workspace. */
   readonly owner: string;
+  /** Time for the whole body. */
+  readonly timeoutMs: number;
+  /** Time for which nothing may arrive. */
+  readonly idleTimeoutMs: number;
+  /** Monotonic time in ms; `performance.now` by default. */
+  readonly now?: () => number;
 }
 
 /**
@@ -41,7 +49,8 @@
   options: ReadBodyOptions,
   done: (body: E.Either<BodyError, ReceivedBody>) => void,
 ): void {
-  const { maxBytes } = options;
+  const { maxBytes, timeoutMs, idleTimeoutMs } = options;
+  const { now = () => performance.now() } = options;
   const collector = collectBytes({ maxBytes });
   const holding = options.budget.hold({
     owner: options.owner,
@@ -49,10 +58,31 @@
       fail('noRoom');
     },
   });
+  const endsAtMs = now() + timeoutMs;
+  let heardAtMs = now();
   let isOver = false;
+  let timer = setTimeout(checkTime, waitMs());
+
+  function waitMs(): number {
+    return Math.max(Math.min(endsAtMs, heardAtMs + idleTimeoutMs) - now(), 0);
+  }
+
+  function checkTime(): void {
+    if (isOver) return;
+    if (waitMs() > 0) timer = setTimeout(checkTime, waitMs());
+    // What arrived while the process stood still is read first.
+    else setImmediate(failIfLate);
+  }
+
+  function failIfLate(): void {
+    if (isOver) return;
+    if (waitMs() <= 0) fail('tooSlow');
+    else checkTime();
+  }
 
   function stop(): void {
     isOver = true;
+    clearTimeout(timer);
     request.off('data', onData);
   }
 
@@ -64,6 +94,7 @@
   }
 
   function onData(chunk: Buffer): void {
+    heardAtMs = now();
     const heldBytes = collector.heldBytes();
     if (!collector.add(chunk)) fail('tooLarge');
     else if (collector.heldBytes() !== heldBytes) {
--- a/packages/gateway/src/readBody/test.ts
+++ b/packages/gateway/src/readBody/test.ts
@@ -45,7 +45,8 @@
     options: Partial<ReadBodyOptions> = {},
   ): Promise<string> {
     return new Promise((resolve) => {
-      const all = { maxBytes: 10_000, budget, owner: 'w1' };
+      const limits = { maxBytes: 10_000, timeoutMs: 60_000 };
+      const all = { ...limits, idleTimeoutMs: 60_000, budget, owner: 'w1' };
       readBody(request, { ...all, ...options }, (body) => {
         resolve(E.isLeft(body) ? body.left : body.right.bytes.toString());
       });
@@ -64,6 +65,21 @@
     expect(budget.usedBytes()).to.equal(0);
   });
 
+  // Guards against bodies that stop short of their end and are kept for ever.
+  it('gives up a body that stops short of its end', async () => {
+    const request = await send(chunkOf('abc'));
+    expect(await read(request, { idleTimeoutMs: 20 })).to.equal('tooSlow');
+    expect(budget.usedBytes()).to.equal(0);
+  });
+
+  // Guards against senders of a byte now and then, for whom no pause is too long.
+  it('gives up a body that trickles beyond its time', async () => {
+    const request = await send(chunkOf('abc'));
+    const trickle = setInterval(() => sockets[0]?.write(chunkOf('d')), 5);
+    expect(await read(request, { timeoutMs: 100 })).to.equal('tooSlow');
+    clearInterval(trickle);
+  });
+
   // Guards against bodies that together take more memory than there is.
   it('gives up the newest body when there is no room left', async () => {
     const first = read(await send(chunkOf('a'.repeat(8000))));
