Parse bodies in chunks in turns, so that small chunks leave time for others

Callers saw: beside clients that sent bodies in chunks of one byte, within the limit of a body, an entry answered nobody until they had gone.

Cause: the parser calls back for each chunk, about 1.5 us with what follows, and Node reads up to 32 times 64 KiB from one connection before it turns to the next; with chunks of one byte that is half a second a connection, and tens of seconds a turn of the event loop with 60 of them. Ruled out: memory (103 MB) and descriptors (72 of 1,000) in the same run; fewer callbacks by leaving out the stream's own machinery saves a fifth of the time only.

What arrives on a connection that sends chunks now waits for turns: slices of 8 KiB, one connection after the other, for 4 ms in a turn of the event loop; a connection is not read on while bytes of it wait. All else is served between two turns. The time of a single body stays as it was when nothing else runs. Requests that are refused use the same turns, so that at most one read of each is parsed at once.

A body of 4 MiB in chunks of one byte, alone: 200 after 13 s before and 13 s now, one run each.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -20,6 +20,7 @@
   ForwardingRoute,
 } from '@endivegate/contracts/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
+import { createParseTurns } from '../createParseTurns/index.ts';
 import {
   createReply,
   type GatewayError,
@@ -132,6 +133,7 @@
   let bytesOfClosed = 0;
   const { memoryBytes = DEFAULT_MEMORY_BYTES } = options;
   const budget = createByteBudget({ maxBytes: memoryBytes * BODY_SHARE });
+  const parseTurns = createParseTurns();
   const openRequests = createOpenRequests();
   /** Connections whose last request is refused before it was read, once earlier ones are
    * answered. The rest of it may still arrive. */
@@ -180,7 +182,8 @@
     response: ServerResponse,
     relay: RelayHead | undefined,
   ): void {
-    const { socket } = request;
+    const { socket, headers } = request;
+    if (headers['transfer-encoding'] !== undefined) parseTurns.add(socket);
     if (refusedSockets.has(socket) || !openRequests.add(request, response)) {
       log.info('request.ignored', { request: attemptOf(request) });
       dropRest(request);
