Bound the connections of callers, and make room for those who send

Callers saw: nothing yet; by count, clients that only hold connections take all descriptors of an entry, which then reaches no target, no peer and no store.

Cause: connections of callers were not counted. Ruled out: the limits on time that exist; they end a connection after seconds, in which any number is opened.

At the bound a new connection takes the place of the one that has been idle for the longest, or else of the one whose request has been incomplete for the longest; ordinary callers send theirs at once. Requests that are served are never cut off: then the new connection is closed unread, which callers may repeat.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -35,6 +35,7 @@
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 import type { CallerHead } from '../httpDialect/index.ts';
 import { type BodyError, readBody } from '../readBody/index.ts';
+import { createConnectionLimit } from './_lib/connectionLimit.ts';
 import { createOpenRequests } from './_lib/openRequests.ts';
 import {
   readRelay,
@@ -63,6 +64,8 @@
   readonly isLeaving: () => boolean;
   /** Memory of the machine in bytes; that of a small one by default. */
   readonly memoryBytes?: number | undefined;
+  /** Descriptors that the process may have open; 4,096 by default. */
+  readonly maxDescriptors?: number | undefined;
 }
 
 /** Result of checking a caller's request against the configuration. */
@@ -97,6 +100,15 @@
 
 const DEFAULT_MEMORY_BYTES = 250_000_000;
 
+const DEFAULT_DESCRIPTORS = 4096;
+
+/** Descriptors for files, listeners and the store. */
+const RESERVED_DESCRIPTORS = 200;
+
+/** Part of the others that callers may take: an open request takes one more at most, for
+ * its target or peer. */
+const CALLER_SHARE = 0.5;
+
 /** Part of the machine's memory that bodies of requests may take. */
 const BODY_SHARE = 0.125;
 
@@ -132,8 +144,12 @@
   const sockets = new Set<Socket>();
   let bytesOfClosed = 0;
   const { memoryBytes = DEFAULT_MEMORY_BYTES } = options;
+  const { maxDescriptors = DEFAULT_DESCRIPTORS } = options;
   const budget = createByteBudget({ maxBytes: memoryBytes * BODY_SHARE });
   const parseTurns = createParseTurns();
+  const connections = createConnectionLimit({
+    maxConnections: (maxDescriptors - RESERVED_DESCRIPTORS) * CALLER_SHARE,
+  });
   const openRequests = createOpenRequests();
   /** Connections whose last request is refused before it was read, once earlier ones are
    * answered. The rest of it may still arrive. */
@@ -154,8 +170,10 @@
   );
   server.on('connection', (socket) => {
     sockets.add(socket);
+    connections.add(socket);
     socket.once('close', () => {
       sockets.delete(socket);
+      connections.remove(socket);
       bytesOfClosed += socket.bytesRead;
     });
   });
@@ -189,8 +207,12 @@
       dropRest(request);
       return;
     }
+    if (relay === undefined) connections.setPhase(socket, 'reading');
     response.once('close', () => {
       const isAnswered = openRequests.count(socket) === 0;
+      if (isAnswered && relay === undefined) {
+        connections.setPhase(socket, 'idle');
+      }
       if (isAnswered && closingSockets.has(socket)) socket.destroySoon();
       const isRefused = refusedSockets.has(socket) && socket.writable;
       if (isAnswered && isRefused) socket.end(TIMEOUT);
@@ -286,6 +308,7 @@
         return;
       }
       const { bytes: body, release } = read.right;
+      if (relay === undefined) connections.setPhase(request.socket, 'serving');
       response.once('close', release);
       if (response.closed || request.socket.destroyed) release();
       const name = pickService(checked.route, Math.random());
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -54,6 +54,9 @@
   /** Memory of the machine in bytes, part of which is for the bodies of requests; 250 MB by
    * default. */
   readonly memoryBytes?: number | undefined;
+  /** Descriptors that the process may have open, part of which are for callers; 4,096 by
+   * default. */
+  readonly maxDescriptors?: number | undefined;
   /** Whether requests without capacity wait in a queue; false by default. */
   readonly queuesRequests?: boolean | undefined;
   /** Opens connections to targets; `connect` of `node:net` by default. */
@@ -166,7 +169,7 @@
       startedAtMs: now(),
       now,
     },
-    { isLeaving, memoryBytes: options.memoryBytes },
+    { ...options, isLeaving },
   );
   listen(callerServer.server, options.callerAddress);
   const peers = createPeerLink({
