--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -112,6 +112,10 @@
 /** Part of the machine's memory that bodies of requests may take. */
 const BODY_SHARE = 0.125;
 
+/** Requests of a connection that are open at once. More are not read, and the connection is
+ * closed after the answers to these. */
+const MAX_PIPELINED = 8;
+
 /** How often Node's HTTP server checks for header timeouts. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
@@ -126,8 +130,8 @@
 
 /**
  * Creates the server for callers. It checks each request against the active
- * configuration, buffers its body and forwards it. The bodies of all requests together
- * take a part of the machine's memory.
+ * configuration, buffers its body and forwards it. All open requests together take a part
+ * of the machine's memory.
  *
  * @param context - State, connection pool and limits of the gateway.
  * @param options - Whether this entry is leaving.
@@ -202,7 +206,13 @@
   ): void {
     const { socket, headers } = request;
     if (headers['transfer-encoding'] !== undefined) parseTurns.add(socket);
-    if (refusedSockets.has(socket) || !openRequests.add(request, response)) {
+    const hasTooMany = openRequests.count(socket) >= MAX_PIPELINED;
+    if (hasTooMany) closeOnceAnswered(socket);
+    if (
+      hasTooMany ||
+      refusedSockets.has(socket) ||
+      !openRequests.add(request, response)
+    ) {
       log.info('request.ignored', { request: attemptOf(request) });
       dropRest(request);
       return;
