--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -20,6 +20,10 @@
   ForwardingRoute,
 } from '@endivegate/contracts/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
+import {
+  createConnectionLimit,
+  shareConnections,
+} from '../createConnectionLimit/index.ts';
 import { createParseTurns } from '../createParseTurns/index.ts';
 import {
   createReply,
@@ -35,7 +39,6 @@
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 import type { CallerHead } from '../httpDialect/index.ts';
 import { type BodyError, readBody } from '../readBody/index.ts';
-import { createConnectionLimit } from './_lib/connectionLimit.ts';
 import { createOpenRequests } from './_lib/openRequests.ts';
 import {
   readRelay,
@@ -100,15 +103,6 @@
 
 const DEFAULT_MEMORY_BYTES = 250_000_000;
 
-const DEFAULT_DESCRIPTORS = 4096;
-
-/** Descriptors for files, listeners and the store. */
-const RESERVED_DESCRIPTORS = 200;
-
-/** Part of the others that callers may take: an open request takes one more at most, for
- * its target or peer. */
-const CALLER_SHARE = 0.5;
-
 /** Part of the machine's memory that bodies of requests may take. */
 const BODY_SHARE = 0.125;
 
@@ -148,11 +142,10 @@
   const sockets = new Set<Socket>();
   let bytesOfClosed = 0;
   const { memoryBytes = DEFAULT_MEMORY_BYTES } = options;
-  const { maxDescriptors = DEFAULT_DESCRIPTORS } = options;
   const budget = createByteBudget({ maxBytes: memoryBytes * BODY_SHARE });
   const parseTurns = createParseTurns();
   const connections = createConnectionLimit({
-    maxConnections: (maxDescriptors - RESERVED_DESCRIPTORS) * CALLER_SHARE,
+    maxConnections: shareConnections(options.maxDescriptors).callers,
   });
   const openRequests = createOpenRequests();
   /** Connections whose last request is refused before it was read, once earlier ones are
--- a/packages/gateway/src/createCallerServer/_lib/connectionLimit.ts
+++ b/packages/gateway/src/createConnectionLimit/index.ts
@@ -16,6 +16,43 @@
   readonly maxConnections: number;
 }
 
+/** Connections that others may open to this process. */
+export interface ConnectionShares {
+  readonly callers: number;
+  /** At each other port that is not for peers. */
+  readonly eachPort: number;
+}
+
+/** Descriptors where the machine's limit is not known. */
+const DEFAULT_DESCRIPTORS = 4096;
+
+/** Descriptors for files, listeners and the store. */
+const RESERVED_DESCRIPTORS = 200;
+
+/** An open request of a caller takes one more connection at most, to its target or peer. */
+const CALLER_SHARE = 3 / 8;
+
+const PORT_SHARE = 1 / 16;
+
+/**
+ * Divides the descriptors of a process among those who connect to it.
+ *
+ * @param maxDescriptors - Descriptors that the process may have open; 4,096 by default.
+ * @returns The greatest numbers of connections.
+ *
+ * @example
+ * shareConnections(4100); // { callers: 1462, eachPort: 243 }
+ */
+export function shareConnections(
+  maxDescriptors = DEFAULT_DESCRIPTORS,
+): ConnectionShares {
+  const connections = Math.max(maxDescriptors - RESERVED_DESCRIPTORS, 0);
+  return {
+    callers: Math.floor(connections * CALLER_SHARE),
+    eachPort: Math.floor(connections * PORT_SHARE),
+  };
+}
+
 /**
  * Creates a bound on connections. Where there are too many, the one is closed that has been
  * idle for the longest, or else the one whose request has been incomplete for the longest:
@@ -24,6 +61,10 @@
  *
  * @param options - The bound.
  * @returns The bound, without connections.
+ *
+ * @example
+ * const limit = createConnectionLimit({ maxConnections: 100 });
+ * server.on('connection', limit.add);
  */
 export function createConnectionLimit({
   maxConnections,
--- a/packages/gateway/src/createCallerServer/_lib/test.ts
+++ b/packages/gateway/src/createConnectionLimit/test.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai';
 import { Socket } from 'node:net';
 import {
-  createConnectionLimit,
   type ConnectionLimit,
   type ConnectionPhase,
-} from './connectionLimit.ts';
+  createConnectionLimit,
+} from './index.ts';
 
 describe('createConnectionLimit', () => {
   let limit: ConnectionLimit;
