Close the connection of a caller that reads nothing of its answer

Callers saw: nothing; an entry kept a complete answer, with the memory of its request, for as long as a caller left its connection open without reading.

Cause: the deadline of a request ends with its answer, and nothing else had a time. Streams are not affected: their sends pause, and their deadline goes on.

While bytes of a complete answer wait, a caller may take none of them for as long as a connection may be idle by the configuration; then Node closes the connection. Any byte that is taken begins this time anew, so slow callers get their answers.

Failed before: an answer of 24 MB to a caller that pauses for four times an idle limit of 200 ms was delivered in full afterwards; now its connection is closed.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -222,6 +222,7 @@
     });
     const reply = createReply(request, response, {
       isLastResponse: () => options.isLeaving() && openRequests.isLast(request),
+      stallTimeoutMs: () => runtime.table()?.config.limits.idleTimeoutMs ?? 0,
     });
     const table = runtime.table();
     if (table === undefined) {
--- a/packages/gateway/src/createReply/index.ts
+++ b/packages/gateway/src/createReply/index.ts
@@ -48,6 +48,9 @@
 export interface CreateReplyOptions {
   /** Whether the connection is closed after this response. */
   readonly isLastResponse: () => boolean;
+  /** Time for which a caller may read nothing of a complete response; unlimited by
+   * default. */
+  readonly stallTimeoutMs?: () => number;
 }
 
 const MS_PER_S = 1000;
@@ -57,7 +60,7 @@
  *
  * @param request - The caller's request.
  * @param response - Node's response object for it.
- * @param options - Whether the connection stays open.
+ * @param options - Whether the connection stays open, and a time limit.
  * @returns The response writer.
  *
  * @example
@@ -68,6 +71,7 @@
   response: ServerResponse,
   options: CreateReplyOptions,
 ): Reply {
+  const { stallTimeoutMs = () => 0 } = options;
   return {
     begin(status, headers) {
       if (options.isLastResponse()) response.shouldKeepAlive = false;
@@ -77,6 +81,9 @@
     write: (bytes) => response.write(bytes),
     end(bytes) {
       response.end(bytes);
+      // Node closes the connection at this timeout, and sets another after the response.
+      if (response.writableLength > 0)
+        request.socket.setTimeout(stallTimeoutMs());
     },
     cutOff() {
       response.destroy();
--- a/packages/gateway/src/testCallerBodies/test.ts
+++ b/packages/gateway/src/testCallerBodies/test.ts
@@ -6,6 +6,7 @@
 import {
   sign,
   startTestGateway,
+  testConfig,
   type TestGateway,
 } from '../testGateway/index.ts';
 
@@ -14,6 +15,11 @@
 
 const POLL_INTERVAL_MS = 5;
 
+/** Far above what the buffers of a connection hold. */
+const LARGE_ANSWER_BYTES = 24_000_000;
+
+const IDLE_PERIODS = 4;
+
 describe('bodies that callers do not send as announced', () => {
   let entry: TestGateway;
   let caller: Socket;
@@ -21,22 +27,27 @@
   /** Whether the target waits with its answers until they are released. */
   let isHeld = false;
   let held: (() => void)[] = [];
+  let answerBytes = 1;
 
   const answer: RequestListener = (request, response) => {
     const release = (): void => {
       sign(request, response);
-      response.end('id: 1\ndata: a\n\n');
+      response.end(Buffer.alloc(answerBytes, 'x'));
     };
     if (isHeld) held.push(release);
     else release();
   };
 
   beforeEach(async () => {
-    entry = await startTestGateway({ targets: [answer] });
+    entry = await startTestGateway({
+      targets: [answer],
+      route: { repeat: 'idempotent' },
+    });
     caller = connect(entry.callerPort, '127.0.0.1');
     received = '';
     isHeld = false;
     held = [];
+    answerBytes = 1;
     caller.on('data', (bytes: Buffer) => {
       received += bytes.toString();
     });
@@ -106,4 +117,25 @@
     await once(caller, 'end');
     expect(statuses()).to.deep.equal(['200', '413']);
   });
+
+  // Guards against answers that are kept for ever for callers that read nothing.
+  it('closes the connection of a caller that does not read its answer', async () => {
+    const { limits, ...config } = testConfig({ repeat: 'idempotent' });
+    const shortLimits = { ...limits, idleTimeoutMs: 200 };
+    const version = config.version + 1;
+    entry.gateway.runtime.applyConfig(
+      { ...config, version, limits: shortLimits },
+      'test',
+    );
+    answerBytes = LARGE_ANSWER_BYTES;
+    caller.pause();
+    send(['Content-Length: 0']);
+    while (!entry.lines.some((line) => line.includes('"answered"'))) {
+      await settle(POLL_INTERVAL_MS);
+    }
+    await settle(IDLE_PERIODS * shortLimits.idleTimeoutMs);
+    caller.resume();
+    await once(caller, 'close');
+    expect(received.length).to.be.below(LARGE_ANSWER_BYTES);
+  });
 });
