Bound the bodies that the product's own interface holds

Callers saw: one body of 4 MiB in chunks of one byte ended an entry of the product with a heap of 160 MB.

Cause: the same as on the users' platform; the web framework joins a body from one string a chunk, and nothing bounds the bodies of all requests together. Found by looking for the cause elsewhere.

Bodies are now kept in blocks, and all of them until their responses have ended within callers.maxHeldBytes, 256 MiB by default, by the same budget as on the platform. A body without room is refused with 503, entry_full and Retry-After, as not run.

The test of a body without room is new: the option did not exist. Processor time and the rest of refused requests are not bounded there yet (docs/CALLER-LIMITS.md).

--- a/packages/contracts/src/settings/index.ts
+++ b/packages/contracts/src/settings/index.ts
@@ -37,6 +37,12 @@
       .positive()
       .max(64 * 1024 * 1024)
       .default(16 * 1024 * 1024),
+    /** Maximum size of the bodies of all open requests together. */
+    maxHeldBytes: z
+      .number()
+      .int()
+      .positive()
+      .default(256 * 1024 * 1024),
     maxHeaderBytes: z.number().int().min(1_024).max(65_536).default(16_384),
     /** Time limit for receiving a complete request. */
     receiveTimeoutMs: z.number().int().positive().default(30_000),
--- a/packages/daemon/src/createCallersServer/index.ts
+++ b/packages/daemon/src/createCallersServer/index.ts
@@ -1,6 +1,7 @@
 import fastify, { type FastifyError, type FastifyInstance } from 'fastify';
 import type { CallersContext } from './_lib/context.ts';
-import { type InputError, sendInputError } from './_lib/errors.ts';
+import { type InputError, sendError, sendInputError } from './_lib/errors.ts';
+import { limitBodies, NoMemoryError } from './_lib/limitBodies.ts';
 import { registerInfoRoutes } from './routes/info.ts';
 import { registerPromptRoutes } from './routes/prompts.ts';
 import { registerServiceRoutes } from './routes/services.ts';
@@ -11,6 +12,8 @@
 /** Limits on what a caller may send. */
 export interface CreateCallersServerOptions {
   readonly maxBodyBytes?: number;
+  /** Limit of the bodies of all open requests together; 256 MiB by default. */
+  readonly maxHeldBytes?: number;
   readonly maxHeaderBytes?: number;
   /** Time a caller has to send its complete request. */
   readonly receiveTimeoutMs?: number;
@@ -18,10 +21,13 @@
 
 const DEFAULTS: Required<CreateCallersServerOptions> = {
   maxBodyBytes: 16 * 1024 * 1024,
+  maxHeldBytes: 256 * 1024 * 1024,
   maxHeaderBytes: 16_384,
   receiveTimeoutMs: 30_000,
 };
 
+const NO_MEMORY_RETRY_AFTER_MS = 1000;
+
 /** How often slow connections are checked within `receiveTimeoutMs`. */
 const CHECKS_PER_RECEIVE_TIMEOUT = 8;
 
@@ -52,9 +58,21 @@
     genReqId: context.newRequestId,
     forceCloseConnections: 'idle',
   });
-  server.setErrorHandler<FastifyError>((error, request, reply) =>
-    sendInputError(reply, request.id, toInputError(error)),
-  );
+  limitBodies(server, limits);
+  server.setErrorHandler<FastifyError>((error, request, reply) => {
+    if (!(error instanceof NoMemoryError)) {
+      return sendInputError(reply, request.id, toInputError(error));
+    }
+    return sendError(reply.header('connection', 'close'), {
+      requestId: request.id,
+      ran: 'no',
+      status: error.statusCode,
+      type: 'rate_limit_error',
+      code: 'entry_full',
+      message: error.message,
+      retryAfterMs: NO_MEMORY_RETRY_AFTER_MS,
+    });
+  });
   server.setNotFoundHandler((request, reply) =>
     sendInputError(reply, request.id, {
       status: 404,
--- a/packages/daemon/src/createCallersServer/test.ts
+++ b/packages/daemon/src/createCallersServer/test.ts
@@ -7,14 +7,27 @@
 import { createMetrics } from '../createMetrics/index.ts';
 import { createOpenRequests } from '../createOpenRequests/index.ts';
 import type { Runtime, UnstampedEvent } from '../runtime/index.ts';
-import { type CallersContext, createCallersServer } from './index.ts';
+import {
+  type CallersContext,
+  createCallersServer,
+  type CreateCallersServerOptions,
+} from './index.ts';
 
 const AUTH = { authorization: 'Bearer secret-token' };
 
+const HEAD = [
+  'POST /v1/chat/completions HTTP/1.1',
+  'Host: a',
+  'Authorization: Bearer secret-token',
+  'Content-Type: application/json',
+  '',
+].join('\r\n');
+
 /** Creates a server that calls `decide` for each request it received. */
 function createTestServer(
   decide: (context: CallersContext, requestId: string) => void,
   newRequestId = () => 'r1',
+  limits: CreateCallersServerOptions = {},
 ) {
   const events: UnstampedEvent[] = [];
   const openRequests = createOpenRequests();
@@ -41,6 +54,7 @@
   };
   const server = createCallersServer(context, {
     maxBodyBytes: 2_000,
+    ...limits,
     receiveTimeoutMs: 200,
   });
   return { server, events, openRequests };
@@ -125,6 +139,35 @@
     expect(events).to.deep.equal([]);
   });
 
+  // Guards against bodies that together take more memory than there is.
+  it('refuses a body without room as not run, and has room again afterwards', async () => {
+    const { server } = createTestServer(ignoreReply, undefined, {
+      maxHeldBytes: 3_000,
+      receiveTimeoutMs: 60_000,
+    });
+    await server.listen({ host: '127.0.0.1', port: 0 });
+    const { port } = server.server.address() as AddressInfo;
+    const ask = async (body: string): Promise<string> => {
+      const socket = connect(port, '127.0.0.1');
+      socket.write(`${HEAD}Content-Length: 1900\r\n\r\n${body}`);
+      const [answer] = (await once(socket, 'data')) as [Buffer];
+      socket.destroy();
+      return answer.toString();
+    };
+    const first = connect(port, '127.0.0.1');
+    first.write(`${HEAD}Content-Length: 1900\r\n\r\nx`);
+    await once(server.server, 'request');
+    const refusal = await ask('x'.repeat(1900));
+    expect(refusal).to.match(/^HTTP\/1.1 503 /);
+    expect(refusal).to.include('endivegate-ran: no');
+    expect(refusal).to.include('retry-after: 1');
+    first.destroy();
+    let answer = refusal;
+    while (answer.includes(' 503 ')) answer = await ask('x'.repeat(1900));
+    expect(answer).to.match(/^HTTP\/1.1 400 /);
+    await server.close();
+  });
+
   it('sends streamed and complete answers in both formats', async () => {
     const { server } = createTestServer(answerTokens);
     const inputs: InjectOptions[] = [
