Close the connection after a response to what is no request

Callers saw: nothing; a client that had sent something other than a request, or a head too late, kept its connection for as long as it left its own side open.

Cause: after the 400 or 408 the entry closed its side for writing only, and went on reading. It now closes these connections as those of other refusals: what arrives is dropped unparsed, for 2 s at most.

Failed before: the connection stayed open for the 20 s of the test.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -6,7 +6,7 @@
   type ServerResponse,
   validateHeaderValue,
 } from 'node:http';
-import type { Socket } from 'node:net';
+import { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import {
   createByteBudget,
@@ -185,7 +185,7 @@
       return;
     }
     refusedSockets.add(socket);
-    if (!hasAnswerDue) socket.end(isLate ? TIMEOUT : NOT_HTTP);
+    if (!hasAnswerDue) refuse(socket, isLate ? TIMEOUT : NOT_HTTP);
   });
   runtime.onConfig(({ config }) => {
     server.keepAliveTimeout = config.limits.idleTimeoutMs;
@@ -218,7 +218,7 @@
       }
       if (isAnswered && closingSockets.has(socket)) socket.destroySoon();
       const isRefused = refusedSockets.has(socket) && socket.writable;
-      if (isAnswered && isRefused) socket.end(TIMEOUT);
+      if (isAnswered && isRefused) refuse(socket, TIMEOUT);
     });
     const reply = createReply(request, response, {
       isLastResponse: () => options.isLeaving() && openRequests.isLast(request),
@@ -381,6 +381,17 @@
   };
 }
 
+/** Ends a connection with a response to what is not a request. */
+function refuse(socket: Duplex, response: string): void {
+  if (!(socket instanceof Socket)) {
+    socket.end(response);
+    return;
+  }
+  closeLingering(socket);
+  socket.write(response);
+  socket.destroySoon();
+}
+
 /** Drops the rest of a request whose connection is going to be closed. */
 function dropRest(request: IncomingMessage): void {
   request.resume();
--- a/packages/gateway/src/testCallerBodies/test.ts
+++ b/packages/gateway/src/testCallerBodies/test.ts
@@ -118,6 +118,26 @@
     expect(statuses()).to.deep.equal(['200', '413']);
   });
 
+  // Guards against connections that stay open after their last response, as the caller keeps
+  // its side open.
+  it('closes the connection of a caller that sends no request and stays', async () => {
+    const staying = connect({
+      port: entry.callerPort,
+      host: '127.0.0.1',
+      allowHalfOpen: true,
+    });
+    staying.on('data', (bytes: Buffer) => {
+      received += bytes.toString();
+    });
+    staying.on('error', () => undefined);
+    staying.write('no request\r\n\r\n');
+    await once(staying, 'end');
+    const writing = setInterval(() => staying.write('x'), 50);
+    await new Promise((resolve) => staying.once('close', resolve));
+    clearInterval(writing);
+    expect(statuses()).to.deep.equal(['400']);
+  });
+
   // Guards against answers that are kept for ever for callers that read nothing.
   it('closes the connection of a caller that does not read its answer', async () => {
     const { limits, ...config } = testConfig({ repeat: 'idempotent' });
