Split the checks of a request from the server for callers, and take 0 for no limit

An idle limit of 0 in the configuration means no limit for connections, so it means none for the pauses of a body either; times above the longest timer are waited for in parts. Read from the code; no deployment has such values.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -4,21 +4,16 @@
   type RequestListener,
   type Server,
   type ServerResponse,
-  validateHeaderValue,
 } from 'node:http';
 import { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import {
   createByteBudget,
-  matchRoute,
   newestReported,
   pickService,
   type RouteTable,
 } from '@endivegate/core/forwarding';
-import type {
-  CallerLimits,
-  ForwardingRoute,
-} from '@endivegate/contracts/forwarding';
+import type { ForwardingRoute } from '@endivegate/contracts/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import {
   createConnectionLimit,
@@ -38,7 +33,9 @@
 import { forwardRequest } from '../forwardRequest/index.ts';
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 import type { CallerHead } from '../httpDialect/index.ts';
-import { type BodyError, readBody } from '../readBody/index.ts';
+import { readBody } from '../readBody/index.ts';
+import { bodyFailures } from './_lib/bodyFailures.ts';
+import { checkRequest, type CheckResult } from './_lib/checkRequest.ts';
 import { createOpenRequests } from './_lib/openRequests.ts';
 import {
   readRelay,
@@ -71,22 +68,6 @@
   readonly maxDescriptors?: number | undefined;
 }
 
-/** Result of checking a caller's request against the configuration. */
-type CheckResult =
-  | {
-      readonly type: 'accepted';
-      readonly route: ForwardingRoute;
-      readonly workspace: string | undefined;
-      readonly priority: number;
-    }
-  | { readonly type: 'rejected'; readonly failure: GatewayError };
-
-const UNAUTHORIZED = 401;
-const NOT_FOUND = 404;
-const TIMED_OUT = 408;
-const TOO_LARGE = 413;
-const HEADERS_TOO_LARGE = 431;
-const BAD_REQUEST = 400;
 const UNAVAILABLE = 503;
 
 /** Response to bytes that are not an HTTP request. */
@@ -103,8 +84,8 @@
 
 const DEFAULT_MEMORY_BYTES = 250_000_000;
 
-/** Part of the machine's memory that bodies of requests may take. */
-const BODY_SHARE = 0.125;
+/** Part of the machine's memory that open requests may take. */
+const REQUEST_SHARE = 0.125;
 
 /** Requests of a connection that are open at once. More are not read, and the connection is
  * closed after the answers to these. */
@@ -113,12 +94,6 @@
 /** How often Node's HTTP server checks for header timeouts. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
-/** Bytes of `: ` and CRLF in a header line. */
-const HEADER_OVERHEAD_BYTES = 4;
-
-/** Retry-After while there is no memory for a body, which open requests give back. */
-const NO_ROOM_RETRY_AFTER_MS = 1000;
-
 /** Retry-After while there is no usable configuration. */
 const NO_CONFIG_RETRY_AFTER_MS = 300;
 
@@ -128,7 +103,7 @@
  * of the machine's memory.
  *
  * @param context - State, connection pool and limits of the gateway.
- * @param options - Whether this entry is leaving.
+ * @param options - Whether this entry is leaving, and limits of its machine.
  * @returns The server, not yet listening.
  *
  * @example
@@ -142,7 +117,7 @@
   const sockets = new Set<Socket>();
   let bytesOfClosed = 0;
   const { memoryBytes = DEFAULT_MEMORY_BYTES } = options;
-  const budget = createByteBudget({ maxBytes: memoryBytes * BODY_SHARE });
+  const budget = createByteBudget({ maxBytes: memoryBytes * REQUEST_SHARE });
   const parseTurns = createParseTurns();
   const connections = createConnectionLimit({
     maxConnections: shareConnections(options.maxDescriptors).callers,
@@ -398,64 +373,6 @@
   closeLingering(request.socket);
 }
 
-interface CheckQuery {
-  readonly table: RouteTable;
-  readonly caller: CallerHead;
-  /** Whether a peer has checked the sizes. */
-  readonly isRelayed: boolean;
-}
-
-function checkRequest(
-  request: IncomingMessage,
-  query: CheckQuery,
-): CheckResult {
-  const { table, caller } = query;
-  const { limits } = table.config;
-  const oversize = query.isRelayed ? undefined : checkSizes(request, limits);
-  if (oversize !== undefined) return rejected(oversize);
-  const route = matchRoute(
-    table,
-    request.headers.host ?? '',
-    request.url ?? '',
-  );
-  if (route === undefined) {
-    return rejected({ status: NOT_FOUND, message: 'no such route' });
-  }
-  if (caller.attemptId === undefined) {
-    return rejected({
-      status: BAD_REQUEST,
-      message: 'no request id',
-      closeConnection: true,
-    });
-  }
-  const isOpen = route.anonymous || !table.config.requiresKeys;
-  const keyHolder = table.workspacesByKey.get(caller.key ?? '');
-  if (!isOpen && keyHolder === undefined) {
-    return rejected({ status: UNAUTHORIZED, message: 'unknown key' });
-  }
-  if (!isHeaderValue(keyHolder?.name ?? '')) {
-    return rejected({
-      status: UNAVAILABLE,
-      message: 'the name of the workspace cannot be sent to targets',
-    });
-  }
-  return {
-    type: 'accepted',
-    route,
-    workspace: keyHolder?.name,
-    priority: keyHolder?.priority ?? route.priority,
-  };
-}
-
-/** Whether a text can be the value of a header: it has no characters outside Latin-1. */
-function isHeaderValue(text: string): boolean {
-  return E.isRight(
-    E.tryCatch(() => {
-      validateHeaderValue('name', text);
-    }, String),
-  );
-}
-
 /** Limits the targets of a relayed request to those that the relaying entry leaves. */
 function withAttempts(
   route: ForwardingRoute,
@@ -463,58 +380,3 @@
 ): ForwardingRoute {
   return { ...route, maxAttempts: Math.min(route.maxAttempts, attempts) };
 }
-
-function checkSizes(
-  request: IncomingMessage,
-  limits: CallerLimits,
-): GatewayError | undefined {
-  const headerBytes = request.rawHeaders.reduce(
-    (sum, text) => sum + text.length + HEADER_OVERHEAD_BYTES / 2,
-    0,
-  );
-  if (headerBytes > limits.maxHeaderBytes) {
-    return {
-      status: HEADERS_TOO_LARGE,
-      message: `headers over ${limits.maxHeaderBytes} bytes`,
-      closeConnection: true,
-    };
-  }
-  const bodyBytes = Number(request.headers['content-length'] ?? 0);
-  return bodyBytes > limits.maxBodyBytes
-    ? {
-        status: TOO_LARGE,
-        message: `body over ${limits.maxBodyBytes} bytes`,
-        closeConnection: true,
-      }
-    : undefined;
-}
-
-/** Failures of a request whose body was not read to its end, so that it has not run. */
-function bodyFailures(
-  maxBytes: number,
-): Readonly<Record<BodyError, GatewayError>> {
-  const closeConnection = true;
-  return {
-    tooLarge: {
-      status: TOO_LARGE,
-      message: `body over ${maxBytes} bytes`,
-      closeConnection,
-    },
-    tooSlow: {
-      status: TIMED_OUT,
-      message: 'the body did not arrive in time',
-      closeConnection,
-    },
-    noRoom: {
-      status: UNAVAILABLE,
-      message: 'no memory is left for the body',
-      retryAfterMs: NO_ROOM_RETRY_AFTER_MS,
-      isLocal: true,
-      closeConnection,
-    },
-  };
-}
-
-function rejected(failure: GatewayError): CheckResult {
-  return { type: 'rejected', failure };
-}
--- a/packages/gateway/src/readBody/index.ts
+++ b/packages/gateway/src/readBody/index.ts
@@ -27,12 +27,15 @@
   readonly owner: string;
   /** Time for the whole body. */
   readonly timeoutMs: number;
-  /** Time for which nothing may arrive. */
+  /** Time for which nothing may arrive; 0 for no limit. */
   readonly idleTimeoutMs: number;
   /** Monotonic time in ms; `performance.now` by default. */
   readonly now?: () => number;
 }
 
+/** Longest time of a timer of Node, which takes longer ones for 1 ms. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** Memory of an open request beside its body: its head, its timers and its sends. */
 const REQUEST_BYTES = 16 * 1024;
 
@@ -52,7 +55,8 @@
   options: ReadBodyOptions,
   done: (body: E.Either<BodyError, ReceivedBody>) => void,
 ): void {
-  const { maxBytes, timeoutMs, idleTimeoutMs } = options;
+  const { maxBytes, timeoutMs } = options;
+  const idleTimeoutMs = options.idleTimeoutMs || Infinity;
   const { now = () => performance.now() } = options;
   const collector = collectBytes({ maxBytes });
   const holding = options.budget.hold({
@@ -67,7 +71,8 @@
   let timer = setTimeout(checkTime, waitMs());
 
   function waitMs(): number {
-    return Math.max(Math.min(endsAtMs, heardAtMs + idleTimeoutMs) - now(), 0);
+    const leftMs = Math.min(endsAtMs, heardAtMs + idleTimeoutMs) - now();
+    return Math.min(Math.max(leftMs, 0), MAX_TIMER_MS);
   }
 
   function checkTime(): void {
