Parse small reads at once, as turns also include the beginning of requests

Cause: a connection that had once sent chunks stayed in the turns, and a turn of 4 ms counts all that runs while bytes are parsed, also the beginning of the next requests. A busy event loop turns every 100 ms, so only a few requests were read in each.

Reads of up to one slice are parsed at once now, in any state of the turns.

--- a/packages/gateway/src/createParseTurns/index.ts
+++ b/packages/gateway/src/createParseTurns/index.ts
@@ -29,7 +29,9 @@
  * each chunk, so that a body in chunks of a byte takes thousands of times as long as one in
  * large chunks; between two turns, everything else is served.
  *
- * A connection is not read on while some of its bytes wait for their turn.
+ * A connection is not read on while some of its bytes wait for their turn. What arrives in
+ * less than a slice is parsed at once, so that ordinary requests never wait: a turn also
+ * includes the time in which requests are begun.
  *
  * @param options - Sizes of turns.
  * @returns The turns, without connections.
@@ -70,6 +72,10 @@
     const resume = socket.resume.bind(socket);
     const receive = (bytes: Buffer): void => {
       const isWaiting = pending.length > 0;
+      if (!isWaiting && bytes.length <= sliceBytes) {
+        parse(bytes);
+        return;
+      }
       pending = isWaiting ? Buffer.concat([pending, bytes]) : bytes;
       if (isWaiting) return;
       waiting.push({ parseSlice });
@@ -81,20 +87,22 @@
     const parsers = socket
       .listeners('data')
       .filter((listener) => listener !== receive);
-    parsers.forEach((parse) => socket.off('data', parse as typeof receive));
+    parsers.forEach((parser) => socket.off('data', parser as typeof receive));
     // A request that is read resumes its connection for each chunk.
     socket.resume = () => (pending.length > 0 ? socket : resume());
 
+    function parse(bytes: Buffer): void {
+      parsers.forEach((parser) => {
+        parser.call(socket, bytes);
+      });
+    }
+
     function parseSlice(): boolean {
       const slice = pending.subarray(0, sliceBytes);
       pending = pending.subarray(sliceBytes);
       const isReceiving = socket.listeners('data').includes(receive);
       if (socket.destroyed || !isReceiving) pending = pending.subarray(0, 0);
-      else {
-        parsers.forEach((parse) => {
-          parse.call(socket, slice);
-        });
-      }
+      else parse(slice);
       if (pending.length === 0) socket.resume();
       return pending.length > 0;
     }
--- a/packages/gateway/src/createParseTurns/test.ts
+++ b/packages/gateway/src/createParseTurns/test.ts
@@ -6,7 +6,7 @@
   type RequestListener,
   type Server,
 } from 'node:http';
-import { type AddressInfo, connect, type Socket } from 'node:net';
+import { type AddressInfo, connect, Socket } from 'node:net';
 import { closeLingering } from '../discardRest/index.ts';
 import { createParseTurns, type CreateParseTurnsOptions } from './index.ts';
 
@@ -85,6 +85,21 @@
     expect(turns).to.be.at.least(300);
   });
 
+  // Guards against ordinary requests that wait for turns while the process is busy.
+  it('parses what is smaller than a slice at once', async () => {
+    await start({}, () => undefined);
+    const turns = createParseTurns({ sliceBytes: 100, turnMs: 0.001 });
+    const parsedBytes = [1000, 80, 80].map((size) => {
+      let parsed = 0;
+      const socket = new Socket();
+      socket.on('data', (bytes: Buffer) => (parsed += bytes.length));
+      turns.add(socket);
+      socket.emit('data', Buffer.alloc(size));
+      return parsed;
+    });
+    expect(parsedBytes).to.deep.equal([100, 80, 80]);
+  });
+
   // Guards against bytes that are read faster than they are parsed.
   it('reads no further while bytes wait', async () => {
     let maxWaiting = 0;
