Take no response for complete whose connection failed before the request was written

A target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection. The caller got that part as a whole 200 (MIXED). The same with a target that closes with unread bytes.

Cause: a response without a length ends with its connection. When a reset and the last bytes arrive together, Node reports a regular end of the connection. sendRequest then wrote an empty line to see whether the connection still takes bytes, and waited one turn of the event loop for an error. While a part of the upload waited to be written, the empty line waited behind it, and Node's client destroyed the connection at its end without an error. The callback of the write came after the answer had been delivered.

watchResponseEnd decides before Node's own listeners see the end: a response that ends with its connection is complete only if the request had been written and one more write succeeds at once. Nothing is left to the order of events. A response that ends with its connection while the request is still being written counts as cut also if the server had closed its side in order, as Node's client closes the connection then.

The same cause elsewhere: fetchJson (between entries) and requestJson (the store and orders) took any end for a complete response, so that "12" of "123" passed for a value.

Held before: a reset after a short request, and whole answers that end with their connection; both tests are kept.

--- a/packages/gateway/src/exchangeJson/index.ts
+++ b/packages/gateway/src/exchangeJson/index.ts
@@ -9,6 +9,7 @@
 import { collectBytes } from '@endivegate/core/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import { limitFraming, MAX_HEAD_BYTES } from '../limitFraming/index.ts';
+import { watchResponseEnd } from '../watchResponseEnd/index.ts';
 
 const HTTP_OK = 200;
 const NOT_FOUND = 404;
@@ -170,6 +171,7 @@
 ): void {
   const [host = '', port = ''] = source.address.split(':');
   const startedAtMs = performance.now();
+  const body = collectBytes({ maxBytes: MAX_VALUE_BYTES });
   let isOver = false;
   const finish = (result: E.Either<FetchError, Fetched<T>>): void => {
     if (isOver) return;
@@ -194,27 +196,26 @@
       maxHeaderSize: MAX_HEAD_BYTES,
     },
     (response) => {
-      const body = collectBytes({ maxBytes: MAX_VALUE_BYTES });
       response.on('data', (chunk: Buffer) => {
         if (!body.add(chunk)) finish(E.left(TOO_LARGE));
       });
-      response.on('error', (error) => {
-        fail(error.message);
-      });
-      response.on('end', () => {
-        if (isOver) return;
-        const receivedAtMs = performance.now();
-        const bytes = Buffer.from(body.bytes());
-        const value = readBody(response, bytes, decode);
-        const times = {
-          bytes: bytes.length,
-          fetchMs: receivedAtMs - startedAtMs,
-          decodeMs: performance.now() - receivedAtMs,
-        };
-        finish(E.map((read: T) => ({ value: read, ...times }))(value));
-      });
     },
   );
+  watchResponseEnd(call, {
+    onComplete(response) {
+      if (isOver) return;
+      const receivedAtMs = performance.now();
+      const bytes = Buffer.from(body.bytes());
+      const value = readBody(response, bytes, decode);
+      const times = {
+        bytes: bytes.length,
+        fetchMs: receivedAtMs - startedAtMs,
+        decodeMs: performance.now() - receivedAtMs,
+      };
+      finish(E.map((read: T) => ({ value: read, ...times }))(value));
+    },
+    onBroken: fail,
+  });
   limitFraming(call, () => {
     finish(E.left(TOO_LARGE));
   });
--- a/packages/gateway/src/exchangeJson/test.ts
+++ b/packages/gateway/src/exchangeJson/test.ts
@@ -180,6 +180,19 @@
     expect(ends).not.to.include(false);
   });
 
+  // Guards against a part of a value that is valid JSON by itself.
+  it('takes no response without a length that is reset', async () => {
+    const peer = await startCuttingServer();
+    const source = { address: peer.address, path: '/value', timeoutMs: 5000 };
+    peer.answerWith('HTTP/1.1 200 OK\r\n\r\n12', 'reset');
+    const cut = await fetchValue(source, E.right);
+    peer.answerWith('HTTP/1.1 200 OK\r\n\r\n12', 'fin');
+    const whole = await fetchValue(source, E.right);
+    peer.stop();
+    expect(E.isLeft(cut)).to.equal(true);
+    expect(whole).to.deep.equal(E.right(12));
+  });
+
   it('serves builds that accept no compression', async () => {
     server = serveJson('/value', () => [7]);
     const response = await fetch(
--- a/packages/gateway/src/sendRequest/index.ts
+++ b/packages/gateway/src/sendRequest/index.ts
@@ -13,6 +13,7 @@
 } from '../createConnectionPool/index.ts';
 import type { HttpDialect, TargetHead } from '../httpDialect/index.ts';
 import { limitFraming, MAX_HEAD_BYTES } from '../limitFraming/index.ts';
+import { watchResponseEnd } from '../watchResponseEnd/index.ts';
 
 /** A request as it is sent to a target. */
 export interface OutgoingRequest {
@@ -86,13 +87,6 @@
 /** Maximum size of the body of a refusal, which is discarded. */
 const MAX_REFUSAL_BYTES = 1024 * 1024;
 
-/**
- * Written when a close-delimited response ends. Node reports a reset that
- * arrives together with the last bytes as a regular end; writing to the socket
- * reveals the reset. Servers ignore an empty line before a request.
- */
-const RESET_PROBE = '\r\n';
-
 /** Safety margin before the keep-alive timeout that the target announced. */
 const IDLE_MARGIN_MS = 1000;
 
@@ -129,6 +123,7 @@
   let request: ClientRequest | undefined;
   let currentResponse: IncomingMessage | undefined;
   let head: TargetHead | undefined;
+  let isRefusal = false;
   let used: PooledConnection | undefined;
 
   function finish(result: SendEnd): void {
@@ -143,21 +138,6 @@
   function start(connection: PooledConnection): void {
     const { socket } = connection;
     used = connection;
-    let wasReset = false;
-    const markReset = (): void => {
-      wasReset = true;
-    };
-    const probeForReset = (): void => {
-      if (
-        isOver ||
-        currentResponse === undefined ||
-        !isCloseDelimited(currentResponse)
-      )
-        return;
-      socket.write(RESET_PROBE, (error) => {
-        if (error !== null && error !== undefined) markReset();
-      });
-    };
     const opened = openRequest(outgoing, socket);
     if (E.isLeft(opened)) {
       context.pool.release(outgoing.address, socket, 0);
@@ -165,8 +145,6 @@
       return;
     }
     request = opened.right;
-    socket.once('error', markReset);
-    socket.prependOnceListener('end', probeForReset);
     handlers.onSent();
     limitFraming(request, () => {
       finish({
@@ -193,13 +171,16 @@
     });
     request.on('response', (response) => {
       currentResponse = response;
-      readResponse(response, () => wasReset);
+      readResponse(response);
+    });
+    watchResponseEnd(request, {
+      onComplete: reportComplete,
+      onBroken(reason) {
+        finish({ type: 'broken', reason });
+      },
     });
     socket.once('free', () => {
-      socket.off('error', markReset);
-      socket.off('end', probeForReset);
-      const wasComplete =
-        isOver && currentResponse?.complete === true && !wasReset;
+      const wasComplete = isOver && currentResponse?.complete === true;
       const isKept =
         wasComplete && (refusedAttempts.get(socket)?.size ?? 0) < MAX_REFUSALS;
       context.pool.release(
@@ -211,14 +192,11 @@
     request.end(outgoing.body);
   }
 
-  function readResponse(
-    response: IncomingMessage,
-    wasReset: () => boolean,
-  ): void {
+  function readResponse(response: IncomingMessage): void {
     const status = response.statusCode ?? 0;
     head = context.dialect.readTarget(status, response.headers);
     if (status !== MISDIRECTED) handlers.onTargetHead(head);
-    const isRefusal = head.notExecuted || status === MISDIRECTED;
+    isRefusal = head.notExecuted || status === MISDIRECTED;
     const problem =
       responseProblem(status, head, response, outgoing.attemptId) ??
       (isRefusal && isDoubtful(head) ? DOUBTFUL_REFUSAL : undefined);
@@ -248,26 +226,14 @@
         oversized: 'answer',
       });
     });
-    response.on('error', (error) => {
-      finish({ type: 'broken', reason: error.message });
-    });
-    const reportEnd = (): void => {
-      if (wasReset() || !response.complete) {
-        finish({
-          type: 'broken',
-          reason: 'connection closed before the response was complete',
-        });
-        return;
-      }
-      if (isRefusal && used !== undefined) {
-        noteRefusal(used.socket, outgoing.attemptId);
-      }
-      finish({ type: isRefusal ? 'refused' : 'answered', status });
-    };
-    response.on('end', () => {
-      if (isCloseDelimited(response)) setImmediate(reportEnd);
-      else reportEnd();
-    });
+  }
+
+  function reportComplete({ statusCode: status = 0 }: IncomingMessage): void {
+    if (isOver) return;
+    if (isRefusal && used !== undefined) {
+      noteRefusal(used.socket, outgoing.attemptId);
+    }
+    finish({ type: isRefusal ? 'refused' : 'answered', status });
   }
 
   /** Whether a refusal may be one of an earlier request on its connection. */
@@ -363,15 +329,6 @@
     : 'response has a content encoding';
 }
 
-/** Whether the end of the response is marked by the end of its connection. */
-function isCloseDelimited(response: IncomingMessage): boolean {
-  const { headers } = response;
-  return (
-    headers['content-length'] === undefined &&
-    headers['transfer-encoding'] === undefined
-  );
-}
-
 /**
  * Returns how long the connection may be kept idle, from the Keep-Alive header.
  */
--- a/packages/gateway/src/testGateway/index.ts
+++ b/packages/gateway/src/testGateway/index.ts
@@ -58,10 +58,11 @@
   readonly sends: readonly TestSend[];
   /** Log lines of the gateway. */
   readonly lines: readonly string[];
-  /** Requests a path; resolves at the end of the response. */
+  /** Requests a path, with POST if there is a body; resolves at the end of the response. */
   readonly ask: (
     path: string,
     headers?: OutgoingHttpHeaders,
+    body?: Buffer,
   ) => Promise<TestAnswer>;
   /** Advances the gateway's clock, but no timer. */
   readonly skip: (forMs: number) => void;
@@ -72,10 +73,13 @@
 
 /** Options of {@link startTestGateway}. */
 export interface StartTestGatewayOptions {
-  /** What each target does with a request; `t0` is preferred. */
-  readonly targets: readonly RequestListener[];
+  /** What each target does with a request, or the IP and port of one that is running;
+   * `t0` is preferred. */
+  readonly targets: readonly (RequestListener | string)[];
   /** Differences from a resumable stream route. */
   readonly route?: Partial<ForwardingRoute>;
+  /** Differences from small limits of requests. */
+  readonly limits?: Partial<ForwardingConfig['limits']>;
   /** Makes the targets engines, and requests with a size prompts. */
   readonly engine?: EngineCost;
   readonly queuesRequests?: boolean;
@@ -236,18 +240,22 @@
 ): Promise<TestGateway> {
   const sends: TestSend[] = [];
   const lines: string[] = [];
-  const servers = await Promise.all(
-    options.targets.map((behave, index) =>
-      listen(
+  const servers: Server[] = [];
+  const addresses = await Promise.all(
+    options.targets.map(async (target, index) => {
+      if (typeof target === 'string') return target;
+      const server = await listen(
         createServer((request, response) => {
           const lastEventId = request.headers['last-event-id']?.toString();
           sends.push({ target: `t${index}`, lastEventId });
           request.resume().on('end', () => {
-            behave(request, response);
+            target(request, response);
           });
         }),
-      ),
-    ),
+      );
+      servers.push(server);
+      return `${HOST}:${portOf(server)}`;
+    }),
   );
   const clock = createTestClock();
   const { name = 'e1', connectTarget, busyMs = () => 0 } = options;
@@ -270,12 +278,11 @@
   gateway.runtime.dispatch({
     type: 'roster.listed',
     atMs: 0,
-    targets: testTargets(servers.map((server) => `${HOST}:${portOf(server)}`)),
+    targets: testTargets(addresses),
   });
-  gateway.runtime.applyConfig(
-    testConfig(options.route, options.engine),
-    'test',
-  );
+  const config = testConfig(options.route, options.engine);
+  const limits = { ...config.limits, ...options.limits };
+  gateway.runtime.applyConfig({ ...config, limits }, 'test');
 
   return {
     gateway,
@@ -285,7 +292,7 @@
     peerAddress: started.peerAddress,
     sends,
     lines,
-    ask: (path, headers) => ask(callerPort, path, headers),
+    ask: (path, headers, body) => ask(callerPort, path, headers, body),
     metricsText: started.metrics.text,
     async stop() {
       servers.forEach((server) => {
@@ -314,6 +321,7 @@
   port: number,
   path: string,
   headers: OutgoingHttpHeaders = {},
+  body?: Buffer,
 ): Promise<TestAnswer> {
   return new Promise((resolve, reject) => {
     const request = httpRequest(
@@ -321,6 +329,7 @@
         host: HOST,
         port,
         path,
+        method: body === undefined ? 'GET' : 'POST',
         agent: false,
         headers: { host: 'api.example', 'x-request': 'a1', ...headers },
       },
@@ -343,6 +352,6 @@
       },
     );
     request.on('error', reject);
-    request.end();
+    request.end(body);
   });
 }
