Count answers with transfer codings other than chunked as cut

A target answered with a transfer coding such as gzip. A coding that does not end in chunks also ends with its connection, but the readers took any Transfer-Encoding for a length: such an answer, reset on the way, was delivered as a whole one.

Cause: readers looked at the presence of the field, not at what it says. A coding that the parser does not remove now makes the response broken.

--- a/packages/daemon/src/adapters/_lib/targetAnswer.ts
+++ b/packages/daemon/src/adapters/_lib/targetAnswer.ts
@@ -9,6 +9,8 @@
 
 type Headers = Dispatcher.ResponseData['headers'];
 
+const NO_CONTENT = 204;
+
 /** Maximum size of an error body; a larger one is not read to its end. */
 const MAX_ERROR_BODY_BYTES = 16 * 1024;
 
@@ -40,6 +42,30 @@
   return { type: 'crossed', attemptId: echoed ?? '' };
 }
 
+/**
+ * Checks that the end of a response's body shows whether the body is complete: a response
+ * that ends with its connection looks the same when it is cut. A transfer coding beside
+ * `chunked` is not removed from the body.
+ *
+ * @param response - The response; its body is discarded if there is an error.
+ * @returns A `cut` error for a response with neither a length nor chunks.
+ */
+export function checkFraming({
+  body,
+  headers,
+  statusCode,
+}: Dispatcher.ResponseData): TargetError | undefined {
+  const codings = headers['transfer-encoding'];
+  const isChunked = String(codings).toLowerCase() === 'chunked';
+  const hasLength =
+    codings === undefined &&
+    (statusCode === NO_CONTENT ||
+      getHeader(headers, 'content-length') !== undefined);
+  if (isChunked || hasLength) return undefined;
+  discardBody(body);
+  return { type: 'cut', reason: 'answer without a length' };
+}
+
 /**
  * Checks whether the target reports that it refused the call before it ran.
  *
--- a/packages/daemon/src/adapters/createEngineHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createEngineHttpPort/index.ts
@@ -21,6 +21,7 @@
 import {
   discardBody,
   checkAttemptId,
+  checkFraming,
   ignoreBodyErrors,
   parseJson,
   readTargetError,
@@ -55,6 +56,8 @@
   readonly body?: string | Uint8Array;
   readonly contentType?: string;
   readonly timeoutMs?: number;
+  /** Whether a cut body would pass for a complete one; false by default. */
+  readonly needsFraming?: boolean;
 }
 
 const JSON_TYPE = 'application/json';
@@ -128,7 +131,11 @@
         });
         const isOk = response.statusCode < 300;
         if (!isOk) return E.left(await readTargetError(response));
-        return E.right(await readBody(response.body));
+        const needsFraming = call.needsFraming === true;
+        const unframed = needsFraming ? checkFraming(response) : undefined;
+        return unframed === undefined
+          ? E.right(await readBody(response.body))
+          : E.left(unframed);
       } catch (error) {
         return E.left(toTargetError(error));
       }
@@ -216,7 +223,11 @@
     listReservations: (target) =>
       read(target, '/v1/reservations', reservationsSchema),
     exportKv: (target, attemptId) =>
-      send(target, { method: 'GET', path: `${attemptPath(attemptId)}/kv` }),
+      send(target, {
+        method: 'GET',
+        path: `${attemptPath(attemptId)}/kv`,
+        needsFraming: true,
+      }),
     importKv: (target, attemptId, kv) =>
       discardResult(
         send(target, {
--- a/packages/daemon/src/adapters/createServiceHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createServiceHttpPort/index.ts
@@ -18,6 +18,7 @@
 import {
   discardBody,
   checkAttemptId,
+  checkFraming,
   getHeader,
   isRefusal,
   parseJson,
@@ -111,10 +112,8 @@
     return E.left(crossed);
   }
   if (isRefusal(headers)) return E.left(await readTargetError(response));
-  if (!hasKnownLength(response)) {
-    discardBody(body);
-    return E.left({ type: 'cut', reason: 'answer without a length' });
-  }
+  const unframed = checkFraming(response);
+  if (unframed) return E.left(unframed);
   return E.right({
     attemptId,
     status: statusCode,
@@ -123,18 +122,6 @@
   });
 }
 
-/** Without a length, a complete response looks the same as a truncated one. */
-function hasKnownLength({
-  headers,
-  statusCode,
-}: Dispatcher.ResponseData): boolean {
-  return (
-    statusCode === 204 ||
-    getHeader(headers, 'content-length') !== undefined ||
-    getHeader(headers, 'transfer-encoding') !== undefined
-  );
-}
-
 function headersOf(call: ServiceCall): Record<string, string> {
   return {
     [ATTEMPT_ID_HEADER]: call.attemptId,
--- a/packages/gateway/src/sendRequest/index.ts
+++ b/packages/gateway/src/sendRequest/index.ts
@@ -100,7 +100,7 @@
  * Sends a request to a target and reports the response as it arrives.
  *
  * A response is reported as broken if it has another attempt id, if it is
- * truncated or has an invalid status, or if it is successful but lacks the attempt id or the signature
+ * truncated or has an invalid status or an unknown transfer coding, or if it is successful but lacks the attempt id or the signature
  * or has a content encoding. So is a refusal without an attempt id on a connection that
  * was used before: it may be an earlier one, repeated, while this request runs. The
  * connection is reused only after a complete response, and not for a request that was
@@ -320,6 +320,8 @@
     head.attemptId !== undefined && head.attemptId !== attemptId;
   if (status < MIN_STATUS) return 'response with an invalid status';
   if (isMismatched) return 'response to another request';
+  if (!isReadableCoding(response.headers['transfer-encoding']))
+    return 'response has a transfer coding other than chunked';
   if (!isSuccess) return undefined;
   if (head.attemptId === undefined)
     return 'successful response without an attempt id';
@@ -329,6 +331,12 @@
     : 'response has a content encoding';
 }
 
+/** Whether the parser removes a transfer coding, which is not passed on. `identity`, of
+ * earlier versions of HTTP, changes nothing. */
+function isReadableCoding(codings = 'identity'): boolean {
+  return ['chunked', 'identity'].includes(codings.trim().toLowerCase());
+}
+
 /**
  * Returns how long the connection may be kept idle, from the Keep-Alive header.
  */
--- a/packages/gateway/src/testBrokenAnswers/test.ts
+++ b/packages/gateway/src/testBrokenAnswers/test.ts
@@ -100,6 +100,29 @@
     await expectBroken(ROUNDS);
   });
 
+  (['gzip', 'gzip, chunked', 'chunked, gzip', 'odd'] as const).forEach(
+    (codings) => {
+      // Guards against a body that is passed on as coded, without the field that says so;
+      // one that chunks do not end also looks whole when its connection is reset.
+      it(`are not passed on with transfer codings that callers do not see: ${codings}`, async () => {
+        await start((socket) => {
+          const body = '4\r\nPART\r\n0\r\n\r\n';
+          socket.end(`${RAW_HEAD}transfer-encoding: ${codings}\r\n\r\n${body}`);
+        });
+        await expectBroken(1);
+      });
+    },
+  );
+
+  // Guards against a coding that names no length being taken for one that does.
+  it('are not passed on if reset with a transfer coding other than chunks', async () => {
+    await start((socket) => {
+      socket.write(`${RAW_HEAD}transfer-encoding: identity\r\n\r\nPART`);
+      socket.resetAndDestroy();
+    });
+    await expectBroken(ROUNDS);
+  });
+
   // Guards against whole answers that are taken for broken ones.
   it('are told from whole ones that end with their connection', async () => {
     await start((socket) => {
