End a request whose handling throws an error

What callers saw: no answer at all, for as long as they waited. An error that is thrown into a timer or a socket reaches the handler of unexpected errors, which logs it. By then the request may have ended for the gateway, with its deadline timer stopped, while the response to the caller is still open.

createErrorGuard wraps the handlers of a request, from its arrival on: an error in one of them logs unexpectedError with the attempt, cancels the request's sends, which gives back their slots and reservations, and answers 502, as it may have run; a response that has begun is truncated, and one that has ended is left alone. A send that is started by a request which has ended meanwhile is cancelled as well.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -19,6 +19,10 @@
   createConnectionLimit,
   shareConnections,
 } from '../createConnectionLimit/index.ts';
+import {
+  createErrorGuard,
+  type ErrorGuard,
+} from '../createErrorGuard/index.ts';
 import { createParseTurns } from '../createParseTurns/index.ts';
 import {
   createReply,
@@ -33,7 +37,11 @@
 import { forwardRequest } from '../forwardRequest/index.ts';
 import type { ForwardCall, ForwardContext } from '../forwardRequest/types.ts';
 import type { CallerHead } from '../httpDialect/index.ts';
-import { readBody } from '../readBody/index.ts';
+import {
+  type BodyError,
+  readBody,
+  type ReceivedBody,
+} from '../readBody/index.ts';
 import { bodyFailures } from './_lib/bodyFailures.ts';
 import { checkRequest, type CheckResult } from './_lib/checkRequest.ts';
 import { createOpenRequests } from './_lib/openRequests.ts';
@@ -68,6 +76,7 @@
   readonly maxDescriptors?: number | undefined;
 }
 
+const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
 
 /** Response to bytes that are not an HTTP request. */
@@ -137,7 +146,7 @@
       noDelay: true,
     },
     (request, response) => {
-      handleRequest(request, response, undefined);
+      serve(request, response, undefined);
     },
   );
   server.on('connection', (socket) => {
@@ -167,6 +176,37 @@
     server.headersTimeout = config.limits.headerTimeoutMs;
   });
 
+  function serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    relay: RelayHead | undefined,
+  ): void {
+    guardOf(request, response)(handleRequest, undefined)(
+      request,
+      response,
+      relay,
+    );
+  }
+
+  /** Ends a request whose handling throws an error. It may have run. */
+  function guardOf(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): ErrorGuard {
+    return createErrorGuard((error) => {
+      const reason = error instanceof Error ? error.stack : undefined;
+      log.warn('unexpectedError', {
+        request: attemptOf(request),
+        reason: reason ?? String(error),
+      });
+      if (!request.complete) dropRest(request);
+      createReply(request, response, { isLastResponse: () => true }).fail({
+        status: BAD_GATEWAY,
+        message: 'the request could not be handled; it may have run',
+      });
+    });
+  }
+
   function handleRequest(
     request: IncomingMessage,
     response: ServerResponse,
@@ -281,7 +321,8 @@
       timeoutMs: arrivedAtMs + waitMs - context.now(),
       idleTimeoutMs,
     };
-    readBody(request, options, (read) => {
+    const guard = guardOf(request, response);
+    const onRead = (read: E.Either<BodyError, ReceivedBody>): void => {
       if (E.isLeft(read)) {
         reject(request, reply, bodyFailures(maxBodyBytes)[read.left]);
         return;
@@ -318,7 +359,8 @@
         arrivedAtMs,
       };
       forwardRequest(call, reply, context);
-    });
+    };
+    readBody(request, options, guard(onRead, undefined));
   }
 
   function serveRelayed(
@@ -334,7 +376,7 @@
       ageMs: relay?.ageMs,
       attempts: relay?.attempts,
     });
-    handleRequest(request, response, relay);
+    serve(request, response, relay);
   }
 
   return {
--- a/packages/gateway/src/createReply/index.ts
+++ b/packages/gateway/src/createReply/index.ts
@@ -20,7 +20,8 @@
   readonly end: (bytes?: Buffer) => void;
   /** Closes the connection, so that the caller sees a truncated response. */
   readonly cutOff: () => void;
-  /** Responds with an error of the gateway itself. */
+  /** Responds with an error of the gateway itself, or truncates a response that has
+   * begun; does nothing after its end. */
   readonly fail: (failure: GatewayError) => void;
   readonly onDrain: (listener: () => void) => void;
   /** Bytes of the response that wait for the caller to read. */
@@ -91,6 +92,7 @@
     fail(failure) {
       const { status, message, retryAfterMs } = failure;
       const { closeConnection = false, isLocal = false } = failure;
+      if (response.writableEnded) return;
       if (response.headersSent) {
         response.destroy();
         return;
--- a/packages/gateway/src/forwardRequest/_lib/requestLog.ts
+++ b/packages/gateway/src/forwardRequest/_lib/requestLog.ts
@@ -68,6 +68,8 @@
     grace: GracePeriod | undefined,
     open: OpenAnswer,
   ) => void;
+  /** Logs an error that was thrown while the request was handled. */
+  readonly errorThrown: (error: unknown) => void;
   /** Logs and counts the end of the request for its caller. */
   readonly ended: (end: string, counts: RequestCounts) => void;
 }
@@ -143,6 +145,10 @@
         silenceMs: rounded(silenceMs),
       });
     },
+    errorThrown(error) {
+      const reason = error instanceof Error ? error.stack : undefined;
+      log.warn('unexpectedError', { request, reason: reason ?? String(error) });
+    },
     ended(end, { sends, events, mayHaveRun }) {
       metrics.ended({ rule: route.repeat, end });
       log.info('request.ended', {
--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -10,6 +10,7 @@
   streamStart,
   takeoverObstacle,
 } from '@endivegate/core/forwarding';
+import { createErrorGuard } from '../createErrorGuard/index.ts';
 import type { Reply } from '../createReply/index.ts';
 import { createPartGuard } from '../partGuard/index.ts';
 import { planRelay, planSend, type SendPlan } from '../planSend/index.ts';
@@ -57,7 +58,8 @@
  * id by which later ones can be told. Other responses
  * are buffered and forwarded once complete. When a target is silent for too long,
  * the request is also sent to another one, and the first that goes on keeps it.
- * All sends are cancelled immediately when the caller disconnects.
+ * All sends are cancelled immediately when the caller disconnects. An error that is thrown
+ * while the request is handled ends it.
  *
  * @param call - The request.
  * @param reply - The response to the caller.
@@ -91,26 +93,33 @@
   /** Error of a target, delivered if no other send gives a better answer. */
   let heldAnswer: BufferedResponse | undefined;
   const openSends = createOpenSends();
+  const guard = createErrorGuard(onError);
   let stopWaiting: (() => void) | undefined;
 
   const deadlineTimer = setTimeout(
-    onDeadline,
+    guard(onDeadline, undefined),
     Math.min(Math.max(deadlineAtMs - now(), 0), MAX_TIMER_MS),
   );
-  reply.onDisconnect(onCallerGone);
-  reply.onDrain(openSends.resumeAll);
-  const stopListening = context.reachProbe.onCutOff(() => {
-    openSends.toTargets().forEach(takeOver);
-  });
-  const stopAwaitingEnd = context.shutdown?.onEnd(onShutdown);
-  if (!call.isRelayed) {
-    runtime.dispatch({
-      type: 'budget.requested',
-      atMs: now(),
-      service: service.name,
-    });
+  reply.onDisconnect(guard(onCallerGone, undefined));
+  reply.onDrain(guard(openSends.resumeAll, undefined));
+  const stopListening = context.reachProbe.onCutOff(
+    guard(() => {
+      openSends.toTargets().forEach(takeOver);
+    }, undefined),
+  );
+  const stopAwaitingEnd = context.shutdown?.onEnd(guard(onShutdown, undefined));
+  guard(begin, undefined)();
+
+  function begin(): void {
+    if (!call.isRelayed) {
+      runtime.dispatch({
+        type: 'budget.requested',
+        atMs: now(),
+        service: service.name,
+      });
+    }
+    sendOnce();
   }
-  sendOnce();
 
   function sendOnce(admitted?: SendPlan): void {
     if (!endsInTime()) {
@@ -150,7 +159,8 @@
     const state = { isFirst: sends === 0, isAlone, mayHaveBegun };
     const functions = { planNow, timeLeftNow, endsInTime, refuse, giveUp };
     const query = { call, plan, left, deadlineAtMs, ...state, ...functions };
-    stopWaiting = admitSend({ ...query, send: sendOnce }, context);
+    const send = guard(sendOnce, undefined);
+    stopWaiting = admitSend({ ...query, send }, context);
   }
 
   function refuse(refusal: SendRefusal): void {
@@ -269,10 +279,12 @@
           openSends.remove(send);
           onSendEnd({ plan, sentAtMs }, result);
         },
+        onError,
       },
       context,
     );
     if (openSends.has(send)) send.handle = handle;
+    else handle.cancel();
   }
 
   function onSent(): void {
@@ -488,6 +500,16 @@
     reply.cutOff();
   }
 
+  /** Ends the request, of which nothing is known for certain any more. */
+  function onError(error: unknown): void {
+    requestLog.errorThrown(error);
+    try {
+      if (!isOver) finish('failed');
+    } finally {
+      replyBrokenOff(reply);
+    }
+  }
+
   function recordResponseTime(): void {
     metrics.answered({
       rule: route.repeat,
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -7,6 +7,7 @@
   type TargetLoad,
 } from '@endivegate/core/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
+import { createErrorGuard } from '../createErrorGuard/index.ts';
 import type { ForwardContext } from '../forwardRequest/types.ts';
 import type { TargetHead } from '../httpDialect/index.ts';
 import {
@@ -71,6 +72,7 @@
   const { target } = plan;
   const flightId = `${call.attemptId}/${run.number}`;
   const startedAtMs = now();
+  const guard = createErrorGuard(handlers.onError);
   const splitter = createEventSplitter();
   const answerBuffer = bufferAnswer(runtime, breakOff);
   let head: ResponseHead | undefined;
@@ -85,7 +87,7 @@
   const stallDetector = createStallDetector({
     remainingSilenceMs: remainingMs,
     backlogMs: () => targetLoad()?.prefillMs ?? 0,
-    onSilence: handlers.onSilence,
+    onSilence: guard(handlers.onSilence, undefined),
   });
 
   logSend(run, context);
@@ -102,7 +104,7 @@
         requestId: call.attemptId,
         reservationId: flightId,
       },
-      (held) => {
+      guard((held) => {
         if (isOver) return;
         if (E.isRight(held)) send(held.right);
         else
@@ -110,7 +112,7 @@
             type: 'notSent',
             reason: `memory reservation failed: ${held.left.type}`,
           });
-      },
+      }, undefined),
     );
   }
 
@@ -135,19 +137,20 @@
       },
       {
         obstacle: () => sendObstacle(plan, context),
-        onSent,
-        onTargetHead: (targetHead) => {
+        onSent: guard(onSent, undefined),
+        onTargetHead: guard((targetHead) => {
           if (plan.isRelay) return;
           context.reachProbe.noteReceived();
           recordAnnouncements({ target, head: targetHead, sentAtMs }, context);
-        },
-        onHead,
-        onBody,
-        onEnd: finish,
+        }, undefined),
+        onHead: guard(onHead, undefined),
+        onBody: guard(onBody, undefined),
+        onEnd: guard(finish, undefined),
       },
       plan.isRelay ? relayContext(context) : context,
     );
-    if (!isOver) sending = started;
+    if (isOver) started.cancel();
+    else sending = started;
   }
 
   /** The target's silence begins here: what this entry needed until then, to
--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -254,6 +254,7 @@
           onEvent: () => true,
           onSilence: () => undefined,
           onEnd: () => undefined,
+          onError: () => undefined,
         },
         {
           entryName: 'e1',
--- a/packages/gateway/src/runSend/types.ts
+++ b/packages/gateway/src/runSend/types.ts
@@ -52,6 +52,9 @@
    */
   readonly onSilence: () => void;
   readonly onEnd: (result: SendResult) => void;
+  /** Called with an error that is thrown while the send is handled, also by the callbacks
+   * above. The send has to be cancelled. */
+  readonly onError: (error: unknown) => void;
 }
 
 /** Handle of a send in progress. No handler is called after its end. */
