Keep nothing of a send that is cancelled

Targets sent bodies without end. Each such answer is given up at its limit, but the entry kept all of it: two entries with 24 callers each held 3.1 to 3.6 GB after 3 s (limit of the machine: 350 MB), three callers each 0.7 to 1.2 GB. A process above the limit is ended, and with it the requests of all others (LOST).

Cause: the function that ends an attempt to connect was called also after the connection had been handed over. It removes all listeners of the connection, among them the one by which Node's HTTP client learns of its end. Node then keeps the parser of the connection for good, and with it the request, its body, the handlers of the send and what was received of the answer. So it holds for each send that is cancelled on a new connection: an answer that is too large, a caller that leaves, a deadline, a takeover.

Now the function does nothing once the connection is handed over.

--- a/packages/gateway/src/createConnectionPool/index.ts
+++ b/packages/gateway/src/createConnectionPool/index.ts
@@ -30,7 +30,7 @@
 export interface ConnectionPool {
   /**
    * Calls `done` once, with an idle or a new connection or a failure. The
-   * returned function cancels the attempt.
+   * returned function cancels the attempt; it does nothing after `done`.
    */
   readonly acquire: (
     query: ConnectQuery,
@@ -216,13 +216,17 @@
   socket.once('error', (error) => {
     fail(error.message);
   });
+  let isHandedOver = false;
   socket.once('connect', () => {
     stopTimer();
     socket.removeAllListeners();
     socket.on('error', ignoreError);
+    isHandedOver = true;
     done({ socket, isReused: false });
   });
   return () => {
+    // By now, the listeners are those of whoever has the connection.
+    if (isHandedOver) return;
     stopTimer();
     socket.removeAllListeners();
     socket.on('error', ignoreError);
--- a/packages/gateway/src/sendRequest/test.ts
+++ b/packages/gateway/src/sendRequest/test.ts
@@ -302,6 +302,60 @@
     expect(counts[2]).to.deep.equal(counts[0]);
   });
 
+  // Guards against a request, its body and what was received of its answer that Node keeps
+  // for good, because the end of the connection is not reported to it.
+  it('leaves the listeners of its connection in place when it is cancelled', async () => {
+    const { address, server } = await startTarget((socket) => {
+      socket.write(`${HEAD}\r\npart`);
+    });
+    const pool = createConnectionPool();
+    const outgoing: OutgoingRequest = {
+      address,
+      method: 'GET',
+      path: '/a/',
+      headers: [],
+      body: Buffer.alloc(0),
+      attemptId: 'a1',
+      freshConnection: true,
+    };
+    const used: Socket[] = [];
+    const observedPool: ConnectionPool = {
+      ...pool,
+      acquire: (query, done) =>
+        pool.acquire(query, (result) => {
+          if (!('type' in result)) used.push(result.socket);
+          done(result);
+        }),
+    };
+    const counts = await new Promise<readonly number[]>((resolve) => {
+      const countListeners = (): readonly number[] =>
+        ['close', 'end', 'data'].map(
+          (name) => used[0]?.listenerCount(name) ?? 0,
+        );
+      const sent = sendRequest(
+        outgoing,
+        {
+          onSent: () => undefined,
+          onTargetHead: () => undefined,
+          onHead: () => undefined,
+          onBody() {
+            const before = countListeners();
+            used[0]?.once('close', () => {
+              resolve(before);
+            });
+            sent.cancel();
+          },
+          onEnd: () => undefined,
+        },
+        { pool: observedPool, dialect: testDialect },
+      );
+    });
+    pool.close();
+    server.close();
+    expect(used[0]?.destroyed).to.equal(true);
+    expect(counts.every((count) => count > 0)).to.equal(true);
+  });
+
   // Guards against a success with an empty or short body, framed as whole, when a target
   // stops within the head of its response.
   it('reports a response that ends within its head as broken', async () => {
--- a/packages/gateway/src/testEndlessServer/index.ts
+++ b/packages/gateway/src/testEndlessServer/index.ts
@@ -2,8 +2,8 @@
 
 /** What a server of {@link startEndlessServer} writes to each connection. */
 export interface EndlessScript {
-  /** Written once, after the first bytes of a request arrived. */
-  readonly opening?: string;
+  /** Written once, after the first bytes of a request arrived; may depend on them. */
+  readonly opening?: string | ((request: string) => string);
   /** Written again and again until the connection closes. */
   readonly repeated: string | Buffer;
   /** Pause before each write but the opening; 0 by default. */
@@ -63,9 +63,11 @@
     };
     const openTimer = setTimeout(giveUp, MAX_OPEN_MS);
     socket.on('error', () => undefined);
-    socket.once('data', () => {
+    socket.once('data', (received) => {
       socket.resume();
-      if (script.opening !== undefined) socket.write(script.opening);
+      const { opening = '' } = script;
+      const isFixed = typeof opening === 'string';
+      socket.write(isFixed ? opening : opening(received.toString('latin1')));
       writeOn(socket, script, giveUp);
     });
     socket.once('close', () => {
