Fit the answers that an entry receives into a machine of 250 MB

Targets sent bodies without end, to 24 callers at each of two entries: with nothing kept for good any more, the processes still took 299 to 336 MB. The smallest machine has 250 MB; a process above that is ended (LOST).

Causes: a send that was given up joined what it had received once more, for nobody. Each answer that is given up leaves up to 32 MiB of blocks, and Node collects them only once tens of megabytes are unused. And the limit of all answers together, 64 MiB, did not follow the size of the machine, as the budget of callers' bodies does.

An answer is joined only if it is complete. Blocks of 256 KiB come from a pool and return to it (blockPool); a collector never hands out a block of the pool, so that no answer shares memory with another one. All answers together take 3/16 of the machine's memory, 64 MiB at most: 47 of 250 MB, 64 MiB from 358 MB on.

Tests of the pool check that no bytes are mixed.

--- a/packages/core/src/forwarding/collectBytes/index.ts
+++ b/packages/core/src/forwarding/collectBytes/index.ts
@@ -1,3 +1,5 @@
+import type { BlockPool } from '../blockPool/index.ts';
+
 /** Collects the chunks of a text or body of limited length. */
 export interface ByteCollector {
   /**
@@ -9,13 +11,17 @@
   readonly byteLength: () => number;
   /** Memory that is held for them, in bytes. */
   readonly heldBytes: () => number;
-  /** All bytes; valid until the next call of `add`. */
+  /** All bytes; valid until the next call of `add`, and beyond `clear`. */
   readonly bytes: () => Uint8Array;
+  /** Drops all bytes. */
+  readonly clear: () => void;
 }
 
 /** Options of {@link collectBytes}. */
 export interface CollectBytesOptions {
   readonly maxBytes: number;
+  /** Where the blocks of a large body come from; they are allocated by default. */
+  readonly blocks?: BlockPool;
 }
 
 /** Sizes of the first block, and of the largest one unless a chunk is larger. */
@@ -33,10 +39,14 @@
  * const body = collectBytes({ maxBytes: 1000 });
  * if (!body.add(chunk)) connection.close();
  */
-export function collectBytes({ maxBytes }: CollectBytesOptions): ByteCollector {
+export function collectBytes(options: CollectBytesOptions): ByteCollector {
+  const { maxBytes, blocks } = options;
+  const maxBlockBytes = blocks?.blockBytes ?? MAX_BLOCK_BYTES;
+  /** Blocks that belong to the pool; never handed out by `bytes`. */
+  let lentBlocks: Uint8Array[] = [];
   let fullBlocks: Uint8Array[] = [];
   let fullBytes = 0;
-  let block = new Uint8Array(0);
+  let block: Uint8Array = new Uint8Array(0);
   let blockLength = 0;
   let isExceeded = false;
 
@@ -45,14 +55,25 @@
     fullBytes += blockLength;
     const usualBytes = Math.min(
       Math.max(fullBytes, MIN_BLOCK_BYTES),
-      MAX_BLOCK_BYTES,
+      maxBlockBytes,
       maxBytes - fullBytes,
     );
-    block = new Uint8Array(Math.max(neededBytes, usualBytes));
+    const blockBytes = Math.max(neededBytes, usualBytes);
+    block =
+      blockBytes === maxBlockBytes ? borrowBlock() : new Uint8Array(blockBytes);
     blockLength = 0;
   }
 
+  function borrowBlock(): Uint8Array {
+    if (blocks === undefined) return new Uint8Array(maxBlockBytes);
+    const lent = blocks.take();
+    lentBlocks.push(lent);
+    return lent;
+  }
+
   function drop(): void {
+    lentBlocks.forEach((lent) => blocks?.give(lent));
+    lentBlocks = [];
     fullBlocks = [];
     fullBytes = 0;
     block = new Uint8Array(0);
@@ -85,7 +106,7 @@
     heldBytes: () => fullBytes + block.length,
     bytes() {
       const last = block.subarray(0, blockLength);
-      if (fullBlocks.length === 0) return last;
+      if (fullBlocks.length + lentBlocks.length === 0) return last;
       const joined = new Uint8Array(fullBytes + blockLength);
       [...fullBlocks, last].reduce((offset, part) => {
         joined.set(part, offset);
@@ -96,5 +117,6 @@
       blockLength = joined.length;
       return joined;
     },
+    clear: drop,
   };
 }
--- a/packages/gateway/src/forwardRequest/types.ts
+++ b/packages/gateway/src/forwardRequest/types.ts
@@ -69,6 +69,8 @@
   /** The shutdown of this entry; default: none. */
   readonly shutdown?: Shutdown | undefined;
   readonly dataCentre: string;
+  /** Memory of the machine in bytes; that of a small one by default. */
+  readonly memoryBytes?: number | undefined;
   /** Name of this entry. */
   readonly entryName: string;
   readonly targetDeaths: TargetDeaths;
--- a/packages/gateway/src/runSend/_lib/bufferAnswer.ts
+++ b/packages/gateway/src/runSend/_lib/bufferAnswer.ts
@@ -1,10 +1,15 @@
-import { collectBytes } from '@endivegate/core/forwarding';
+import {
+  type BlockPool,
+  collectBytes,
+  createBlockPool,
+} from '@endivegate/core/forwarding';
 
 /** A plain answer that is kept until it is complete. */
 export interface AnswerBuffer {
   readonly add: (chunk: Buffer) => void;
+  /** All bytes; valid beyond `release`. */
   readonly bytes: () => Buffer;
-  /** Stops counting the answer among those that are being received. */
+  /** Drops the answer, and stops counting it among those that are being received. */
   readonly release: () => void;
 }
 
@@ -29,17 +34,32 @@
 /** No bound of plain answers is stated; answers of several MB are sound. */
 const MAX_ANSWER_BYTES = 32 * MIB;
 
-/** A quarter of the memory of the smallest entry, which has 250 MB. */
 const MAX_TOTAL_BYTES = 64 * MIB;
 
-const DEFAULTS: BufferAnswerLimits = {
-  maxAnswerBytes: MAX_ANSWER_BYTES,
-  maxTotalBytes: MAX_TOTAL_BYTES,
-};
+/** Part of the machine's memory that all answers may take. */
+const ANSWERS_SHARE = 0.1875;
+
+const DEFAULT_MEMORY_BYTES = 250_000_000;
+
+/**
+ * Returns the limits of an entry.
+ *
+ * @param memoryBytes - Memory of its machine; that of a small one by default.
+ */
+export function answerLimits(
+  memoryBytes = DEFAULT_MEMORY_BYTES,
+): BufferAnswerLimits {
+  const maxTotalBytes = Math.min(MAX_TOTAL_BYTES, memoryBytes * ANSWERS_SHARE);
+  return {
+    maxAnswerBytes: Math.min(MAX_ANSWER_BYTES, maxTotalBytes),
+    maxTotalBytes,
+  };
+}
 
 /** Answers that an entry is receiving, and their size together. */
 interface ReceivedAnswers {
   readonly answers: Set<ReceivedAnswer>;
+  readonly blocks: BlockPool;
   totalBytes: number;
 }
 
@@ -59,10 +79,11 @@
 export function bufferAnswer(
   owner: object,
   onExcess: (limit: AnswerExcess) => void,
-  limits: BufferAnswerLimits = DEFAULTS,
+  limits: BufferAnswerLimits,
 ): AnswerBuffer {
-  const collector = collectBytes({ maxBytes: limits.maxAnswerBytes });
-  const received = receivedBy(owner);
+  const received = receivedBy(owner, limits);
+  const { blocks } = received;
+  const collector = collectBytes({ maxBytes: limits.maxAnswerBytes, blocks });
   let countedBytes = 0;
   const self: ReceivedAnswer = {
     byteLength: collector.byteLength,
@@ -73,9 +94,11 @@
   };
 
   function release(): void {
+    collector.clear();
     received.answers.delete(self);
     received.totalBytes -= countedBytes;
     countedBytes = 0;
+    if (received.answers.size === 0) blocks.clear();
   }
 
   return {
@@ -100,10 +123,17 @@
   };
 }
 
-function receivedBy(owner: object): ReceivedAnswers {
+function receivedBy(
+  owner: object,
+  { maxTotalBytes }: BufferAnswerLimits,
+): ReceivedAnswers {
   const known = receivedByOwner.get(owner);
   if (known !== undefined) return known;
-  const received = { answers: new Set<ReceivedAnswer>(), totalBytes: 0 };
+  const received = {
+    answers: new Set<ReceivedAnswer>(),
+    blocks: createBlockPool({ maxUnusedBytes: maxTotalBytes }),
+    totalBytes: 0,
+  };
   receivedByOwner.set(owner, received);
   return received;
 }
--- a/packages/gateway/src/runSend/_lib/test.ts
+++ b/packages/gateway/src/runSend/_lib/test.ts
@@ -11,7 +11,7 @@
 } from '@endivegate/core/forwarding';
 import type { GatewayRuntime } from '../../gatewayRuntime/index.ts';
 import type { SendPlan } from '../../planSend/index.ts';
-import { bufferAnswer } from './bufferAnswer.ts';
+import { answerLimits, bufferAnswer } from './bufferAnswer.ts';
 import { createEventTimes } from './eventTimes.ts';
 import { createStallDetector } from './stallDetector.ts';
 import { remainingSilenceMs } from './remainingSilenceMs.ts';
@@ -123,6 +123,8 @@
   });
 });
 
+const MIB = 1024 * 1024;
+
 describe('bufferAnswer', () => {
   const limits = { maxAnswerBytes: 10, maxTotalBytes: 15 };
   const chunk = (bytes: number) => Buffer.alloc(bytes, 'x');
@@ -168,6 +170,44 @@
     [1, 2, 3].forEach(add);
     expect(excess).to.deep.equal([]);
   });
+
+  // Guards against answers that fill a small machine although they keep to a limit.
+  it('leaves most of the memory of a machine to others', () => {
+    const limits250 = answerLimits(250_000_000);
+    expect([
+      limits250,
+      answerLimits(),
+      answerLimits(8_000_000_000),
+    ]).to.deep.equal([
+      { maxAnswerBytes: 32 * MIB, maxTotalBytes: 46_875_000 },
+      limits250,
+      { maxAnswerBytes: 32 * MIB, maxTotalBytes: 64 * MIB },
+    ]);
+  });
+
+  // Guards against an answer with bytes of one that was given up.
+  it('keeps the bytes of a complete answer when their blocks are used again', () => {
+    const owner = {};
+    const sizes = { maxAnswerBytes: 2 * MIB, maxTotalBytes: 8 * MIB };
+    const receive = (fill: string, given: boolean): Buffer => {
+      const answer = bufferAnswer(owner, () => undefined, sizes);
+      Array.from({ length: 20 }).forEach(() => {
+        answer.add(Buffer.alloc(MIB / 16, fill));
+      });
+      const bytes = given ? answer.bytes() : Buffer.alloc(0);
+      answer.release();
+      return bytes;
+    };
+    const other = bufferAnswer(owner, () => undefined, sizes);
+    other.add(chunk(1));
+    const first = receive('a', true);
+    receive('b', false);
+    const second = receive('c', true);
+    other.release();
+    const length = (20 * MIB) / 16;
+    expect(first.equals(Buffer.alloc(length, 'a'))).to.equal(true);
+    expect(second.equals(Buffer.alloc(length, 'c'))).to.equal(true);
+  });
 });
 
 describe('createStallDetector', () => {
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -21,7 +21,7 @@
   sendRequest,
 } from '../sendRequest/index.ts';
 import { createEventSplitter, type StreamEvent } from '../splitEvents/index.ts';
-import { bufferAnswer } from './_lib/bufferAnswer.ts';
+import { answerLimits, bufferAnswer } from './_lib/bufferAnswer.ts';
 import { reportOversized } from './_lib/reportOversized.ts';
 import { recordAnnouncements } from './_lib/recordAnnouncements.ts';
 import { createEventTimes } from './_lib/eventTimes.ts';
@@ -74,7 +74,11 @@
   const startedAtMs = now();
   const guard = createErrorGuard(handlers.onError);
   const splitter = createEventSplitter();
-  const answerBuffer = bufferAnswer(runtime, breakOff);
+  const answerBuffer = bufferAnswer(
+    runtime,
+    breakOff,
+    answerLimits(context.memoryBytes),
+  );
   let head: ResponseHead | undefined;
   let isStream = false;
   const eventTimes = createEventTimes(startedAtMs);
@@ -168,6 +172,7 @@
   }
 
   function onBody(chunk: Buffer): void {
+    if (isOver) return;
     if (!plan.isRelay) context.reachProbe.noteReceived();
     if (!isStream) {
       answerBuffer.add(chunk);
@@ -269,7 +274,6 @@
   function finish(reported: SendEnd, targetHead?: TargetHead): void {
     if (isOver) return;
     const passTimeRatio = observedPassTimeRatio();
-    cleanUp(reported);
     const end: SendEnd = isStream
       ? checkStreamEnd(reported, {
           pendingBytes: splitter.pendingBytes(),
@@ -277,11 +281,13 @@
             eventTimes.eventCount() > 0 || run.resumeAfterId !== undefined,
         })
       : reported;
-    recordEnd(end);
+    const isWhole = !isStream && end.type === 'answered';
     const answer =
-      isStream || head === undefined
-        ? undefined
-        : { head, body: answerBuffer.bytes() };
+      isWhole && head !== undefined
+        ? { head, body: answerBuffer.bytes() }
+        : undefined;
+    cleanUp(reported);
+    recordEnd(end);
     handlers.onEnd({
       end,
       target: targetHead,
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -165,6 +165,7 @@
       shutdown,
       dataCentre: options.dataCentre,
       entryName: options.name,
+      memoryBytes: options.memoryBytes,
       targetDeaths,
       startedAtMs: now(),
       now,
