Write the events that arrive together at once

Targets sent streams of events without data, without end (": nothing"), to 60 callers at each of two entries. An entry ended by itself after 3.4 s: its heap was full (SIGABRT), and with it ended the requests of all others (LOST). The other one held 261 MB of 250.

Cause: a read of 64 KiB holds thousands of such events, and each was written to the caller by itself, which takes several objects of the heap until the caller has read it. The pause for slow callers came after all events of a read.

The events of a read are now written at once, in one buffer of their own. The order against the end of a send is as before: events before one that cannot be ordered are forwarded, then the send ends.

--- a/packages/gateway/src/forwardRequest/index.ts
+++ b/packages/gateway/src/forwardRequest/index.ts
@@ -271,7 +271,7 @@
           send.wasSent = true;
           onSent();
         },
-        onEvent: (event, head) => onEvent(send, event, head),
+        onEvents: (received, head) => onEvents(send, received, head),
         onSilence: () => {
           takeOver(send);
         },
@@ -297,9 +297,9 @@
     });
   }
 
-  function onEvent(
+  function onEvents(
     send: OpenSend,
-    event: StreamEvent,
+    received: readonly StreamEvent[],
     head: ResponseHead,
   ): boolean {
     if (openSends.supersede(send) > 0) mayHaveRun = true;
@@ -310,10 +310,16 @@
       beginStream(reply, head);
       recordResponseTime();
     }
-    position = advanceStream(position, event);
+    position = received.reduce(advanceStream, position);
     lastEventAtMs = now();
-    events += 1;
-    return reply.write(event.bytes);
+    events += received.length;
+    const [first] = received;
+    const isSingle = received.length === 1 && first !== undefined;
+    return reply.write(
+      isSingle
+        ? first.bytes
+        : Buffer.concat(received.map(({ bytes }) => bytes)),
+    );
   }
 
   function onSendEnd(
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -73,12 +73,12 @@
   const flightId = `${call.attemptId}/${run.number}`;
   const startedAtMs = now();
   const guard = createErrorGuard(handlers.onError);
-  const splitter = createEventSplitter();
   const answerBuffer = bufferAnswer(
     runtime,
     breakOff,
     answerLimits(context.memoryBytes),
   );
+  const splitter = createEventSplitter();
   let head: ResponseHead | undefined;
   let isStream = false;
   const eventTimes = createEventTimes(startedAtMs);
@@ -178,9 +178,12 @@
       answerBuffer.add(chunk);
       return;
     }
-    const canContinue = splitter.push(chunk).map(forwardEvent).every(Boolean);
-    if (splitter.isOversized()) breakOff('event');
-    else if (!canContinue) pause();
+    const canContinue = forwardEvents(splitter.push(chunk));
+    if (splitter.isOversized()) {
+      breakOff('event');
+      return;
+    }
+    if (!canContinue) pause();
   }
 
   /** Ends the send because the target sends too much. */
@@ -204,21 +207,33 @@
     sending?.resume();
   }
 
-  function forwardEvent(event: StreamEvent): boolean {
+  /** Forwards the events of a chunk together: each write takes memory of its own. */
+  function forwardEvents(received: readonly StreamEvent[]): boolean {
     if (isOver || head === undefined) return true;
+    const orders = received.map(orderOf);
+    const unknownAt = orders.indexOf('unknown');
+    const known = unknownAt < 0 ? received : received.slice(0, unknownAt);
+    known.forEach(recordEvent);
+    const fresh = known.filter((_event, index) => orders[index] === 'new');
+    const canContinue = fresh.length === 0 || handlers.onEvents(fresh, head);
+    if (unknownAt >= 0) {
+      sending?.cancel();
+      finish({ type: 'broken', reason: UNORDERED_EVENT });
+    }
+    return canContinue;
+  }
+
+  function orderOf(event: StreamEvent): ReturnType<typeof orderEvent> {
+    return run.resumeAfterId === undefined
+      ? 'new'
+      : orderEvent(event, run.resumeAfterId);
+  }
+
+  function recordEvent(): void {
     const gapMs = eventTimes.note(now());
     if (gapMs === undefined) recordFirstEvent();
     else if (gapMs > call.route.gapTargetMs) markLate();
     stallDetector.reset();
-    const order =
-      run.resumeAfterId === undefined
-        ? 'new'
-        : orderEvent(event, run.resumeAfterId);
-    if (order === 'unknown') {
-      sending?.cancel();
-      finish({ type: 'broken', reason: UNORDERED_EVENT });
-    }
-    return order !== 'new' || handlers.onEvent(event, head);
   }
 
   function recordFirstEvent(): void {
--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -251,7 +251,7 @@
         },
         {
           onSent: () => undefined,
-          onEvent: () => true,
+          onEvents: () => true,
           onSilence: () => undefined,
           onEnd: () => undefined,
           onError: () => undefined,
--- a/packages/gateway/src/runSend/types.ts
+++ b/packages/gateway/src/runSend/types.ts
@@ -43,9 +43,13 @@
   /** Called before the request is written; it may run from then on. */
   readonly onSent: () => void;
   /**
-   * Returns false if the stream should be paused until the caller catches up.
+   * Called with events that arrived together, in order. Returns false if the stream should
+   * be paused until the caller catches up.
    */
-  readonly onEvent: (event: StreamEvent, head: ResponseHead) => boolean;
+  readonly onEvents: (
+    events: readonly StreamEvent[],
+    head: ResponseHead,
+  ) => boolean;
   /**
    * Called when the target has been silent for too long, and again while it stays
    * so. The send goes on.
