Count events that do not end among the answers that an entry receives

Cause: the limit of all answers together counted plain answers only; the bytes of an event that has not ended were bounded by stream.

--- a/packages/gateway/src/runSend/_lib/bufferAnswer.ts
+++ b/packages/gateway/src/runSend/_lib/bufferAnswer.ts
@@ -4,9 +4,14 @@
   createBlockPool,
 } from '@endivegate/core/forwarding';
 
-/** A plain answer that is kept until it is complete. */
+/** What is kept of an answer that is being received. */
 export interface AnswerBuffer {
+  /** Adds to a plain answer, which is kept until it is complete. */
   readonly add: (chunk: Buffer) => void;
+  /** Sets the size of the incomplete event of a stream, which is kept elsewhere. */
+  readonly holdEvent: (bytes: number) => void;
+  /** Memory for what is kept elsewhere. */
+  readonly blocks: BlockPool;
   /** All bytes; valid beyond `release`. */
   readonly bytes: () => Buffer;
   /** Drops the answer, and stops counting it among those that are being received. */
@@ -66,7 +71,8 @@
 const receivedByOwner = new WeakMap<object, ReceivedAnswers>();
 
 /**
- * Creates the buffer of an answer that is forwarded once it is complete.
+ * Creates the buffer of an answer: of a plain one until it is complete, or of a stream's
+ * incomplete event.
  *
  * When all answers of an entry together exceed their limit, the largest is
  * broken off, so that an answer without end does not cost a smaller one.
@@ -86,34 +92,46 @@
   const collector = collectBytes({ maxBytes: limits.maxAnswerBytes, blocks });
   let countedBytes = 0;
   const self: ReceivedAnswer = {
-    byteLength: collector.byteLength,
+    byteLength: () => countedBytes,
     breakOff() {
       release();
       onExcess('answers');
     },
   };
 
+  function count(bytes: number): void {
+    received.totalBytes += bytes - countedBytes;
+    countedBytes = bytes;
+    if (bytes > 0) received.answers.add(self);
+    else received.answers.delete(self);
+    if (received.answers.size === 0) blocks.clear();
+  }
+
+  function makeRoom(): void {
+    if (received.totalBytes > limits.maxTotalBytes) {
+      largestOf(received.answers)?.breakOff();
+    }
+  }
+
   function release(): void {
     collector.clear();
-    received.answers.delete(self);
-    received.totalBytes -= countedBytes;
-    countedBytes = 0;
-    if (received.answers.size === 0) blocks.clear();
+    count(0);
   }
 
   return {
+    blocks,
     add(chunk) {
       if (!collector.add(chunk)) {
         release();
         onExcess('answer');
         return;
       }
-      received.answers.add(self);
-      received.totalBytes += chunk.length;
-      countedBytes += chunk.length;
-      if (received.totalBytes > limits.maxTotalBytes) {
-        largestOf(received.answers)?.breakOff();
-      }
+      count(collector.byteLength());
+      makeRoom();
+    },
+    holdEvent(bytes) {
+      count(bytes);
+      makeRoom();
     },
     bytes() {
       const { buffer, byteOffset, byteLength } = collector.bytes();
--- a/packages/gateway/src/runSend/_lib/test.ts
+++ b/packages/gateway/src/runSend/_lib/test.ts
@@ -159,6 +159,22 @@
     expect(other?.bytes().length).to.equal(8);
   });
 
+  // Guards against many streams whose events do not end.
+  it('counts incomplete events with answers, and only while they are kept', () => {
+    const owner = {};
+    const excess: string[] = [];
+    const [plain, stream] = ['plain', 'stream'].map((name) =>
+      bufferAnswer(owner, (limit) => excess.push(`${name} ${limit}`), limits),
+    );
+    [14, 0, 9].forEach((bytes) => stream?.holdEvent(bytes));
+    plain?.add(chunk(6));
+    expect(excess).to.deep.equal([]);
+    stream?.holdEvent(10);
+    expect(excess).to.deep.equal(['stream answers']);
+    plain?.add(chunk(4));
+    expect(excess).to.deep.equal(['stream answers']);
+  });
+
   it('no longer counts an answer that was released', () => {
     const owner = {};
     const excess: string[] = [];
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -78,7 +78,7 @@
     breakOff,
     answerLimits(context.memoryBytes),
   );
-  const splitter = createEventSplitter();
+  const splitter = createEventSplitter({ blocks: answerBuffer.blocks });
   let head: ResponseHead | undefined;
   let isStream = false;
   const eventTimes = createEventTimes(startedAtMs);
@@ -184,6 +184,7 @@
       return;
     }
     if (!canContinue) pause();
+    holdPendingEvent();
   }
 
   /** Ends the send because the target sends too much. */
@@ -207,6 +208,11 @@
     sending?.resume();
   }
 
+  /** Counts the incomplete event, unless the send has ended meanwhile. */
+  function holdPendingEvent(): void {
+    if (!isOver) answerBuffer.holdEvent(splitter.pendingBytes());
+  }
+
   /** Forwards the events of a chunk together: each write takes memory of its own. */
   function forwardEvents(received: readonly StreamEvent[]): boolean {
     if (isOver || head === undefined) return true;
@@ -281,6 +287,7 @@
     isOver = true;
     stallDetector.stop();
     releaseMemory?.();
+    splitter.clear();
     answerBuffer.release();
     const leavesParts = wasSent && end?.type !== 'refused';
     runtime.dispatch({ type: 'load.ended', flightId, leavesParts });
--- a/packages/gateway/src/splitEvents/index.ts
+++ b/packages/gateway/src/splitEvents/index.ts
@@ -1,4 +1,9 @@
-import { collectBytes, type EventMark } from '@endivegate/core/forwarding';
+import {
+  type BlockPool,
+  type ByteCollector,
+  collectBytes,
+  type EventMark,
+} from '@endivegate/core/forwarding';
 
 /** A complete server-sent event. Its id stays the text that was sent. */
 export interface StreamEvent extends EventMark {
@@ -13,12 +18,16 @@
   readonly pendingBytes: () => number;
   /** Whether an event exceeded the limit; no events are returned from then on. */
   readonly isOversized: () => boolean;
+  /** Drops the buffered bytes. */
+  readonly clear: () => void;
 }
 
 /** Options of {@link createEventSplitter}. */
 export interface CreateEventSplitterOptions {
   /** Maximum size of an event; {@link MAX_EVENT_BYTES} by default. */
   readonly maxEventBytes?: number;
+  /** Where the memory of large events comes from; it is allocated by default. */
+  readonly blocks?: BlockPool;
 }
 
 /** No bound is stated; an event of one decoding step has some hundred bytes. */
@@ -40,8 +49,13 @@
 export function createEventSplitter(
   options: CreateEventSplitterOptions = {},
 ): EventSplitter {
-  const { maxEventBytes = MAX_EVENT_BYTES } = options;
-  let pending = collectBytes({ maxBytes: maxEventBytes });
+  const { maxEventBytes = MAX_EVENT_BYTES, blocks } = options;
+  const collectEvent = (): ByteCollector =>
+    collectBytes({
+      maxBytes: maxEventBytes,
+      ...(blocks === undefined ? {} : { blocks }),
+    });
+  let pending = collectEvent();
   let endsInLineEnd = false;
   let isOversized = false;
 
@@ -61,7 +75,7 @@
   /** Returns the event that the chunk completes, if one was pending. */
   function completePending(chunk: Buffer, end: number): Buffer | undefined {
     const start = pending;
-    pending = collectBytes({ maxBytes: maxEventBytes });
+    pending = collectEvent();
     endsInLineEnd = false;
     isOversized = !start.add(chunk.subarray(0, end));
     return isOversized ? undefined : Buffer.from(start.bytes());
@@ -94,6 +108,9 @@
     },
     pendingBytes: () => pending.byteLength(),
     isOversized: () => isOversized,
+    clear() {
+      pending.clear();
+    },
   };
 }
 
