Give up a server that sends more than 100 informational responses

Targets sent informational responses without end. The memory of an entry stayed at 99 MB, but each such answer was parsed up to its limit of 1 MiB, some 20,000 heads: beside 24 callers at each of two entries, other requests took up to 2.1 and 2.3 s, and a handful was answered in 5 s, as the stand-in's process is busy as well.

A response may follow 100 informational ones; servers send a few. Test that failed before: a response behind 101 of them was delivered.

--- a/packages/gateway/src/limitFraming/index.ts
+++ b/packages/gateway/src/limitFraming/index.ts
@@ -18,6 +18,12 @@
  */
 const FRAMING_PER_BODY_BYTE = 1;
 
+/**
+ * Informational responses before a response. Each costs far more processor time than its
+ * bytes show; servers send a few.
+ */
+const MAX_INFORMATIONAL = 100;
+
 /** Errors of Node's parser for a head or a chunk extension without end. */
 const OVERFLOW_CODES: ReadonlySet<string> = new Set([
   'HPE_HEADER_OVERFLOW',
@@ -25,8 +31,7 @@
 ]);
 
 /**
- * Limits the bytes that a server sends in response to a request beside the
- * response's body. Node's parser drops several kinds of them without a limit,
+ * Limits what a server sends in response to a request beside the response's body. Node's parser drops several kinds of them without a limit,
  * for example empty lines before a head, or leading zeros of a chunk size.
  *
  * @param request - The request, before it has a socket.
@@ -60,6 +65,11 @@
       bodyBytes += chunk.length;
     });
   });
+  let informational = 0;
+  request.on('information', () => {
+    informational += 1;
+    if (informational > MAX_INFORMATIONAL) onExcess();
+  });
   request.on('error', (error: NodeJS.ErrnoException) => {
     if (OVERFLOW_CODES.has(error.code ?? '')) onExcess();
   });
--- a/packages/gateway/src/sendRequest/test.ts
+++ b/packages/gateway/src/sendRequest/test.ts
@@ -175,6 +175,28 @@
     });
   });
 
+  // Guards against informational responses without end, each of which takes far more time
+  // than its bytes show.
+  it('reports a response behind more than 100 informational ones as broken', async () => {
+    const seen = await Promise.all(
+      [100, 101].map(async (count) => {
+        const { end } = await sendTo((socket) => {
+          const hints = 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(count);
+          socket.write(`${hints}${HEAD}content-length: 5\r\n\r\nhello`);
+        });
+        return end;
+      }),
+    );
+    expect(seen).to.deep.equal([
+      { type: 'answered', status: 200 },
+      {
+        type: 'broken',
+        reason: 'too many bytes beside the body',
+        oversized: 'framing',
+      },
+    ]);
+  });
+
   it('reports an explicit refusal and discards its body', async () => {
     const { end, body } = await sendTo((socket) => {
       socket.write(
