--- a/packages/gateway/src/testBrokenAnswers/test.ts
+++ b/packages/gateway/src/testBrokenAnswers/test.ts
@@ -20,6 +20,9 @@
 /** Races are played so many times. */
 const ROUNDS = 6;
 
+/** What a caller gets of a connection that is closed without an answer. */
+const CLOSED: TestAnswer = { status: 0, body: '', isWhole: false };
+
 /** What callers get for an answer that is broken, after the only attempt. */
 const BROKEN_OFF = {
   status: 502,
@@ -91,6 +94,24 @@
     });
   });
 
+  // Guards against a stream that looks complete although its target was reset. A reset that
+  // is seen before the first event is answered with 502.
+  it('are truncated for callers of streams if reset during a long upload', async () => {
+    const route = { repeat: 'stream', resumable: false } as const;
+    await start((socket) => {
+      socket.write(`${RAW_HEAD}\r\nid: 1\ndata: a\n\n`);
+      socket.resetAndDestroy();
+    }, route);
+    const kinds = await Array.from({ length: ROUNDS }).reduce<
+      Promise<readonly string[]>
+    >(async (before) => {
+      const done = await before;
+      const answer = await entry.ask('/x', {}, LONG_UPLOAD).catch(() => CLOSED);
+      return [...done, answer.isWhole ? `whole ${answer.status}` : 'truncated'];
+    }, Promise.resolve([]));
+    expect(['truncated', 'whole 502']).to.include.members(kinds);
+  });
+
   // Guards against the same part without an upload, which tells nothing of the reset.
   it('are not passed on if reset after a short request', async () => {
     await start((socket) => {
