Bound the answers that an entry of the product's own interface receives together

Cause: as in the gateway, a bound of each answer is none of the process' memory. Bodies are received into blocks that are used again.

Test that failed before: bodies without end together (readBody; the bound did not exist).

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -3,6 +3,7 @@
 export * from './availableTargets/index.ts';
 export * from './checkGrace/index.ts';
 export * from './coldTargets/index.ts';
+export * from './answerBudget/index.ts';
 export * from './blockPool/index.ts';
 export * from './byteBudget/index.ts';
 export * from './capacityForecast/index.ts';
--- a/packages/daemon/src/adapters/_lib/targetAnswer.ts
+++ b/packages/daemon/src/adapters/_lib/targetAnswer.ts
@@ -122,7 +122,9 @@
  * too large. */
 async function readText(response: Dispatcher.ResponseData): Promise<string> {
   try {
-    return await readTextBody(response.body, MAX_ERROR_BODY_BYTES);
+    return await readTextBody(response.body, {
+      maxBytes: MAX_ERROR_BODY_BYTES,
+    });
   } catch {
     return '';
   }
--- a/packages/daemon/src/adapters/_lib/test.ts
+++ b/packages/daemon/src/adapters/_lib/test.ts
@@ -1,3 +1,4 @@
+import { createAnswerBudget } from '@endivegate/core/forwarding';
 import { expect } from 'chai';
 import { toTargetError } from './classifyError.ts';
 import { readBody } from './readBody.ts';
@@ -75,7 +76,7 @@
 describe('readBody', () => {
   // Guards against a body without end that fills the memory.
   it('reads a body up to its limit, and no more of a larger one', async () => {
-    const whole = await readBody(chunksOf('abc', 'de'), 5);
+    const whole = await readBody(chunksOf('abc', 'de'), { maxBytes: 5 });
     expect(Buffer.from(whole).toString()).to.equal('abcde');
     let chunks = 0;
     const endless = async function* (): AsyncGenerator<Uint8Array> {
@@ -85,8 +86,33 @@
         yield Buffer.from('abc');
       }
     };
-    const error = await readBody(endless(), 5).catch(toTargetError);
+    const error = await readBody(endless(), { maxBytes: 5 }).catch(
+      toTargetError,
+    );
     expect(error).to.deep.equal({ type: 'cut', reason: 'RESPONSE_TOO_LARGE' });
     expect(chunks).to.equal(2);
   });
+
+  // Guards against many bodies without end that fill the memory together.
+  it('gives up the largest body when all together exceed their limit', async () => {
+    const budget = createAnswerBudget({ maxBytes: 1000 });
+    let peakBytes = 0;
+    const endless = async function* (step: number): AsyncGenerator<Uint8Array> {
+      while (step > 0) {
+        await Promise.resolve();
+        peakBytes = Math.max(peakBytes, budget.usedBytes());
+        yield Buffer.alloc(step);
+      }
+    };
+    const limits = { maxBytes: 900, budget };
+    const reads = [10, 20, 30, 40].map((step) =>
+      readBody(endless(step), limits).catch(toTargetError),
+    );
+    const small = await readBody(chunksOf('abc', 'de'), limits);
+    expect(Buffer.from(small).toString()).to.equal('abcde');
+    const error = { type: 'cut', reason: 'RESPONSE_TOO_LARGE' };
+    expect(await Promise.all(reads)).to.deep.equal(reads.map(() => error));
+    expect(peakBytes).to.be.at.most(1000);
+    expect(budget.usedBytes()).to.equal(0);
+  });
 });
--- a/packages/daemon/src/adapters/createEngineHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createEngineHttpPort/index.ts
@@ -11,13 +11,14 @@
   type Target,
   type TargetError,
 } from '@endivegate/contracts';
+import { createAnswerBudget } from '@endivegate/core/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import * as TE from 'fp-ts/lib/TaskEither.js';
 import { pipe } from 'fp-ts/lib/function.js';
 import { Agent, Client, request, type Dispatcher } from 'undici';
 import type { z } from 'zod';
 import { toTargetError } from '../_lib/classifyError.ts';
-import { readBody } from '../_lib/readBody.ts';
+import { MAX_RECEIVED_BYTES, readBody } from '../_lib/readBody.ts';
 import {
   discardBody,
   checkAttemptId,
@@ -80,6 +81,7 @@
   const connect = { timeout: settings.connectTimeoutMs };
   // The entry decides when a silent stream has failed, so no body timeout here.
   const agent = new Agent({ connect, bodyTimeout: 0 });
+  const budget = createAnswerBudget({ maxBytes: MAX_RECEIVED_BYTES });
 
   function openStream(
     target: Target,
@@ -134,7 +136,7 @@
         const needsFraming = call.needsFraming === true;
         const unframed = needsFraming ? checkFraming(response) : undefined;
         return unframed === undefined
-          ? E.right(await readBody(response.body))
+          ? E.right(await readBody(response.body, { budget }))
           : E.left(unframed);
       } catch (error) {
         return E.left(toTargetError(error));
--- a/packages/daemon/src/adapters/createServiceHttpPort/index.ts
+++ b/packages/daemon/src/adapters/createServiceHttpPort/index.ts
@@ -11,10 +11,19 @@
   type ServicePort,
   type TargetError,
 } from '@endivegate/contracts';
+import {
+  type AnswerBudget,
+  createAnswerBudget,
+} from '@endivegate/core/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import { Agent, Client, request, type Dispatcher } from 'undici';
 import { toTargetError } from '../_lib/classifyError.ts';
-import { MAX_BODY_BYTES, readBody, readTextBody } from '../_lib/readBody.ts';
+import {
+  MAX_BODY_BYTES,
+  MAX_RECEIVED_BYTES,
+  readBody,
+  readTextBody,
+} from '../_lib/readBody.ts';
 import {
   discardBody,
   checkAttemptId,
@@ -59,6 +68,7 @@
   const settings = { ...DEFAULTS, ...options };
   const connect = { timeout: settings.connectTimeoutMs };
   const agent = new Agent({ connect });
+  const budget = createAnswerBudget({ maxBytes: MAX_RECEIVED_BYTES });
 
   return {
     call: (target, call) => async () => {
@@ -70,7 +80,7 @@
           signal: timeoutSignal(call.timeoutMs),
           dispatcher: agent,
         });
-        return await readResponse(response, call.attemptId);
+        return await readResponse(response, call.attemptId, budget);
       } catch (error) {
         return E.left(toTargetError(error));
       }
@@ -89,7 +99,10 @@
           return E.left(await readTargetError(response));
         }
         return parseKeyLookup(
-          await readTextBody(response.body, MAX_KEY_LOOKUP_BYTES),
+          await readTextBody(response.body, {
+            maxBytes: MAX_KEY_LOOKUP_BYTES,
+            budget,
+          }),
         );
       } catch (error) {
         return E.left(toTargetError(error));
@@ -104,6 +117,7 @@
 async function readResponse(
   response: Dispatcher.ResponseData,
   attemptId: string,
+  budget: AnswerBudget,
 ): Promise<E.Either<TargetError, ServiceAnswer>> {
   const { body, headers, statusCode } = response;
   const crossed = checkAttemptId(headers, attemptId);
@@ -118,7 +132,7 @@
     attemptId,
     status: statusCode,
     contentType: getHeader(headers, 'content-type') ?? DEFAULT_CONTENT_TYPE,
-    body: await readBody(body),
+    body: await readBody(body, { budget }),
   });
 }
 
--- a/packages/gateway/src/runSend/_lib/bufferAnswer.ts
+++ b/packages/gateway/src/runSend/_lib/bufferAnswer.ts
@@ -1,7 +1,8 @@
 import {
+  type AnswerBudget,
   type BlockPool,
   collectBytes,
-  createBlockPool,
+  createAnswerBudget,
 } from '@endivegate/core/forwarding';
 
 /** What is kept of an answer that is being received. */
@@ -29,11 +30,6 @@
 /** A limit that was exceeded. */
 export type AnswerExcess = 'answer' | 'answers';
 
-interface ReceivedAnswer {
-  readonly byteLength: () => number;
-  readonly breakOff: () => void;
-}
-
 const MIB = 1024 * 1024;
 
 /** No bound of plain answers is stated; answers of several MB are sound. */
@@ -61,22 +57,12 @@
   };
 }
 
-/** Answers that an entry is receiving, and their size together. */
-interface ReceivedAnswers {
-  readonly answers: Set<ReceivedAnswer>;
-  readonly blocks: BlockPool;
-  totalBytes: number;
-}
-
-const receivedByOwner = new WeakMap<object, ReceivedAnswers>();
+const budgetByOwner = new WeakMap<object, AnswerBudget>();
 
 /**
  * Creates the buffer of an answer: of a plain one until it is complete, or of a stream's
  * incomplete event.
  *
- * When all answers of an entry together exceed their limit, the largest is
- * broken off, so that an answer without end does not cost a smaller one.
- *
  * @param owner - Identifies the entry; all its answers count together.
  * @param onExcess - Called once when this answer has to be broken off.
  * @param limits - Sizes.
@@ -87,52 +73,30 @@
   onExcess: (limit: AnswerExcess) => void,
   limits: BufferAnswerLimits,
 ): AnswerBuffer {
-  const received = receivedBy(owner, limits);
-  const { blocks } = received;
+  const budget = budgetOf(owner, limits);
+  const { blocks } = budget;
   const collector = collectBytes({ maxBytes: limits.maxAnswerBytes, blocks });
-  let countedBytes = 0;
-  const self: ReceivedAnswer = {
-    byteLength: () => countedBytes,
-    breakOff() {
-      release();
-      onExcess('answers');
-    },
-  };
-
-  function count(bytes: number): void {
-    received.totalBytes += bytes - countedBytes;
-    countedBytes = bytes;
-    if (bytes > 0) received.answers.add(self);
-    else received.answers.delete(self);
-    if (received.answers.size === 0) blocks.clear();
-  }
-
-  function makeRoom(): void {
-    if (received.totalBytes > limits.maxTotalBytes) {
-      largestOf(received.answers)?.breakOff();
-    }
-  }
+  const held = budget.hold(() => {
+    collector.clear();
+    onExcess('answers');
+  });
 
   function release(): void {
     collector.clear();
-    count(0);
+    held.release();
   }
 
   return {
     blocks,
     add(chunk) {
-      if (!collector.add(chunk)) {
-        release();
-        onExcess('answer');
+      if (collector.add(chunk)) {
+        held.resize(collector.byteLength());
         return;
       }
-      count(collector.byteLength());
-      makeRoom();
-    },
-    holdEvent(bytes) {
-      count(bytes);
-      makeRoom();
+      release();
+      onExcess('answer');
     },
+    holdEvent: held.resize,
     bytes() {
       const { buffer, byteOffset, byteLength } = collector.bytes();
       return Buffer.from(buffer, byteOffset, byteLength);
@@ -141,23 +105,13 @@
   };
 }
 
-function receivedBy(
+function budgetOf(
   owner: object,
   { maxTotalBytes }: BufferAnswerLimits,
-): ReceivedAnswers {
-  const known = receivedByOwner.get(owner);
+): AnswerBudget {
+  const known = budgetByOwner.get(owner);
   if (known !== undefined) return known;
-  const received = {
-    answers: new Set<ReceivedAnswer>(),
-    blocks: createBlockPool({ maxUnusedBytes: maxTotalBytes }),
-    totalBytes: 0,
-  };
-  receivedByOwner.set(owner, received);
-  return received;
-}
-
-function largestOf(
-  answers: ReadonlySet<ReceivedAnswer>,
-): ReceivedAnswer | undefined {
-  return [...answers].toSorted((a, b) => b.byteLength() - a.byteLength())[0];
+  const budget = createAnswerBudget({ maxBytes: maxTotalBytes });
+  budgetByOwner.set(owner, budget);
+  return budget;
 }
