--- a/packages/gateway/src/testBrokenAnswers/test.ts
+++ b/packages/gateway/src/testBrokenAnswers/test.ts
@@ -1,5 +1,4 @@
 import { expect } from 'chai';
-import type { Socket } from 'node:net';
 import type { ForwardingRoute } from '@endivegate/contracts/forwarding';
 import {
   startTestGateway,
@@ -30,6 +29,12 @@
   isWhole: true,
 };
 
+/** Returns where the body of a request begins. */
+function bodyStart(request: Buffer): number {
+  const blankLine = '\r\n\r\n';
+  return request.indexOf(blankLine) + blankLine.length;
+}
+
 describe('broken answers', () => {
   let target: RawTarget;
   let entry: TestGateway;
@@ -40,7 +45,7 @@
   });
 
   async function start(
-    answer: (socket: Socket) => void,
+    answer: Parameters<typeof startRawTarget>[0],
     route: Partial<ForwardingRoute> = {},
   ): Promise<void> {
     target = await startRawTarget(answer);
@@ -204,4 +209,20 @@
     const whole = { status: 200, body: 'WHOLE', isWhole: true };
     expect(answers).to.deep.equal(answers.map(() => whole));
   });
+
+  // Guards against the same after a long upload that the target has read.
+  it('are told from whole ones that end with their connection after a long upload', async () => {
+    await start((socket, received) => {
+      let missingBytes =
+        LONG_UPLOAD.length - received.length + bodyStart(received);
+      socket.on('data', (chunk) => {
+        missingBytes -= chunk.length;
+        if (missingBytes === 0) socket.end(`${RAW_HEAD}\r\nWHOLE`);
+      });
+      socket.resume();
+    });
+    const answers = await askInTurn(ROUNDS, LONG_UPLOAD);
+    const whole = { status: 200, body: 'WHOLE', isWhole: true };
+    expect(answers).to.deep.equal(answers.map(() => whole));
+  });
 });
--- a/packages/gateway/src/testRawTarget/index.ts
+++ b/packages/gateway/src/testRawTarget/index.ts
@@ -16,14 +16,14 @@
  * Starts a server for tests that writes any bytes. It reads no more than the first ones of
  * a request unless `answer` resumes its connection.
  *
- * @param answer - Writes to a connection once a request has begun to arrive.
+ * @param answer - Writes to a connection once the first bytes of a request were received.
  * @returns The server.
  *
  * @example
  * const target = await startRawTarget((socket) => socket.end(`${RAW_HEAD}\r\npart`));
  */
 export async function startRawTarget(
-  answer: (socket: Socket) => void,
+  answer: (socket: Socket, received: Buffer) => void,
 ): Promise<RawTarget> {
   const sockets = new Set<Socket>();
   let answers = 0;
@@ -31,10 +31,10 @@
     sockets.add(socket);
     socket.on('error', () => undefined);
     socket.once('close', () => sockets.delete(socket));
-    socket.once('data', () => {
+    socket.once('data', (received) => {
       socket.pause();
       answers += 1;
-      answer(socket);
+      answer(socket, received);
     });
   });
   await new Promise<void>((resolve) => {
