--- a/packages/gateway/src/createErrorGuard/index.ts
+++ b/packages/gateway/src/createErrorGuard/index.ts
@@ -2,7 +2,7 @@
  * Wraps a handler of events so that no error leaves it.
  *
  * @param handle - The handler.
- * @param fallback - Returned after an error.
+ * @param fallback - What the wrapped handler returns after an error.
  */
 export type ErrorGuard = <Args extends readonly unknown[], Result>(
   handle: (...args: Args) => Result,
@@ -10,11 +10,10 @@
 ) => (...args: Args) => Result;
 
 /**
- * Creates a guard for the handlers of one matter, such as a request. An error that is
- * thrown into a timer or a socket ends nothing there, and leaves open what the handler
- * would have ended.
+ * Creates a guard for the handlers of one operation, such as a request. An error that a
+ * handler throws to a timer or a socket does not end the operation, which would stay open.
  *
- * @param onError - Ends the matter.
+ * @param onError - Ends the operation.
  * @returns The guard.
  *
  * @example
--- a/packages/gateway/src/runSend/_lib/bufferAnswer.ts
+++ b/packages/gateway/src/runSend/_lib/bufferAnswer.ts
@@ -57,6 +57,7 @@
   };
 }
 
+/** Budgets of the entries that a process runs. */
 const budgetByOwner = new WeakMap<object, AnswerBudget>();
 
 /**
--- a/packages/gateway/src/watchResponseEnd/index.ts
+++ b/packages/gateway/src/watchResponseEnd/index.ts
@@ -47,10 +47,11 @@
     const checkEnd = (): void => {
       if (response?.complete === false && !isWritable(socket)) isCut = true;
     };
-    // Node's listeners take the response for complete. They may belong to a kept connection.
+    // Before Node's own listeners, which end the response as if it were complete.
     socket.prependOnceListener('end', checkEnd);
     socket.prependOnceListener('error', cut);
     socket.prependOnceListener('close', cut);
+    // An agent may use the connection for other requests.
     socket.once('free', () => {
       socket.off('end', checkEnd);
       socket.off('error', cut);
