--- a/review/14/run.mjs
+++ b/review/14/run.mjs
@@ -1,6 +1,6 @@
 /**
- * A request crashes each server that begins to run it, after its prompt was read. Its client
- * is one of those that repeat at once.
+ * A request crashes each server that runs it, and comes again. Meanwhile all processes of
+ * the system are killed at once, and start again.
  */
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -11,16 +11,11 @@
 
 const HERE = path.dirname(fileURLToPath(import.meta.url));
 const POISON = 'POISON';
-
-/** Time until the first token of a long prompt, within the aim of 3 s for such prompts. */
-const READING_MS = 2900;
-
-/** Doses of `retry_abuse`: a client repeats three more times, at once. */
-const REPEATS = 3;
-
-/** When the client asks, from the begin of its requests. */
-const ASKED_AT_MS = [0, 7, 14, 21, 28].map((s) => s * 1000);
-const END_MS = 38_000;
+/** When the request comes, after traffic has begun. */
+const POISON_AT_MS = [2, 10, 18, 26, 34, 42].map((s) => s * 1000);
+const KILL_AT_MS = 12_000;
+const DOWN_MS = 1300;
+const END_MS = 50_000;
 const MOST_RETRIES = 3;
 
 await runCase(path.join(HERE, 'record.txt'), async (test) => {
@@ -30,78 +25,58 @@
   const startAt = performance.now();
   const now = () => performance.now() - startAt;
 
-  /** Arrivals of the request at servers, and crashes. */
-  const arrivals = [];
-  const crashes = [];
+  /** Runs of the request, with the time at which its entry had started. */
+  const runs = [];
   const servers = await startServers({
     store,
-    count: 23,
-    service: 'model',
-    slots: 11,
-    run({ server, attempt, body, crash, reply }) {
+    count: 6,
+    service: 'ledger',
+    run({ server, attempt, body, reply, crash }) {
       if (body.toString() !== POISON) {
-        const events = [1, 2, 3].map((id) => `id: ${id}\ndata: ${attempt}\n\n`);
-        setTimeout(() => {
-          reply(200, events.join(''), { 'Content-Type': 'text/event-stream' });
-        }, 60);
+        setTimeout(() => reply(200, `answer to ${attempt}`), 20);
         return;
       }
-      arrivals.push({ atMs: now(), attempt });
-      record.add(`server ${server.id} gets ${attempt}`);
-      setTimeout(() => {
-        if (server.isDead) return;
-        crashes.push(now());
-        record.add(`server ${server.id} begins to run ${attempt}, and crashes`);
-        crash();
-      }, READING_MS);
+      runs.push({ atMs: now(), attempt });
+      record.add(`server ${server.id} runs ${attempt}, and crashes`);
+      setTimeout(crash, 10);
     },
   });
   onEnd(() => servers.close());
-  const fleet = await createFleet({ store, count: 6 });
+  const fleet = await createFleet({ store, count: 3 });
   onEnd(() => fleet.stop());
-  const route = {
-    Host: 'a.example',
-    RouteType: 'streaming',
-    Priority: 1,
-    Service: 'model',
-    MaxAttempts: 2,
-    StreamResume: true,
-  };
   store.put(
     'op/config',
     JSON.stringify({
       Version: 3,
       Routes: [
         {
-          ...route,
-          Name: 'query',
-          Prefix: '/query/',
-          TimeoutMs: 10_000,
-          TargetLatencyMs: 300,
-          GapTargetMs: 250,
-        },
-        {
-          ...route,
-          Name: 'review',
-          Prefix: '/review/',
-          TimeoutMs: 15_000,
-          TargetLatencyMs: 3000,
-          GapTargetMs: 1000,
+          Name: 'order',
+          Host: 'a.example',
+          Prefix: '/order/',
+          RouteType: 'idempotent',
+          TimeoutMs: 1000,
+          TargetLatencyMs: 150,
+          Priority: 1,
+          Service: 'ledger',
+          MaxAttempts: 2,
         },
       ],
-      Services: [{ Name: 'model', MaxConnections: 424 }],
+      Services: [{ Name: 'ledger', MaxConnections: 96 }],
       Tenants: [{ Name: 't1', ApiKeys: ['key1'] }],
       Limits: {
-        MaxHeaderBytes: 16_384,
-        MaxBodyBytes: 4_194_304,
+        MaxHeaderBytes: 16384,
+        MaxBodyBytes: 4194304,
         HeaderTimeoutMs: 3000,
-        IdleTimeoutMs: 15_000,
+        IdleTimeoutMs: 15000,
       },
     }),
   );
+  let upSinceMs = 0;
   fleet.entries.forEach(fleet.start);
   if (!(await fleet.awaitReady())) throw new Error('no entry is ready');
-  await sleep(BOUNDS.StableWindowMs + 500);
+  await sleep(BOUNDS.StableWindowMs);
+  upSinceMs = now() - BOUNDS.StableWindowMs;
+  const offsetMs = now();
 
   let number = 0;
   const served = {};
@@ -109,52 +84,69 @@
     number += 1;
     const attempt = `a${number}`;
     const entry = fleet.entries[number % fleet.entries.length];
-    const isPoison = body === POISON;
-    if (isPoison) record.add(`client sends ${attempt} to ${entry.name}`);
+    const sentAtMs = now();
     const answer = await call(
       {
         ...entry.front,
         method: 'POST',
-        path: isPoison ? '/review/1' : `/query/${number}`,
+        path: body === POISON ? '/order/p' : `/order/${number}`,
         headers: {
           Host: 'a.example',
           Authorization: 'Bearer key1',
           'Endivegate-Attempt-Id': attempt,
-          'Endivegate-Deadline-Ms': isPoison ? '15000' : '10000',
+          'Endivegate-Deadline-Ms': '1000',
           'Content-Length': body.length,
         },
-        timeoutMs: 16_000,
+        timeoutMs: 3000,
       },
       body,
     );
-    if (isPoison) record.add(`client gets ${answer.status} for ${attempt}`);
-    else served[answer.status] = (served[answer.status] ?? 0) + 1;
+    if (body === POISON) {
+      const run = runs.find((one) => one.attempt === attempt);
+      if (run !== undefined) run.sentAtMs = sentAtMs;
+      record.add(
+        `client: ${attempt} (crashes) by ${entry.name}: ${answer.status}`,
+      );
+    } else served[answer.status] = (served[answer.status] ?? 0) + 1;
   }
 
-  const beginMs = now();
-  const sound = setInterval(() => void ask(`prompt ${number}`), 50);
-  const copies = 1 + (hasTrouble ? REPEATS : 0);
-  const asked = ASKED_AT_MS.map((atMs) =>
-    setTimeout(() => {
-      for (let copy = 0; copy < copies; copy += 1) void ask(POISON);
-    }, atMs),
+  const sound = setInterval(() => void ask(`order ${number}`), 50);
+  const poison = POISON_AT_MS.map((atMs) =>
+    setTimeout(() => void ask(POISON), atMs),
   );
   onEnd(() => {
     clearInterval(sound);
-    asked.forEach(clearTimeout);
+    poison.forEach(clearTimeout);
   });
-  await sleep(END_MS - (now() - beginMs));
+  await sleep(KILL_AT_MS);
+  if (hasTrouble) {
+    record.add('all entries are killed');
+    fleet.entries.forEach((entry) => entry.child.kill('SIGKILL'));
+    await sleep(DOWN_MS);
+    upSinceMs = now();
+    fleet.entries.forEach(fleet.start);
+    if (!(await fleet.awaitReady())) throw new Error('no entry is ready again');
+    record.add('all entries are ready again');
+  }
+  await sleep(END_MS - (now() - offsetMs));
   clearInterval(sound);
-  await sleep(1000);
+  await sleep(1500);
 
-  const thirdMs = crashes[2] ?? Infinity;
-  const later = arrivals.filter(
-    ({ atMs }) => atMs > thirdMs + BOUNDS.StableWindowMs,
+  const third = runs[2];
+  const inTouch = (atMs) =>
+    !hasTrouble ||
+    atMs < offsetMs + KILL_AT_MS ||
+    atMs > upSinceMs + BOUNDS.StableWindowMs;
+  const later = runs.filter(
+    ({ atMs }) =>
+      third !== undefined &&
+      atMs > third.atMs + BOUNDS.StableWindowMs &&
+      inTouch(atMs),
   );
   record.say(`others were answered: ${JSON.stringify(served)}`);
   record.say(
-    `${crashes.length} crashes; the request reached servers ${later.length} times ` +
-      `later than ${BOUNDS.StableWindowMs} ms after the third`,
+    `${runs.length} crashes; ${later.length} of them later than ` +
+      `${BOUNDS.StableWindowMs} ms after the third, by entries in touch`,
   );
   return later.length > MOST_RETRIES;
 });
