--- a/review/lib-3/common.mjs
+++ b/review/lib-3/common.mjs
@@ -36,6 +36,9 @@
     for (const stop of stops.reverse()) await stop();
     process.exit(code);
   }
+  ['SIGTERM', 'SIGINT'].forEach((signal) => {
+    process.on(signal, () => void end(2));
+  });
   try {
     const isBroken = await play({
       record,
