--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+cd "$(dirname "$0")" && exec node run.mjs
