Versions of configurations are exact at any size (CONFIG)

Change: ExactInteger (contracts/exactInteger), a number up to 2^53 - 1 and a bigint beyond, with one representation for each value, so that ===, < and maps are right and the compiler refuses Math.max and differences. Weighed: text, which < orders wrongly without a complaint of the compiler; bigints throughout, which would change every message and log line below 2^53. Between entries nothing changes below 2^53; above it the rounded number stays where earlier builds expect a number, with the digits beside it (extension cv, map `exact`). What an earlier build has rounded is not used. A newer document without a higher version is logged (config.notNewer).

--- a/packages/contracts/src/forwarding/index.ts
+++ b/packages/contracts/src/forwarding/index.ts
@@ -5,6 +5,9 @@
  */
 import { isIPv4 } from 'node:net';
 import { z } from 'zod';
+import { exactIntegerSchema } from '../exactInteger/index.ts';
+
+export * from '../exactInteger/index.ts';
 
 const MAX_PORT = 65_535;
 
@@ -109,7 +112,7 @@
 
 /** A complete configuration; a higher version replaces a lower one. */
 export const forwardingConfigSchema = z.object({
-  version: z.number(),
+  version: exactIntegerSchema,
   routes: z.array(forwardingRouteSchema),
   services: z.array(forwardingServiceSchema),
   /** Whether requests to routes that are not anonymous need the key of a workspace, also
--- a/packages/core/src/forwarding/configSync/_lib/fleetModel.ts
+++ b/packages/core/src/forwarding/configSync/_lib/fleetModel.ts
@@ -2,6 +2,7 @@
  * Model of a fleet that receives configurations: a clock, links, a store and faults,
  * around the decisions of the product.
  */
+import type { ExactInteger } from '@endivegate/contracts/forwarding';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import {
@@ -44,7 +45,7 @@
 export interface FleetViolation {
   readonly entry: string;
   readonly atMs: number;
-  readonly version: number;
+  readonly version: ExactInteger;
   readonly expected: number;
 }
 
@@ -149,11 +150,17 @@
     entry.sync = step.state;
     step.effects.forEach((effect) => {
       if (effect.type === 'configSync.storeReadDue') readStore(entry);
-      else fetch(entry, effect.source.name);
+      if (effect.type === 'configSync.fetchDue') {
+        fetch(entry, effect.source.name);
+      }
     });
   }
 
-  function apply(entry: Entry, version: number, fromStore: boolean): void {
+  function apply(
+    entry: Entry,
+    version: ExactInteger,
+    fromStore: boolean,
+  ): void {
     if (version <= entry.sync.version) return;
     dispatch(entry, { type: 'configSync.applied', version });
     if (fromStore) tell(entry);
@@ -174,14 +181,17 @@
     const source = entries.find((one) => one.name === name);
     if (source === undefined) return;
     const { beats: incarnation } = entry;
-    const end = (delayMs: number, version: number | 'busy' | 'failed') => {
+    const end = (
+      delayMs: number,
+      version: ExactInteger | 'busy' | 'failed',
+    ) => {
       later(delayMs, () => {
         if (entry.beats !== incarnation || !runs(entry)) return;
-        if (typeof version === 'number') apply(entry, version, false);
+        if (typeof version !== 'string') apply(entry, version, false);
         const result =
-          typeof version === 'number'
-            ? { type: 'received' as const, version }
-            : { type: version };
+          typeof version === 'string'
+            ? { type: version }
+            : { type: 'received' as const, version };
         const atMs = nowMs;
         dispatch(entry, { type: 'configSync.fetchEnded', atMs, name, result });
       });
@@ -206,7 +216,12 @@
     else end(transferMs, source.sync.version);
   }
 
-  function report(to: Entry, from: Entry, version: number, delayMs: number) {
+  function report(
+    to: Entry,
+    from: Entry,
+    version: ExactInteger,
+    delayMs: number,
+  ) {
     if (version <= to.sync.version) return;
     dispatch(to, {
       type: 'configSync.reported',
--- a/packages/core/src/forwarding/configSync/index.ts
+++ b/packages/core/src/forwarding/configSync/index.ts
@@ -1,3 +1,8 @@
+import {
+  compareExactIntegers,
+  type ExactInteger,
+  highestExactInteger,
+} from '@endivegate/contracts/forwarding';
 import { scoreRendezvous } from '../../scoreRendezvous/index.ts';
 import type { Step } from '../../step/index.ts';
 
@@ -7,7 +12,7 @@
   /** IP address and port for traffic between entries. */
   readonly address: string;
   /** Version of its configuration. */
-  readonly version: number;
+  readonly version: ExactInteger;
   readonly isLocal: boolean;
   /** Preference of this entry among peers alike; higher is asked first. */
   readonly rank: number;
@@ -27,22 +32,29 @@
   readonly isLocal: boolean;
   /** Capacity relative to other entries. */
   readonly weight: number;
-  readonly version: number;
+  readonly version: ExactInteger;
+}
+
+/** A configuration as the store holds it. Positions are unique only within an era. */
+export interface StoredConfig {
+  readonly era: number;
+  readonly revision: number;
+  readonly version: ExactInteger;
 }
 
 /** A fetch in progress. */
 export interface ConfigFetch {
   readonly startedAtMs: number;
   /** Version that the peer had reported by then. */
-  readonly version: number;
+  readonly version: ExactInteger;
 }
 
 /** What an entry knows of configurations that are newer than the active one. */
 export interface ConfigSyncState {
   /** Version of the active configuration; 0 without one. */
-  readonly version: number;
+  readonly version: ExactInteger;
   /** When each newer version was first reported. */
-  readonly reportedAtMs: ReadonlyMap<number, number>;
+  readonly reportedAtMs: ReadonlyMap<ExactInteger, number>;
   /** Peers with a newer version, by name. */
   readonly sources: ReadonlyMap<string, ConfigSource>;
   /** Fetches in progress, by the name of the peer. */
@@ -51,6 +63,8 @@
   readonly notBeforeMs: number;
   /** When the store was last read directly. */
   readonly storeReadAtMs: number;
+  /** The newest document that was read in the store; undefined before the first one. */
+  readonly stored: StoredConfig | undefined;
 }
 
 /** Events of the exchange of configurations; times are from the monotonic clock. */
@@ -64,8 +78,10 @@
        * already. */
       readonly delayMs: number;
     }
+  /** A document was read in the store. */
+  | { readonly type: 'configSync.stored'; readonly document: StoredConfig }
   /** A configuration became active. */
-  | { readonly type: 'configSync.applied'; readonly version: number }
+  | { readonly type: 'configSync.applied'; readonly version: ExactInteger }
   | {
       readonly type: 'configSync.fetchEnded';
       readonly atMs: number;
@@ -76,7 +92,7 @@
 
 /** End of a fetch: the version that the peer has, or why there is none. */
 export type FetchResult =
-  | { readonly type: 'received'; readonly version: number }
+  | { readonly type: 'received'; readonly version: ExactInteger }
   /** The peer serves as many others as it can. */
   | { readonly type: 'busy' }
   | { readonly type: 'failed' };
@@ -85,7 +101,15 @@
 export type ConfigSyncEffect =
   | { readonly type: 'configSync.fetchDue'; readonly source: ConfigSource }
   /** No peer has helped in time: the store is to be read directly. */
-  | { readonly type: 'configSync.storeReadDue' };
+  | { readonly type: 'configSync.storeReadDue' }
+  /** The store holds a newer document whose version is not above that of the one before,
+   * so that it has no effect. */
+  | {
+      readonly type: 'configSync.notNewer';
+      readonly document: StoredConfig;
+      /** Version of the active configuration. */
+      readonly active: ExactInteger;
+    };
 
 /** State of an entry that has no configuration and has heard of none. */
 export const initialConfigSync: ConfigSyncState = {
@@ -95,6 +119,7 @@
   fetches: new Map(),
   notBeforeMs: 0,
   storeReadAtMs: -Infinity,
+  stored: undefined,
 };
 
 /** A further peer is asked when the newest fetch has taken this long: several times the
@@ -137,6 +162,8 @@
   switch (event.type) {
     case 'configSync.reported':
       return startDue(applyReport(state, event), event.atMs);
+    case 'configSync.stored':
+      return noteStored(state, event.document);
     case 'configSync.applied':
       return { state: applyVersion(state, event.version), effects: [] };
     case 'configSync.fetchEnded':
@@ -155,8 +182,8 @@
  * @example
  * newestReported(state.configSync);
  */
-export function newestReported(state: ConfigSyncState): number {
-  return Math.max(state.version, ...state.reportedAtMs.keys());
+export function newestReported(state: ConfigSyncState): ExactInteger {
+  return highestExactInteger([state.version, ...state.reportedAtMs.keys()]);
 }
 
 /**
@@ -171,7 +198,7 @@
  */
 export function behindSinceMs(
   state: ConfigSyncState,
-  version = Infinity,
+  version: ExactInteger = newestReported(state),
 ): number | undefined {
   const times = [...state.reportedAtMs]
     .filter(([reported]) => reported <= version)
@@ -212,9 +239,28 @@
   };
 }
 
+function noteStored(
+  state: ConfigSyncState,
+  document: StoredConfig,
+): Step<ConfigSyncState, ConfigSyncEffect> {
+  const { stored, version: active } = state;
+  if (stored !== undefined && !isWrittenAfter(document, stored)) {
+    return { state, effects: [] };
+  }
+  const isNewer = stored === undefined || document.version > stored.version;
+  return {
+    state: { ...state, stored: document },
+    effects: isNewer ? [] : [{ type: 'configSync.notNewer', document, active }],
+  };
+}
+
+function isWrittenAfter(a: StoredConfig, b: StoredConfig): boolean {
+  return a.era === b.era ? a.revision > b.revision : a.era > b.era;
+}
+
 function applyVersion(
   state: ConfigSyncState,
-  version: number,
+  version: ExactInteger,
 ): ConfigSyncState {
   if (version <= state.version) return state;
   return {
@@ -261,7 +307,9 @@
 function removeSource(state: ConfigSyncState, name: string): ConfigSyncState {
   const sources = new Map(state.sources);
   sources.delete(name);
-  const newest = Math.max(...[...sources.values()].map((one) => one.version));
+  const newest = highestExactInteger(
+    [...sources.values()].map((one) => one.version),
+  );
   return {
     ...state,
     sources,
@@ -326,7 +374,7 @@
     )
     .toSorted(
       (a, b) =>
-        b.version - a.version ||
+        compareExactIntegers(b.version, a.version) ||
         Number(b.isLocal) - Number(a.isLocal) ||
         b.rank - a.rank,
     )[0];
--- a/packages/core/src/forwarding/configSync/test.ts
+++ b/packages/core/src/forwarding/configSync/test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import type { ExactInteger } from '@endivegate/contracts/forwarding';
 import type { Step } from '../../step/index.ts';
 import {
   behindSinceMs,
@@ -46,6 +47,15 @@
   result: { type },
 });
 
+const stored = (
+  version: ExactInteger,
+  revision: number,
+  era = 1,
+): ConfigSyncEvent => ({
+  type: 'configSync.stored',
+  document: { era, revision, version },
+});
+
 const tick = (atMs: number): ConfigSyncEvent => ({
   type: 'configSync.ticked',
   atMs,
@@ -205,4 +215,23 @@
     expect(step.state.sources.size).to.equal(0);
     expect(step.effects).to.deep.equal([]);
   });
+
+  it('reports a newer document without a higher version, once', () => {
+    const effects = (events: readonly ConfigSyncEvent[]) =>
+      run([{ type: 'configSync.applied', version: 7 }, ...events]).effects;
+    const dropped = stored(7, 12);
+    expect(effects([stored(7, 11), dropped, dropped])).to.deep.equal([
+      {
+        type: 'configSync.notNewer',
+        document: { era: 1, revision: 12, version: 7 },
+        active: 7,
+      },
+    ]);
+    const restored = stored(6, 4, 2);
+    expect(effects([stored(7, 11), restored, stored(8, 5, 2)])).to.have.length(
+      1,
+    );
+    const late = [stored(6, 9), stored(7, 11), stored(6, 9)];
+    expect(effects(late)).to.deep.equal([]);
+  });
 });
--- a/packages/core/src/forwarding/peerList/index.ts
+++ b/packages/core/src/forwarding/peerList/index.ts
@@ -1,3 +1,4 @@
+import type { ExactInteger } from '@endivegate/contracts/forwarding';
 import type { Step } from '../../step/index.ts';
 import { peerTimes } from '../peerTimes/index.ts';
 
@@ -14,7 +15,7 @@
   readonly isReady: boolean;
   readonly isLeaving: boolean;
   /** Version of its configuration; 0 when it has none. */
-  readonly configVersion: number;
+  readonly configVersion: ExactInteger;
   /** Capacity relative to other entries. */
   readonly weight: number;
   /** Whether it has lost its paths to all targets. */
--- a/packages/core/src/forwarding/pickRelay/index.ts
+++ b/packages/core/src/forwarding/pickRelay/index.ts
@@ -1,3 +1,4 @@
+import type { ExactInteger } from '@endivegate/contracts/forwarding';
 import type { LoadState } from '../engineLoad/index.ts';
 import {
   type Peer,
@@ -14,7 +15,7 @@
   /** Data centre of this entry. */
   readonly dataCentre: string;
   /** Version of this entry's configuration. */
-  readonly configVersion: number;
+  readonly configVersion: ExactInteger;
   /** Peers that this request was already sent to. */
   readonly excludedNames: ReadonlySet<string>;
 }
--- a/packages/gateway/src/createEventLog/index.ts
+++ b/packages/gateway/src/createEventLog/index.ts
@@ -1,9 +1,12 @@
 import { write } from 'node:fs';
 import log from 'loglevel';
 
-/** Fields of a log line; undefined values are omitted. */
+/** Fields of a log line; undefined values are omitted, and bigints are written as text. */
 export type EventFields = Readonly<
-  Record<string, string | number | boolean | readonly string[] | undefined>
+  Record<
+    string,
+    string | number | bigint | boolean | readonly string[] | undefined
+  >
 >;
 
 /** Structured log; `event` is the name of the event. */
@@ -87,14 +90,17 @@
     }
     const droppedLines = dropped > reportedDropped ? dropped : undefined;
     reportedDropped = dropped;
-    const line = JSON.stringify({
-      time: time.toISOString(),
-      level,
-      event,
-      entry: options.entryId,
-      ...fields,
-      droppedLines,
-    });
+    const line = JSON.stringify(
+      {
+        time: time.toISOString(),
+        level,
+        event,
+        entry: options.entryId,
+        ...fields,
+        droppedLines,
+      },
+      writeBigint,
+    );
     buffered.push(line);
     bufferedBytes += line.length + 1;
     timer ??= setTimeout(flush, FLUSH_MS);
@@ -133,6 +139,11 @@
   };
 }
 
+/** Replaces bigints, which JSON lacks. */
+function writeBigint(_key: string, value: unknown): unknown {
+  return typeof value === 'bigint' ? String(value) : value;
+}
+
 function writeToStandardOutput(text: string, done: () => void): void {
   write(STDOUT_FD, text, () => {
     done();
--- a/packages/gateway/src/createEventLog/test.ts
+++ b/packages/gateway/src/createEventLog/test.ts
@@ -23,6 +23,23 @@
     ]);
   });
 
+  // Guards against a line about an integer beyond 2^53 that ends the process.
+  it('writes bigints as text', () => {
+    const texts: string[] = [];
+    const log = createEventLog({
+      entryId: 'e1',
+      write: (text, done) => {
+        texts.push(text);
+        done();
+      },
+    });
+    log.info('config.inForce', { version: 1796000000000000003n, before: 7 });
+    log.flush(() => undefined);
+    expect(texts.join('')).to.include(
+      '"version":"1796000000000000003","before":7',
+    );
+  });
+
   it('drops and counts lines while a write is pending, then resumes', () => {
     const texts: string[] = [];
     let release: () => void = () => undefined;
--- a/packages/gateway/src/createPeerLink/_lib/configExchange/index.ts
+++ b/packages/gateway/src/createPeerLink/_lib/configExchange/index.ts
@@ -1,6 +1,8 @@
 import {
+  exactFields,
   type ForwardingConfig,
   forwardingConfigSchema,
+  wireIntegerSchema,
 } from '@endivegate/contracts/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import {
@@ -27,15 +29,27 @@
   done: (result: E.Either<FetchError, Fetched<ForwardingConfig>>) => void,
 ): void {
   const source = { address, path: CONFIG_PATH, timeoutMs: FETCH_TIMEOUT_MS };
-  fetchJson(source, decodeConfig, done);
+  fetchJson(source, decodeReceivedConfig, done);
 }
 
-/** Builds before `requiresKeys` do not say whether keys are needed. */
-const receivedSchema = forwardingConfigSchema.partial({ requiresKeys: true });
+/** Builds before `requiresKeys` do not say whether keys are needed. A version that an
+ * earlier build has rounded is refused. */
+const receivedSchema = exactFields(
+  forwardingConfigSchema
+    .extend({ version: wireIntegerSchema })
+    .partial({ requiresKeys: true }),
+);
 
-/** Without workspaces, a configuration of an earlier build may need keys or not. It is not
- * used, so that the entry asks another peer or the store. */
-function decodeConfig(value: unknown): E.Either<string, ForwardingConfig> {
+/**
+ * Reads the configuration that a peer sends. Without workspaces, one of an earlier build
+ * may need keys or not. It is not used, so that the entry asks another peer or the store.
+ *
+ * @param value - The parsed JSON.
+ * @returns The configuration, or the reason why it is not used.
+ */
+export function decodeReceivedConfig(
+  value: unknown,
+): E.Either<string, ForwardingConfig> {
   const parsed = receivedSchema.safeParse(value);
   if (!parsed.success) return E.left(parsed.error.message);
   const { requiresKeys, ...config } = parsed.data;
--- a/packages/gateway/src/createPeerLink/_lib/peerExtensions.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerExtensions.ts
@@ -1,3 +1,7 @@
+import {
+  type ExactInteger,
+  wireIntegerSchema,
+} from '@endivegate/contracts/forwarding';
 import type {
   GatewayEvent,
   GatewayState,
@@ -11,6 +15,10 @@
 /** Key of the sender's protocol version among the extensions. */
 export const VERSION_KEY = 'v';
 
+/** Key of the digits of the sender's configuration version among the extensions. Only
+ * versions that doubles cannot hold have it; the status has them rounded. */
+export const CONFIG_VERSION_KEY = 'cv';
+
 /** The protocol version of a message; a higher one than this build's is accepted. */
 export const versionSchema = z.number().int().min(1).max(65_535);
 
@@ -101,6 +109,8 @@
 export interface ReceivedExtensions {
   /** 0 if the sender names none. */
   readonly protocolVersion: number;
+  /** Undefined unless the version of the status is rounded. */
+  readonly configVersion: ExactInteger | undefined;
   readonly received: readonly ApplyReceived[];
   /** Paths of known keys with malformed values. */
   readonly malformed: readonly string[];
@@ -112,6 +122,7 @@
 
 const NO_EXTENSIONS: ReceivedExtensions = {
   protocolVersion: 0,
+  configVersion: undefined,
   received: [],
   malformed: [],
   unknownKeys: 0,
@@ -131,20 +142,29 @@
   if (value === undefined || value === null) return NO_EXTENSIONS;
   const parsed = extensionsSchema.safeParse(value);
   if (!parsed.success) return { ...NO_EXTENSIONS, malformed: [''] };
-  const { [VERSION_KEY]: version, ...rest } = parsed.data;
+  const {
+    [VERSION_KEY]: version,
+    [CONFIG_VERSION_KEY]: configVersion,
+    ...rest
+  } = parsed.data;
   const known = Object.entries(rest).flatMap(([key, one]) =>
     Object.hasOwn(registry, key)
       ? [{ key, read: registry[key]?.read(one) }]
       : [],
   );
   const parsedVersion = versionSchema.safeParse(version);
+  const parsedConfig = wireIntegerSchema.safeParse(configVersion);
   return {
     protocolVersion: parsedVersion.success ? parsedVersion.data : 0,
+    configVersion: parsedConfig.data,
     received: known.flatMap(({ read }) =>
       typeof read === 'function' ? [read] : [],
     ),
     malformed: [
       ...(version === undefined || parsedVersion.success ? [] : [VERSION_KEY]),
+      ...(configVersion === undefined || parsedConfig.success
+        ? []
+        : [CONFIG_VERSION_KEY]),
       ...known.flatMap(({ key, read }) =>
         typeof read === 'object'
           ? [[key, read.path].filter((part) => part !== '').join('.')]
--- a/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerMessage.ts
@@ -7,13 +7,18 @@
   PeerStatus,
   TargetProcess,
 } from '@endivegate/core/forwarding';
-import { socketAddressSchema } from '@endivegate/contracts/forwarding';
+import {
+  type ExactInteger,
+  exactIntegerSchema,
+  socketAddressSchema,
+} from '@endivegate/contracts/forwarding';
 import { z } from 'zod';
 import { decodeLimitRows, encodeLimitRows } from './limitRows.ts';
 import { decodePartRows, encodePartRows } from './partRows.ts';
 import { processFields } from './processRow.ts';
 import {
   type ApplyReceived,
+  CONFIG_VERSION_KEY,
   type ExtensionRegistry,
   pathOf,
   PEER_EXTENSIONS,
@@ -151,7 +156,7 @@
       self.startedAtUnixMs,
       self.isReady,
       self.isLeaving,
-      self.configVersion,
+      Number(self.configVersion),
       self.weight,
     ],
     message.flights?.flatMap((flight) => encodeFlight(flight, codec, nowMs)) ??
@@ -220,7 +225,7 @@
   );
   const limits = decodeLimitRows(limitRows, nowMs);
   const extensions = readExtensions(extensionMap, registry);
-  const { protocolVersion } = extensions;
+  const { protocolVersion, configVersion } = extensions;
   const message = {
     self: {
       name: self[0],
@@ -230,7 +235,7 @@
       startedAtUnixMs: self[4],
       isReady: self[5],
       isLeaving: self[6],
-      configVersion: self[7],
+      configVersion: configVersion ?? readVersion(self[7]),
       weight: self[8],
       ...(isCutOff === true ? { isCutOff } : {}),
       ...(protocolVersion === 0 ? {} : { protocolVersion }),
@@ -287,17 +292,27 @@
   return reports.slice(0, last + 1);
 }
 
-/** An entry that is only passed on keeps the version that it named, if any. */
+/** An entry that is only passed on keeps the versions that it named, if any. */
 function encodeExtensions(
-  { protocolVersion = 0 }: PeerStatus,
+  { protocolVersion = 0, configVersion }: PeerStatus,
   extensions: PeerMessage['extensions'],
 ): Readonly<Record<string, unknown>> | null {
   const version =
     protocolVersion === 0 ? {} : { [VERSION_KEY]: protocolVersion };
-  const all = { ...extensions, ...version };
+  const exactVersion =
+    typeof configVersion === 'bigint'
+      ? { [CONFIG_VERSION_KEY]: String(configVersion) }
+      : {};
+  const all = { ...extensions, ...version, ...exactVersion };
   return Object.keys(all).length === 0 ? null : all;
 }
 
+/** Reads the version of a status; 0 if an earlier build has rounded it, so that it is not
+ * known. */
+function readVersion(version: number): ExactInteger {
+  return exactIntegerSchema.safeParse(version).data ?? 0;
+}
+
 function encodeFlight(
   flight: InFlightRequest,
   codec: TargetCodec,
--- a/packages/gateway/src/createPeerLink/_lib/peerServer.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerServer.ts
@@ -1,5 +1,8 @@
 import { createServer, type RequestListener, type Server } from 'node:http';
-import type { ForwardingConfig } from '@endivegate/contracts/forwarding';
+import {
+  encodeExactFields,
+  type ForwardingConfig,
+} from '@endivegate/contracts/forwarding';
 import { MAX_PARSED_HEADER_BYTES } from '../../createCallerServer/index.ts';
 import { answerJson } from '../../exchangeJson/index.ts';
 import { readRelay } from '../../relayDialect/index.ts';
@@ -22,6 +25,7 @@
 export function createPeerServer(options: CreatePeerServerOptions): Server {
   const answerConfig = answerJson(CONFIG_PATH, options.currentConfig, {
     maxResponses: MAX_CONFIG_RESPONSES,
+    encodeValue: encodeExactFields<ForwardingConfig>,
   });
   return createServer(
     {
--- a/packages/gateway/src/createPeerLink/_lib/test.ts
+++ b/packages/gateway/src/createPeerLink/_lib/test.ts
@@ -259,6 +259,30 @@
     );
   });
 
+  // Guards against two versions that are one for peers, and against a message that earlier
+  // builds cannot read.
+  it('tells the digits of a version that is rounded in the status', () => {
+    const long = {
+      ...message,
+      self: { ...message.self, configVersion: 1796000000000000003n },
+    };
+    const bytes = encodePeerMessage(long, codec, 0);
+    const [self, , , , , , , , extensions] = decode(bytes) as unknown[][];
+    expect(self?.[7]).to.equal(Number(long.self.configVersion));
+    expect(extensions).to.deep.equal({ cv: '1796000000000000003' });
+    const received = decodeOne(bytes, codec, 0)?.self;
+    expect(received?.configVersion).to.equal(1796000000000000003n);
+  });
+
+  it('does not know a version that an earlier build has rounded', () => {
+    const rounded = {
+      ...message,
+      self: { ...message.self, configVersion: 2 ** 60 },
+    };
+    const bytes = encodePeerMessage(rounded, codec, 0);
+    expect(decodeOne(bytes, codec, 0)?.self.configVersion).to.equal(0);
+  });
+
   // Guards against a later build's message being dropped with all that it reports.
   it('ignores and counts unknown keys, and applies the known ones', () => {
     const { messages, malformed, unknownKeys } = read(
--- a/packages/gateway/src/createPeerLink/test.ts
+++ b/packages/gateway/src/createPeerLink/test.ts
@@ -175,6 +175,16 @@
     expect(first.runtime.table()?.config.version).to.equal(4);
   });
 
+  // Guards against a peer whose version above 2^53 passes for the one before.
+  it('fetches a configuration whose version differs in its last digit', async () => {
+    const [older, newer] = [1796000000000000003n, 1796000000000000006n];
+    const first = await startEntry('e1', 'a', []);
+    first.runtime.applyConfig({ ...config, version: newer }, 'store');
+    const second = await startEntry('e2', 'a', [first.address]);
+    second.runtime.applyConfig({ ...config, version: older }, 'store');
+    await until(() => second.runtime.table()?.config.version === newer);
+  });
+
   // Guards against a configuration that comes late because the peer that was asked for it
   // first is frozen, cut off or has a slow link.
   it('fetches a newer configuration from another peer when the first one is silent', async () => {
--- a/packages/gateway/src/exchangeJson/index.ts
+++ b/packages/gateway/src/exchangeJson/index.ts
@@ -8,6 +8,7 @@
 import { gunzipSync, gzipSync } from 'node:zlib';
 import { collectBytes } from '@endivegate/core/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
+import { identity } from 'fp-ts/lib/function.js';
 import { limitFraming, MAX_HEAD_BYTES } from '../limitFraming/index.ts';
 import { watchResponseEnd } from '../watchResponseEnd/index.ts';
 
@@ -58,13 +59,15 @@
 }
 
 /** Options of {@link answerJson}. */
-export interface AnswerJsonOptions {
+export interface AnswerJsonOptions<T> {
   /** Responses in progress at once, beyond which callers are told to ask another peer;
    * unlimited by default. */
   readonly maxResponses?: number;
   /** Time after which a response is broken off, so that callers that do not read leave
    * room for others; 2 s by default. */
   readonly responseTimeoutMs?: number;
+  /** Converts a value to what JSON can hold; returns it as it is by default. */
+  readonly encodeValue?: (value: T) => unknown;
 }
 
 /** Longer than callers wait. */
@@ -75,18 +78,23 @@
  *
  * @param path - Path of the value.
  * @param current - Returns the value, or undefined while there is none.
+ * @param options - Limits and encoding of responses.
  * @returns The server, not yet listening.
  *
  * @example
  * serveJson('/config', () => config).listen(7340);
  */
-export function serveJson(path: string, current: () => unknown): Server {
-  return createServer(answerJson(path, current));
+export function serveJson<T>(
+  path: string,
+  current: () => T | undefined,
+  options: AnswerJsonOptions<T> = {},
+): Server {
+  return createServer(answerJson(path, current, options));
 }
 
 /** A value and its compressed JSON. */
-interface Encoded {
-  readonly value: unknown;
+interface Encoded<T> {
+  readonly value: T;
   readonly bytes: Buffer;
 }
 
@@ -97,25 +105,28 @@
  *
  * @param path - Path of the value.
  * @param current - Returns the value, or undefined while there is none.
- * @param options - Limits of responses in progress.
+ * @param options - Limits and encoding of responses.
  * @returns The listener.
  *
  * @example
  * createServer(answerJson('/config', () => config));
  */
-export function answerJson(
+export function answerJson<T>(
   path: string,
-  current: () => unknown,
-  options: AnswerJsonOptions = {},
+  current: () => T | undefined,
+  options: AnswerJsonOptions<T> = {},
 ): RequestListener {
-  const { maxResponses = Infinity, responseTimeoutMs = RESPONSE_TIMEOUT_MS } =
-    options;
-  let latest: Encoded | undefined;
+  const {
+    maxResponses = Infinity,
+    responseTimeoutMs = RESPONSE_TIMEOUT_MS,
+    encodeValue = identity,
+  } = options;
+  let latest: Encoded<T> | undefined;
   let responses = 0;
 
-  function compress(value: unknown): Buffer {
+  function compress(value: T): Buffer {
     if (latest === undefined || latest.value !== value) {
-      const text = JSON.stringify(value);
+      const text = JSON.stringify(encodeValue(value));
       latest = { value, bytes: gzipSync(text, { level: GZIP_LEVEL }) };
     }
     return latest.bytes;
@@ -129,7 +140,7 @@
     }
     if (request.headers['accept-encoding'] !== GZIP) {
       response.writeHead(HTTP_OK, { connection: 'close' });
-      response.end(JSON.stringify(value));
+      response.end(JSON.stringify(encodeValue(value)));
       return;
     }
     if (responses >= maxResponses) {
--- a/packages/gateway/src/gatewayRuntime/index.ts
+++ b/packages/gateway/src/gatewayRuntime/index.ts
@@ -11,7 +11,10 @@
   type RouteTable,
   type WarmUpBound,
 } from '@endivegate/core/forwarding';
-import type { ForwardingConfig } from '@endivegate/contracts/forwarding';
+import type {
+  ExactInteger,
+  ForwardingConfig,
+} from '@endivegate/contracts/forwarding';
 import type { EventLog } from '../createEventLog/index.ts';
 
 /** Holds the state of a gateway and applies events to it. */
@@ -168,7 +171,7 @@
 function logConfig(
   log: EventLog,
   { config }: RouteTable,
-  change: { readonly before: number; readonly origin: ConfigOrigin },
+  change: { readonly before: ExactInteger; readonly origin: ConfigOrigin },
 ): void {
   const { source, bytes, behindMs, fetchMs, decodeMs } = change.origin;
   log.info('config.inForce', {
@@ -265,6 +268,13 @@
         version: effect.source.version,
       });
       return;
+    case 'configSync.notNewer':
+      log.warn('config.notNewer', {
+        version: effect.document.version,
+        inForce: effect.active,
+        revision: effect.document.revision,
+      });
+      return;
     case 'configSync.storeReadDue':
       log.warn('config.storeReadDue', {});
       return;
--- a/packages/gateway/src/gatewayRuntime/test.ts
+++ b/packages/gateway/src/gatewayRuntime/test.ts
@@ -1,5 +1,8 @@
 import fc from 'fast-check';
-import type { ForwardingConfig } from '@endivegate/contracts/forwarding';
+import type {
+  ExactInteger,
+  ForwardingConfig,
+} from '@endivegate/contracts/forwarding';
 import { createEventLog } from '../createEventLog/index.ts';
 import { createGatewayRuntime } from './index.ts';
 
@@ -29,7 +32,7 @@
             },
           }),
         );
-        const activated: number[] = [];
+        const activated: ExactInteger[] = [];
         runtime.onConfig((table) => activated.push(table.config.version));
         versions.forEach((version) => {
           runtime.applyConfig(configOf(version), 'test');
--- a/packages/gateway/src/relayDialect/index.ts
+++ b/packages/gateway/src/relayDialect/index.ts
@@ -1,4 +1,8 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import {
+  type ExactInteger,
+  parseExactInteger,
+} from '@endivegate/contracts/forwarding';
 import { endToEndHeaders, type HttpDialect } from '../httpDialect/index.ts';
 
 /** Age of a relayed request at the entry that its caller sent it to, in ms. Marks a
@@ -43,7 +47,7 @@
   readonly ageMs: number;
   readonly attempts: number;
   /** Version of the configuration that it must be served by, or a later one. */
-  readonly configVersion: number;
+  readonly configVersion: ExactInteger;
 }
 
 /** A request to relay. */
@@ -94,8 +98,8 @@
 export function readRelay(headers: IncomingHttpHeaders): RelayHead | undefined {
   const ageMs = Number(headers[RELAY_AGE_HEADER] ?? NaN);
   const attempts = Number(headers[RELAY_ATTEMPTS_HEADER] ?? NaN);
-  const configVersion = Number(headers[RELAY_CONFIG_HEADER] ?? NaN);
-  return ageMs >= 0 && attempts >= 1 && configVersion >= 0
+  const configVersion = parseExactInteger(String(headers[RELAY_CONFIG_HEADER]));
+  return ageMs >= 0 && attempts >= 1 && configVersion !== undefined
     ? { ageMs, attempts, configVersion }
     : undefined;
 }
--- a/packages/gateway/src/relayDialect/test.ts
+++ b/packages/gateway/src/relayDialect/test.ts
@@ -39,6 +39,14 @@
     ]);
   });
 
+  it('tells a version beyond 2^53 with all digits', () => {
+    const configVersion = 1796000000000000003n;
+    const headers = writeRelay({ ...request, configVersion }, testDialect);
+    expect(readRelay(Object.fromEntries(headers))?.configVersion).to.equal(
+      configVersion,
+    );
+  });
+
   it('is read back by the peer', () => {
     const headers = Object.fromEntries(writeRelay(request, testDialect));
     expect(readRelay(headers)).to.deep.equal({
--- a/packages/gateway/src/shareStore/_lib/storeNews.ts
+++ b/packages/gateway/src/shareStore/_lib/storeNews.ts
@@ -1,5 +1,10 @@
 import { decode, encode } from '@msgpack/msgpack';
-import { listedTargetSchema } from '@endivegate/contracts/forwarding';
+import {
+  encodeExactFields,
+  exactFields,
+  listedTargetSchema,
+  wireIntegerSchema,
+} from '@endivegate/contracts/forwarding';
 import { z } from 'zod';
 
 const removalSchema = z.object({ type: z.literal('removed'), id: z.string() });
@@ -39,7 +44,7 @@
 /** Keys that later builds add are optional, those that this build does not know are
  * dropped, and a malformed optional key does not affect the rest: entries of two builds
  * follow one watcher. */
-const newsSchema = z.object({
+const newsFieldsSchema = z.object({
   name: z.string(),
   weight: z.number(),
   era: z.number(),
@@ -54,12 +59,16 @@
   /** Time for which the sender has followed the store without a failure; 0 if it does
    * not, absent in news of earlier builds. */
   followedMs: z.number().optional().catch(undefined),
-  configVersion: z.number(),
+  /** Version of the sender's configuration; 0 if an earlier build has rounded it, so that
+   * it is not known. */
+  configVersion: wireIntegerSchema.catch(0),
   changes: z.array(z.unknown()).transform((rows) => rows.flatMap(readChange)),
   /** Evacuations in force and recent removals; absent if there are none. */
   evacuations: z.array(evacuationSchema).optional().catch(undefined),
 });
 
+const newsSchema = exactFields(newsFieldsSchema);
+
 /** All targets that a watcher knows, for an entry that missed news. Added keys are
  * optional, as in news. */
 export const snapshotSchema = z.object({
@@ -88,16 +97,20 @@
  * receivers fetch all targets instead; so are evacuations, which peers report too.
  */
 export function encodeNews(news: StoreNews): Uint8Array {
-  const bytes = encode(news);
+  const bytes = pack(news);
   if (bytes.length <= MAX_NEWS_BYTES) return bytes;
   const { evacuations, ...rest } = news;
   const shortened = { ...rest, fromRevision: news.revision, changes: [] };
-  const withEvacuations = encode({ ...shortened, evacuations });
+  const withEvacuations = pack({ ...shortened, evacuations });
   return evacuations === undefined || withEvacuations.length > MAX_NEWS_BYTES
-    ? encode(shortened)
+    ? pack(shortened)
     : withEvacuations;
 }
 
+function pack(news: StoreNews): Uint8Array {
+  return encode(encodeExactFields(news));
+}
+
 /** Decodes news; undefined if the bytes are malformed. */
 export function decodeNews(bytes: Uint8Array): StoreNews | undefined {
   try {
--- a/packages/gateway/src/shareStore/test.ts
+++ b/packages/gateway/src/shareStore/test.ts
@@ -1,7 +1,10 @@
 import { expect } from 'chai';
 import { createSocket } from 'node:dgram';
 import { mock } from 'node:test';
-import type { ListedTarget } from '@endivegate/contracts/forwarding';
+import type {
+  ExactInteger,
+  ListedTarget,
+} from '@endivegate/contracts/forwarding';
 import { createEventLog } from '../createEventLog/index.ts';
 import {
   createGatewayRuntime,
@@ -135,7 +138,7 @@
     stopped: boolean;
   }[] = [];
   const restoredEras: number[] = [];
-  const newerVersions: number[] = [];
+  const newerVersions: ExactInteger[] = [];
 
   let fleetPort = '';
   let skippedMs = 0;
--- a/packages/gateway/src/startGateway/test.ts
+++ b/packages/gateway/src/startGateway/test.ts
@@ -295,7 +295,7 @@
     const sent = ['Bearer k1', 'Bearer no', 'Bearer ', 'Bearer', ''];
     await keyless.reduce(async (before, workspaces, index) => {
       await before;
-      const version = config.version + index + 1;
+      const version = Number(config.version) + index + 1;
       gateway.runtime.applyConfig({ ...config, version, workspaces }, 'test');
       const answers = await Promise.all(
         sent.map((authorization) =>
--- a/packages/gateway/src/testCallerBodies/test.ts
+++ b/packages/gateway/src/testCallerBodies/test.ts
@@ -142,7 +142,7 @@
   it('closes the connection of a caller that does not read its answer', async () => {
     const { limits, ...config } = testConfig({ repeat: 'idempotent' });
     const shortLimits = { ...limits, idleTimeoutMs: 200 };
-    const version = config.version + 1;
+    const version = Number(config.version) + 1;
     entry.gateway.runtime.applyConfig(
       { ...config, version, limits: shortLimits },
       'test',
