--- a/packages/core/src/forwarding/decideNext/index.ts
+++ b/packages/core/src/forwarding/decideNext/index.ts
@@ -30,6 +30,9 @@
       readonly oversized?: OversizedPart;
       /** Set if the send was aborted because the response is not a valid one. */
       readonly isMalformed?: true;
+      /** Set if the process has ended without closing the connection, which tells
+       * nothing of what listens there now, or of the request. */
+      readonly isTargetLost?: true;
     };
 
 /** State of a request at the end of a send. */
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -18,6 +18,7 @@
 export * from './fitsGrace/index.ts';
 export * from './gatewayReduce/index.ts';
 export * from './memoryMargin/index.ts';
+export * from './processLoss/index.ts';
 export * from './partSuspects/index.ts';
 export * from './peerList/index.ts';
 export * from './peerProtocol/index.ts';
--- a/packages/gateway/src/forwardRequest/_lib/recordOutcome.ts
+++ b/packages/gateway/src/forwardRequest/_lib/recordOutcome.ts
@@ -37,7 +37,7 @@
         reportFailure(id, end.reason, 'broken');
       return;
     case 'broken':
-      reportFailure(id, end.reason, 'broken');
+      if (end.isTargetLost !== true) reportFailure(id, end.reason, 'broken');
   }
 
   /**
--- a/packages/gateway/src/forwardRequest/types.ts
+++ b/packages/gateway/src/forwardRequest/types.ts
@@ -11,6 +11,7 @@
 import type { OrderPort } from '../orderPort/index.ts';
 import type { ReachProbe } from '../reachProbe/index.ts';
 import type { TargetDeaths } from '../targetDeaths/index.ts';
+import type { TargetLoss } from '../targetLoss/index.ts';
 
 /** A caller's request that passed all checks. */
 export interface ForwardCall {
@@ -74,6 +75,7 @@
   /** Name of this entry. */
   readonly entryName: string;
   readonly targetDeaths: TargetDeaths;
+  readonly targetLoss: Pick<TargetLoss, 'watch'>;
   /** Start of the gateway in monotonic time. */
   readonly startedAtMs: number;
   /** Monotonic time in ms. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -14,4 +14,5 @@
 export * from './followPrefix/index.ts';
 export * from './shareStore/index.ts';
 export * from './storePort/index.ts';
+export * from './targetLoss/index.ts';
 export * from './watchResponseEnd/index.ts';
--- a/packages/gateway/src/partGuard/index.ts
+++ b/packages/gateway/src/partGuard/index.ts
@@ -143,10 +143,13 @@
   }
 
   function sendEnded({ target, sentAtMs }: EndedSend, end: SendEnd): void {
-    // A target that sends too much, or what is no answer, is alive.
+    // A target that sends too much, or what is no answer, is alive. One that fell silent
+    // may have lost power, whatever it ran.
     const isAborted =
       end.type === 'broken' &&
-      (end.oversized !== undefined || end.isMalformed === true);
+      (end.oversized !== undefined ||
+        end.isMalformed === true ||
+        end.isTargetLost === true);
     if (isAborted) return;
     if (end.type === 'broken' && sentAtMs !== undefined) {
       context.targetDeaths.sendBroke({
--- a/packages/gateway/src/reserveMemory/index.ts
+++ b/packages/gateway/src/reserveMemory/index.ts
@@ -21,6 +21,9 @@
   readonly reservationId: string;
   /** Time between renewals; {@link RENEW_INTERVAL_MS} by default. */
   readonly renewMs?: number;
+  /** Time between the releases after a renewal without an answer;
+   * {@link REPEAT_INTERVAL_MS} by default. */
+  readonly repeatMs?: number;
 }
 
 /**
@@ -33,6 +36,11 @@
 /** A third of the TTL, so that the reservation survives two lost renewals. */
 const RENEW_INTERVAL_MS = 1100;
 
+/** An order without an answer may be carried out seconds later, also after the release. */
+const RELEASES_WHEN_DOUBTFUL = 3;
+
+const REPEAT_INTERVAL_MS = 1000;
+
 /** After this many failed releases, the reservation is left to expire. */
 const MAX_RELEASE_ATTEMPTS = 3;
 
@@ -40,7 +48,8 @@
  * Reserves memory at all the given targets, or at none.
  *
  * The reservations are renewed until they are released. A reservation without
- * an answer is released as well, since it may have been made.
+ * an answer is released as well, since it may have been made. After a renewal without
+ * an answer, the release is repeated, since the renewal may follow the first one.
  *
  * @param reservations - Targets, and the tokens to reserve at each.
  * @param options - Order client, log and ids.
@@ -61,7 +70,10 @@
     requestId,
     reservationId,
     renewMs = RENEW_INTERVAL_MS,
+    repeatMs = REPEAT_INTERVAL_MS,
   } = options;
+  /** Reservations with a renewal without an answer. */
+  const doubtful = new Set<PlannedReservation>();
   let isReleased = false;
   let renewTimer: NodeJS.Timeout | undefined;
 
@@ -81,6 +93,17 @@
     reservations.forEach((reservation) => {
       void releaseReservation(reservation, MAX_RELEASE_ATTEMPTS);
     });
+    doubtful.forEach((reservation) => {
+      releaseAgain(reservation, RELEASES_WHEN_DOUBTFUL);
+    });
+  }
+
+  function releaseAgain(reservation: PlannedReservation, times: number): void {
+    if (times === 0) return;
+    setTimeout(() => {
+      void releaseReservation(reservation, 1);
+      releaseAgain(reservation, times - 1);
+    }, repeatMs).unref();
   }
 
   async function releaseReservation(
@@ -107,6 +130,7 @@
           if (isReleased) void releaseReservation(reservation, 1);
           return;
         }
+        if (result.left.type === 'unanswered') noteDoubtful(reservation);
         log.warn('reservation.renewFailed', {
           request: requestId,
           target: reservation.target.id,
@@ -116,6 +140,13 @@
     });
   }
 
+  function noteDoubtful(reservation: PlannedReservation): void {
+    doubtful.add(reservation);
+    if (!isReleased) return;
+    void releaseReservation(reservation, 1);
+    releaseAgain(reservation, RELEASES_WHEN_DOUBTFUL);
+  }
+
   void Promise.all(reservations.map(reserve)).then((results) => {
     if (isReleased) {
       // A reservation may have reached its target after the release.
--- a/packages/gateway/src/reserveMemory/test.ts
+++ b/packages/gateway/src/reserveMemory/test.ts
@@ -95,6 +95,42 @@
     expect(held.size).to.equal(0);
   });
 
+  // Guards against memory that a late renewal sets aside again after the release.
+  it('releases again what a renewal without an answer may set aside later', async () => {
+    const events: string[] = [];
+    let answersRenewals = false;
+    const orders: OrderPort = {
+      reserve: () => () => {
+        events.push('reserve');
+        const lost: OrderError = { type: 'unanswered', reason: 'timed out' };
+        return Promise.resolve(
+          events.length === 1 || answersRenewals
+            ? E.right(undefined)
+            : E.left(lost),
+        );
+      },
+      release: () => () => {
+        events.push('release');
+        return Promise.resolve(E.right(undefined));
+      },
+    };
+    const times = { renewMs: 10, repeatMs: 10 };
+    const releasesAfter = async (answers: boolean): Promise<number> => {
+      answersRenewals = answers;
+      events.length = 0;
+      const options = { ...optionsOf(orders), ...times };
+      const release = reserveMemory([reservation('a')], options, () => 0);
+      while (events.length < 3) await settle();
+      release();
+      await new Promise((resolve) => {
+        setTimeout(resolve, 100);
+      });
+      return events.filter((one) => one === 'release').length;
+    };
+    expect(await releasesAfter(true)).to.equal(1);
+    expect(await releasesAfter(false)).to.equal(4);
+  });
+
   it('releases a reservation that is made after the cancellation', async () => {
     const { orders, held } = createOrders();
     const cancel = reserveMemory([reservation('a')], optionsOf(orders), () => {
--- a/packages/gateway/src/runSend/_lib/relaySilence/test.ts
+++ b/packages/gateway/src/runSend/_lib/relaySilence/test.ts
@@ -52,6 +52,7 @@
    * the first peer is frozen. */
   async function askThroughFrozen(
     route: Partial<ForwardingRoute>,
+    restarts = false,
   ): Promise<{ readonly status: number; readonly relayed: number }> {
     const answer: RequestListener = (request, response) => {
       sign(request, response);
@@ -74,20 +75,21 @@
     }
     const [peer] = runtime.state().peers.values();
     if (peer === undefined) throw new Error('no peer');
-    runtime.dispatch({
-      type: 'peers.received',
-      atMs: peer.heardAtMs + 100,
-      peers: [
-        {
-          ...peer,
-          name: 'frozen',
-          peerAddress: frozen.address,
-          weight: FROZEN_WEIGHT,
-        },
-      ],
-    });
-    const { status } = await started.ask(0);
-    return { status, relayed: frozen.sockets.size };
+    const { address: peerAddress, sockets } = frozen;
+    const hear = (startedAtUnixMs: number): void => {
+      const named = { ...peer, name: 'frozen', startedAtUnixMs };
+      runtime.dispatch({
+        type: 'peers.received',
+        atMs: peer.heardAtMs + 100,
+        peers: [{ ...named, peerAddress, weight: FROZEN_WEIGHT }],
+      });
+    };
+    hear(peer.startedAtUnixMs);
+    const asked = started.ask(0);
+    while (restarts && sockets.size === 0) await settle(5);
+    if (restarts) hear(peer.startedAtUnixMs + 1);
+    const { status } = await asked;
+    return { status, relayed: sockets.size };
   }
 
   // Relayed requests had no limit of silence, so the caller waited for the deadline.
@@ -107,4 +109,14 @@
     expect(relayed).to.be.at.least(1);
     expect(status).to.equal(504);
   });
+
+  // Guards against a caller that waits for an entry that lost power and has started again.
+  it('ends a call that may run once when the peer has started again', async () => {
+    const { status, relayed } = await askThroughFrozen(
+      { repeat: 'atMostOnce' },
+      true,
+    );
+    expect(relayed).to.be.at.least(1);
+    expect(status).to.equal(502);
+  });
 });
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -1,6 +1,7 @@
 import {
   allLoads,
   estimatePassMs,
+  type LossFact,
   orderEvent,
   type OversizedPart,
   type SendEnd,
@@ -88,6 +89,9 @@
   let isPaused = false;
   let sending: RunningSend | undefined;
   let releaseMemory: (() => void) | undefined;
+  let stopWatching: (() => void) | undefined;
+  /** When the target last sent something, or could have begun to. */
+  let receivedAtMs = startedAtMs;
   const stallDetector = createStallDetector({
     remainingSilenceMs: remainingMs,
     backlogMs: () => targetLoad()?.prefillMs ?? 0,
@@ -161,18 +165,38 @@
    * reserve memory or to connect, does not count. */
   function onSent(): void {
     wasSent = true;
-    eventTimes.restart(now());
+    stopWatching = context.targetLoss.watch({
+      requestId: call.attemptId,
+      plan,
+      service: call.service,
+      silenceMs: () => (isPaused ? 0 : now() - receivedAtMs),
+      onLost: guard(onLost, undefined),
+    });
+    receivedAtMs = now();
+    eventTimes.restart(receivedAtMs);
     stallDetector.reset();
     handlers.onSent();
   }
 
+  /** Ends the send because its process has ended without closing the connection. */
+  function onLost(fact: LossFact): void {
+    sending?.cancel();
+    finish({
+      type: 'broken',
+      reason: `the target has ended: ${fact}`,
+      isTargetLost: true,
+    });
+  }
+
   function onHead(received: ResponseHead): void {
+    receivedAtMs = now();
     head = received;
     isStream = call.route.repeat === 'stream' && received.status === HTTP_OK;
   }
 
   function onBody(chunk: Buffer): void {
     if (isOver) return;
+    receivedAtMs = now();
     if (!plan.isRelay) context.reachProbe.noteReceived();
     if (!isStream) {
       answerBuffer.add(chunk);
@@ -203,7 +227,8 @@
   function resume(): void {
     if (isOver || !isPaused) return;
     isPaused = false;
-    eventTimes.restart(now());
+    receivedAtMs = now();
+    eventTimes.restart(receivedAtMs);
     stallDetector.reset();
     sending?.resume();
   }
@@ -286,6 +311,7 @@
   function cleanUp(end?: SendEnd): void {
     isOver = true;
     stallDetector.stop();
+    stopWatching?.();
     releaseMemory?.();
     splitter.clear();
     answerBuffer.release();
--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -265,6 +265,7 @@
           runtime,
           pool,
           peerPool: pool,
+          targetLoss: { watch: () => () => undefined },
           reachProbe: {
             noteReceived: () => undefined,
             onCutOff: () => () => undefined,
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -34,6 +34,7 @@
 import { startReachProbe } from '../reachProbe/index.ts';
 import { createRelayProbe } from '../relayProbe/index.ts';
 import { createTargetDeaths } from '../targetDeaths/index.ts';
+import { type CheckTarget, createTargetLoss } from '../targetLoss/index.ts';
 
 /** Options of {@link startGateway}. */
 export interface StartGatewayOptions {
@@ -49,6 +50,8 @@
   readonly bounds: GatewayBounds;
   readonly dialect: HttpDialect;
   readonly orders: OrderPort;
+  /** Asks targets whether they are alive; connects to them by default. */
+  readonly checkTarget?: CheckTarget;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
   /** Memory of the machine in bytes, part of which is for the bodies of requests; 250 MB by
@@ -141,6 +144,11 @@
     now,
     probe,
   });
+  const { checkTarget } = options;
+  const targetLoss = createTargetLoss({
+    ...{ runtime, log, now, probe },
+    ...(checkTarget === undefined ? {} : { checkTarget }),
+  });
   const admission =
     options.queuesRequests === true
       ? createAdmissionControl({ runtime, log, metrics, now })
@@ -167,6 +175,7 @@
       entryName: options.name,
       memoryBytes: options.memoryBytes,
       targetDeaths,
+      targetLoss,
       startedAtMs: now(),
       now,
     },
@@ -250,6 +259,7 @@
     tickColdTargets();
     metrics.heldRemovals(heldRemovals(runtime.state().roster, atMs));
     reachProbe.checkSilence();
+    targetLoss.tick();
     runtime.dispatch({ type: 'partSuspects.ticked', atMs });
     const targets = [...runtime.state().roster.targets.values()];
     pool.keepOnly(
--- a/packages/gateway/src/targetDeaths/index.ts
+++ b/packages/gateway/src/targetDeaths/index.ts
@@ -1,7 +1,6 @@
 import {
   type CrashReport,
   type PartDeath,
-  pickProbedTargets,
   processKey,
   requestPart,
   type TargetProcess,
@@ -12,6 +11,7 @@
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
 import type { SendDestination } from '../planSend/index.ts';
 import { probeAddress } from '../probeAddress/index.ts';
+import { probeOthers } from '../probeOthers/index.ts';
 import { reportedService } from '../partGuard/_lib/reportedService.ts';
 import { shortName } from '../shortName/index.ts';
 
@@ -96,7 +96,7 @@
   function startProbe(target: SendDestination, number: number): void {
     probe(target.address, (result) => {
       if (result === 'accepted') retryProbe(target, number);
-      else if (result === 'refused') probeOthers(target, number);
+      else if (result === 'refused') checkPath(target, number);
       else settle(processName(target), isReplaced(target));
     });
   }
@@ -113,27 +113,15 @@
 
   /** Finds out whether the path is lost, in which case a refused connection says nothing
    * about a single target. */
-  function probeOthers(target: SendDestination, number: number): void {
-    const { roster, targetReach } = runtime.state();
-    const targets = new Map(roster.targets);
-    targets.delete(target.id);
-    const others = pickProbedTargets(
-      { ...roster, targets },
-      targetReach.failures,
+  function checkPath(target: SendDestination, number: number): void {
+    probeOthers(
+      target.id,
+      (reaches) => {
+        if (reaches === undefined) confirm(target, number, reachesTargets());
+        else confirmAgain(target, number, reaches);
+      },
+      { runtime, probe },
     );
-    if (others.length === 0) {
-      confirm(target, number, reachesTargets());
-      return;
-    }
-    let pending = others.length;
-    let accepted = 0;
-    others.forEach(({ address }) => {
-      probe(address, (result) => {
-        pending -= 1;
-        if (result === 'accepted') accepted += 1;
-        if (pending === 0) confirmAgain(target, number, accepted > 0);
-      });
-    });
   }
 
   /** A path that was lost may be back since the target refused. */
--- a/packages/gateway/src/testGateway/index.ts
+++ b/packages/gateway/src/testGateway/index.ts
@@ -21,11 +21,13 @@
   createGatewayMetrics,
   type GatewayMetrics,
 } from '../createGatewayMetrics/index.ts';
+import type { OrderPort } from '../orderPort/index.ts';
 import {
   type Gateway,
   startGateway,
   type StartGatewayOptions,
 } from '../startGateway/index.ts';
+import type { CheckTarget } from '../targetLoss/index.ts';
 import { testAddress } from '../testAddress/index.ts';
 import { testDialect } from '../testDialect/index.ts';
 
@@ -85,6 +87,10 @@
   readonly queuesRequests?: boolean;
   /** Opens connections to targets; `connect` of `node:net` by default. */
   readonly connectTarget?: Connect;
+  /** Orders to targets; all are carried out by default. */
+  readonly orders?: OrderPort;
+  /** Asks targets whether they are alive; connects to them by default. */
+  readonly checkTarget?: CheckTarget;
   /** Name of the entry; `e1` by default. */
   readonly name?: string;
   /** Time for which the process has been busy since its start; 0 by default. */
@@ -259,12 +265,15 @@
   );
   const clock = createTestClock();
   const { name = 'e1', connectTarget, busyMs = () => 0 } = options;
+  const { checkTarget, orders } = options;
   const started = await testGatewayOptions({
     name,
     busyMs,
     now: clock.now,
     queuesRequests: options.queuesRequests,
     ...(connectTarget === undefined ? {} : { connectTarget }),
+    ...(checkTarget === undefined ? {} : { checkTarget }),
+    ...(orders === undefined ? {} : { orders }),
     log: createEventLog({
       entryId: name,
       write: (text, done) => {
