Revisions and eras of the store are exact at any size (CONFIG, related path)

The compiler named all other places once the type had changed.

Change: ExactInteger from the store's response to the log. Below 2^53 messages stay as they are. Rounded positions of earlier builds are not used, so that entries beside them follow the store themselves. The gauge of the era stays a double, as its page says.

--- a/packages/contracts/src/forwarding/index.ts
+++ b/packages/contracts/src/forwarding/index.ts
@@ -5,7 +5,10 @@
  */
 import { isIPv4 } from 'node:net';
 import { z } from 'zod';
-import { exactIntegerSchema } from '../exactInteger/index.ts';
+import {
+  exactIntegerSchema,
+  wireIntegerSchema,
+} from '../exactInteger/index.ts';
 
 export * from '../exactInteger/index.ts';
 
@@ -137,8 +140,8 @@
   /** How long it stays cold after it was listed; 0 or absent if it is warm. */
   warmUpLeftMs: durationMsSchema.optional(),
   /** Revision of the store at which its entry was written; absent in what entries of
-   * earlier builds tell. */
-  revision: z.number().optional(),
+   * earlier builds tell, or have rounded. */
+  revision: wireIntegerSchema.optional().catch(undefined),
 });
 
 /** See {@link repeatRuleSchema}. */
--- a/packages/core/src/forwarding/configSync/index.ts
+++ b/packages/core/src/forwarding/configSync/index.ts
@@ -37,8 +37,8 @@
 
 /** A configuration as the store holds it. Positions are unique only within an era. */
 export interface StoredConfig {
-  readonly era: number;
-  readonly revision: number;
+  readonly era: ExactInteger;
+  readonly revision: ExactInteger;
   readonly version: ExactInteger;
 }
 
--- a/packages/core/src/forwarding/evacuations/_lib/merge.ts
+++ b/packages/core/src/forwarding/evacuations/_lib/merge.ts
@@ -1,3 +1,4 @@
+import { compareExactIntegers } from '@endivegate/contracts/forwarding';
 import type {
   Evacuation,
   EvacuationList,
@@ -7,7 +8,10 @@
 
 /** Orders positions: negative if `a` is older than `b`. */
 export function comparePositions(a: FactPosition, b: FactPosition): number {
-  return a.era - b.era || a.revision - b.revision;
+  return (
+    compareExactIntegers(a.era, b.era) ||
+    compareExactIntegers(a.revision, b.revision)
+  );
 }
 
 /** Adds facts; of two on one data centre, the newer one is kept. */
--- a/packages/core/src/forwarding/evacuations/types.ts
+++ b/packages/core/src/forwarding/evacuations/types.ts
@@ -1,9 +1,10 @@
+import type { ExactInteger } from '@endivegate/contracts/forwarding';
 import type { Step } from '../../step/index.ts';
 
 /** A revision of the store; revisions are unique only within an era. */
 export interface FactPosition {
-  readonly era: number;
-  readonly revision: number;
+  readonly era: ExactInteger;
+  readonly revision: ExactInteger;
 }
 
 /** What the store held on the evacuation of a data centre at one revision. */
@@ -27,7 +28,7 @@
 /** Complete list of the evacuated data centres at a position. */
 export interface EvacuationList extends FactPosition {
   /** Revision of the request by data centre. */
-  readonly revisions: ReadonlyMap<string, number>;
+  readonly revisions: ReadonlyMap<string, ExactInteger>;
 }
 
 /** Where a fact was learned: from the store, from an entry that watches it, or from
--- a/packages/core/src/forwarding/targetRoster/_lib/removalFacts.ts
+++ b/packages/core/src/forwarding/targetRoster/_lib/removalFacts.ts
@@ -1,3 +1,4 @@
+import type { ExactInteger } from '@endivegate/contracts/forwarding';
 import type {
   KnownRemoval,
   ListPosition,
@@ -70,7 +71,7 @@
 export function isWrittenAfter(
   target: RosterTarget,
   removal: TargetRemoval,
-  era: number | undefined,
+  era: ExactInteger | undefined,
 ): boolean {
   const isListed = target.missingSinceMs === undefined;
   if (target.revision === undefined || era === undefined) return isListed;
@@ -82,7 +83,7 @@
  * arrives late. */
 export function isOutdated(
   state: RosterState,
-  listed: TargetProcess & { readonly revision?: number | undefined },
+  listed: TargetProcess & { readonly revision?: ExactInteger | undefined },
 ): boolean {
   const removal = state.removals.get(processKey(listed));
   return (
--- a/packages/core/src/forwarding/targetRoster/types.ts
+++ b/packages/core/src/forwarding/targetRoster/types.ts
@@ -1,4 +1,7 @@
-import type { ListedTarget } from '@endivegate/contracts/forwarding';
+import type {
+  ExactInteger,
+  ListedTarget,
+} from '@endivegate/contracts/forwarding';
 import type { Step } from '../../step/index.ts';
 
 /** A listed target with the observations of this entry. */
@@ -41,8 +44,8 @@
  * the store all along. */
 export interface TargetRemoval extends TargetProcess {
   /** Position of the store at which it was not listed. */
-  readonly era: number;
-  readonly revision: number;
+  readonly era: ExactInteger;
+  readonly revision: ExactInteger;
 }
 
 /** A removal that this entry saw, or heard of. */
@@ -57,8 +60,8 @@
 
 /** Position in the history of the store. */
 export interface ListPosition {
-  readonly era: number;
-  readonly revision: number;
+  readonly era: ExactInteger;
+  readonly revision: ExactInteger;
 }
 
 /** Removals that are held. */
@@ -86,7 +89,7 @@
    * while it does not. */
   readonly followedSinceMs: number | undefined;
   /** Era of the newest list; undefined before. */
-  readonly era: number | undefined;
+  readonly era: ExactInteger | undefined;
   /** Removals that need not be held, by `processKey`. */
   readonly removals: ReadonlyMap<string, KnownRemoval>;
 }
--- a/packages/gateway/src/createGatewayMetrics/index.ts
+++ b/packages/gateway/src/createGatewayMetrics/index.ts
@@ -1,3 +1,4 @@
+import type { ExactInteger } from '@endivegate/contracts/forwarding';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ConfigOrigin } from '../gatewayRuntime/index.ts';
 
@@ -37,7 +38,7 @@
    * a part that crashes targets. */
   readonly partSuspected: (labels: { event: 'death' | 'refused' }) => void;
   /** Sets the era of the store, which rises when it is restored. */
-  readonly storeEra: (era: number) => void;
+  readonly storeEra: (era: ExactInteger) => void;
   /** Sets the number of evacuated data centres. */
   readonly evacuatedDataCentres: (count: number) => void;
   /** Counts a new connection to a target. */
@@ -153,7 +154,7 @@
   });
   const era = new Gauge({
     name: 'endivegate_store_era',
-    help: 'Era of the store; it rises when the store is restored from a copy.',
+    help: 'Era of the store, rounded above 2^53; it rises when the store is restored from a copy.',
     registers,
   });
   const evacuated = new Gauge({
@@ -248,7 +249,7 @@
       partSuspects.inc(labels);
     },
     storeEra: (value) => {
-      era.set(value);
+      era.set(Number(value));
     },
     evacuatedDataCentres: (count) => {
       evacuated.set(count);
--- a/packages/gateway/src/createPeerLink/_lib/evacuationExtension.ts
+++ b/packages/gateway/src/createPeerLink/_lib/evacuationExtension.ts
@@ -5,6 +5,12 @@
 } from '@endivegate/core/forwarding';
 import { z } from 'zod';
 import { chunkRows } from './chunkRows.ts';
+import {
+  hasForm,
+  type PositionForm,
+  positionFields,
+  positionRow,
+} from './positionForm.ts';
 import type { ExtensionDefinition } from './peerExtensions.ts';
 
 /** Evacuations in one datagram. */
@@ -14,10 +20,8 @@
   z.tuple([
     /** Data centre. */
     z.string(),
-    /** Era of the store. */
-    z.number().nonnegative(),
-    /** Revision of the store. */
-    z.number().nonnegative(),
+    /** Position of the store. */
+    ...positionFields,
     /** Whether the data centre is evacuated. */
     z.boolean(),
     /** Time since an entry learned of it, in ms. */
@@ -29,11 +33,15 @@
  * Evacuations in force and recent removals. Entries that read the store report them,
  * and so do those that report what they received.
  */
-export const evacuationExtension: ExtensionDefinition<typeof rowsSchema> = {
+export const evacuationExtension = (
+  form: PositionForm,
+): ExtensionDefinition<typeof rowsSchema> => ({
   schema: rowsSchema,
   describe({ evacuations }, { nowMs, includeReceived }) {
     if (!includeReceived && !isReadingStore(evacuations, nowMs)) return [];
-    const rows = evacuationReports(evacuations, nowMs).map(encodeRow);
+    const rows = evacuationReports(evacuations, nowMs)
+      .filter((report) => hasForm(report, form))
+      .map(encodeRow);
     return chunkRows(rows, { maxRows: MAX_ROWS });
   },
   apply: (rows, { nowMs }) => [
@@ -44,16 +52,16 @@
       source: 'peer',
     },
   ],
-};
-
-type Row = z.infer<typeof rowsSchema>[number];
+});
 
-function encodeRow(report: EvacuationReport): Row {
-  const { dataCentre, era, revision, isEvacuated, ageMs } = report;
-  return [dataCentre, era, revision, isEvacuated, ageMs];
+function encodeRow(
+  report: EvacuationReport,
+): z.input<typeof rowsSchema>[number] {
+  const { dataCentre, isEvacuated, ageMs } = report;
+  return [dataCentre, ...positionRow(report), isEvacuated, ageMs];
 }
 
-function decodeRow(row: Row): EvacuationReport {
+function decodeRow(row: z.output<typeof rowsSchema>[number]): EvacuationReport {
   const [dataCentre, era, revision, isEvacuated, ageMs] = row;
   return { dataCentre, era, revision, isEvacuated, ageMs };
 }
--- a/packages/gateway/src/createPeerLink/_lib/peerExtensions.ts
+++ b/packages/gateway/src/createPeerLink/_lib/peerExtensions.ts
@@ -100,8 +100,10 @@
 
 /** The extensions that this build knows. */
 export const PEER_EXTENSIONS: ExtensionRegistry = {
-  evac: defineExtension(evacuationExtension),
-  gone: defineExtension(removalExtension),
+  evac: defineExtension(evacuationExtension('numbers')),
+  evacDigits: defineExtension(evacuationExtension('digits')),
+  gone: defineExtension(removalExtension('numbers')),
+  goneDigits: defineExtension(removalExtension('digits')),
   warm: defineExtension(warmExtension),
 };
 
--- a/packages/gateway/src/createPeerLink/_lib/removalExtension.ts
+++ b/packages/gateway/src/createPeerLink/_lib/removalExtension.ts
@@ -2,27 +2,35 @@
 import { z } from 'zod';
 import { chunkRows } from './chunkRows.ts';
 import type { ExtensionDefinition } from './peerExtensions.ts';
+import {
+  hasForm,
+  type PositionForm,
+  positionFields,
+  positionRow,
+} from './positionForm.ts';
 import { MAX_PROCESS_ROWS, processFields } from './processRow.ts';
 
 const rowsSchema = z.array(
   z.tuple([
     ...processFields,
-    /** Era of the store. */
-    z.number().nonnegative(),
-    /** Revision of the store at which the target was not listed. */
-    z.number().nonnegative(),
+    /** Position of the store at which the target was not listed. */
+    ...positionFields,
   ]),
 );
 
 /** Targets whose removal an entry saw that followed the store all along. */
-export const removalExtension: ExtensionDefinition<typeof rowsSchema> = {
+export const removalExtension = (
+  form: PositionForm,
+): ExtensionDefinition<typeof rowsSchema> => ({
   schema: rowsSchema,
   describe({ roster }, { nowMs, name }) {
-    const rows = removalReports(roster, { name, nowMs }).map(
-      ({ id, bornMs, era, revision }): z.input<typeof rowsSchema>[number] => [
-        ...([id, bornMs, era, revision] as const),
-      ],
-    );
+    const rows = removalReports(roster, { name, nowMs })
+      .filter((removal) => hasForm(removal, form))
+      .map((removal): z.input<typeof rowsSchema>[number] => [
+        removal.id,
+        removal.bornMs,
+        ...positionRow(removal),
+      ]);
     return chunkRows(rows, { maxRows: MAX_PROCESS_ROWS });
   },
   apply: (rows, { nowMs, sender }) => [
@@ -35,4 +43,4 @@
       })),
     },
   ],
-};
+});
--- a/packages/gateway/src/createPeerLink/_lib/test.ts
+++ b/packages/gateway/src/createPeerLink/_lib/test.ts
@@ -11,7 +11,7 @@
 import { readDatagram } from './readDatagram.ts';
 import { createHubSelector } from './hubSelector.ts';
 import { splitPartReport } from './partRows.ts';
-import { defineExtension } from './peerExtensions.ts';
+import { defineExtension, PEER_EXTENSIONS } from './peerExtensions.ts';
 import {
   decodePeerMessages,
   encodePeerMessage,
@@ -259,6 +259,38 @@
     );
   });
 
+  // Guards against evacuations and removals that peers place in the wrong order, and against
+  // lists that earlier builds drop for one row.
+  it('tells positions above 2^53 in extensions of their own', () => {
+    const at = { era: 1, revision: 1152921504606846977n };
+    const evacuation = { ...at, isEvacuated: true, ageMs: 0 };
+    const reports = [
+      { ...evacuation, dataCentre: 'a' },
+      { ...evacuation, dataCentre: 'b', revision: 9 },
+    ];
+    const { state } = gatewayReduce(initialGatewayState, {
+      ...{ type: 'evacuations.reported', atMs: 1, reports, source: 'store' },
+    });
+    const context = { nowMs: 1, name: 'e1', includeReceived: true };
+    const { evac, evacDigits } = PEER_EXTENSIONS;
+    expect(evac?.describe(state, context)).to.deep.equal([
+      [['b', 1, 9, true, 0]],
+    ]);
+    const [rows] = evacDigits?.describe(state, context) ?? [];
+    expect(rows).to.deep.equal([['a', 1, '1152921504606846977', true, 0]]);
+    const apply = evacDigits?.read(decode(encode(rows)));
+    const events =
+      typeof apply === 'function'
+        ? apply({ nowMs: 5, sender: message.self })
+        : [];
+    expect(events).to.deep.equal([
+      {
+        ...{ type: 'evacuations.reported', atMs: 5, source: 'peer' },
+        reports: [{ ...evacuation, dataCentre: 'a' }],
+      },
+    ]);
+  });
+
   // Guards against two versions that are one for peers, and against a message that earlier
   // builds cannot read.
   it('tells the digits of a version that is rounded in the status', () => {
--- a/packages/gateway/src/followPrefix/index.ts
+++ b/packages/gateway/src/followPrefix/index.ts
@@ -1,3 +1,4 @@
+import type { ExactInteger } from '@endivegate/contracts/forwarding';
 import * as E from 'fp-ts/lib/Either.js';
 import type { EventLog } from '../createEventLog/index.ts';
 import type {
@@ -31,7 +32,7 @@
   readonly from?: StorePosition | undefined;
   readonly onList: (items: readonly StoredItem[], at: StorePosition) => void;
   /** Called with each change and the era of the store. */
-  readonly onChange: (change: StoreChange, era: number) => void;
+  readonly onChange: (change: StoreChange, era: ExactInteger) => void;
   /** Called after the changes of a watch were applied, also when there are none. */
   readonly onWatched?: (
     from: StorePosition,
@@ -46,7 +47,7 @@
    * Called before `onList` when the store was restored from an older copy since
    * the last list, with its new era.
    */
-  readonly onRestored: (era: number) => void;
+  readonly onRestored: (era: ExactInteger) => void;
   /** Monotonic time in ms. */
   readonly now: () => number;
   readonly sleep?: (ms: number) => Promise<void>;
@@ -98,7 +99,7 @@
   let failingSinceMs: number | undefined;
   let isLost = false;
   let lostSinceMs = now();
-  let knownEra: number | undefined = options.from?.era;
+  let knownEra: ExactInteger | undefined = options.from?.era;
   let startAt = options.from;
 
   async function follow(): Promise<void> {
@@ -138,7 +139,7 @@
   }
 
   /** Whether a list is of the newest known era, or of a newer one. */
-  async function acceptEra(era: number): Promise<boolean> {
+  async function acceptEra(era: ExactInteger): Promise<boolean> {
     if (knownEra !== undefined && era < knownEra) {
       const reason = `list of era ${era} after era ${knownEra}`;
       await handleFailure('list', { type: 'unanswered', reason });
@@ -153,7 +154,7 @@
   }
 
   /** Watches until the items have to be listed again. */
-  async function watchFrom(firstRevision: number): Promise<void> {
+  async function watchFrom(firstRevision: ExactInteger): Promise<void> {
     let afterRevision = firstRevision;
     while (!isStopped()) {
       const waitMs = Math.round(options.waitMs() * (1 + random()) * 0.5);
--- a/packages/gateway/src/shareStore/_lib/snapshotExchange.ts
+++ b/packages/gateway/src/shareStore/_lib/snapshotExchange.ts
@@ -6,7 +6,11 @@
   fetchJson,
   serveJson,
 } from '../../exchangeJson/index.ts';
-import { snapshotSchema, type TargetSnapshot } from './storeNews.ts';
+import {
+  encodeSnapshot,
+  snapshotSchema,
+  type TargetSnapshot,
+} from './storeNews.ts';
 
 const SNAPSHOT_PATH = '/targets';
 
@@ -17,7 +21,7 @@
 export function createSnapshotServer(
   current: () => TargetSnapshot | undefined,
 ): Server {
-  return serveJson(SNAPSHOT_PATH, current);
+  return serveJson(SNAPSHOT_PATH, current, { encodeValue: encodeSnapshot });
 }
 
 /**
--- a/packages/gateway/src/shareStore/_lib/storeNews.ts
+++ b/packages/gateway/src/shareStore/_lib/storeNews.ts
@@ -7,10 +7,12 @@
 } from '@endivegate/contracts/forwarding';
 import { z } from 'zod';
 
+const wireTargetSchema = exactFields(listedTargetSchema);
+
 const removalSchema = z.object({ type: z.literal('removed'), id: z.string() });
 
 const targetChangeSchema = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('put'), target: listedTargetSchema }),
+  z.object({ type: z.literal('put'), target: wireTargetSchema }),
   removalSchema,
 ]);
 
@@ -28,18 +30,20 @@
 /** Rows that can be read; the others name no target. */
 const targetsSchema = z.array(z.unknown()).transform((rows) =>
   rows.flatMap((row) => {
-    const { data } = listedTargetSchema.safeParse(row);
+    const { data } = wireTargetSchema.safeParse(row);
     return data === undefined ? [] : [data];
   }),
 );
 
-const evacuationSchema = z.object({
-  dataCentre: z.string(),
-  era: z.number(),
-  revision: z.number(),
-  isEvacuated: z.boolean(),
-  ageMs: z.number(),
-});
+const evacuationSchema = exactFields(
+  z.object({
+    dataCentre: z.string(),
+    era: wireIntegerSchema,
+    revision: wireIntegerSchema,
+    isEvacuated: z.boolean(),
+    ageMs: z.number(),
+  }),
+);
 
 /** Keys that later builds add are optional, those that this build does not know are
  * dropped, and a malformed optional key does not affect the rest: entries of two builds
@@ -47,11 +51,11 @@
 const newsFieldsSchema = z.object({
   name: z.string(),
   weight: z.number(),
-  era: z.number(),
+  era: wireIntegerSchema,
   /** Revision after which the changes were made. */
-  fromRevision: z.number(),
+  fromRevision: wireIntegerSchema,
   /** Revision up to which the sender follows the store. */
-  revision: z.number(),
+  revision: wireIntegerSchema,
   /** Time by which an answer of the store to the sender is overdue. */
   overdueMs: z.number(),
   /** Time for which removals are held after an outage of the store. */
@@ -71,14 +75,16 @@
 
 /** All targets that a watcher knows, for an entry that missed news. Added keys are
  * optional, as in news. */
-export const snapshotSchema = z.object({
-  era: z.number(),
-  revision: z.number(),
-  holdMs: z.number(),
-  targets: targetsSchema,
-  /** Evacuations at the revision; absent if the sender does not know of them. */
-  evacuations: z.array(evacuationSchema).optional().catch(undefined),
-});
+export const snapshotSchema = exactFields(
+  z.object({
+    era: wireIntegerSchema,
+    revision: wireIntegerSchema,
+    holdMs: z.number(),
+    targets: targetsSchema,
+    /** Evacuations at the revision; absent if the sender does not know of them. */
+    evacuations: z.array(evacuationSchema).optional().catch(undefined),
+  }),
+);
 
 /** A change of the list of targets. */
 export type TargetChange = z.infer<typeof targetChangeSchema>;
@@ -107,8 +113,39 @@
     : withEvacuations;
 }
 
-function pack(news: StoreNews): Uint8Array {
-  return encode(encodeExactFields(news));
+function pack({ evacuations, ...news }: StoreNews): Uint8Array {
+  return encode({
+    ...encodeExactFields(news),
+    changes: news.changes.map((change) =>
+      change.type === 'put'
+        ? { ...change, target: encodeExactFields(change.target) }
+        : change,
+    ),
+    ...encodeEvacuations(evacuations),
+  });
+}
+
+function encodeEvacuations(evacuations: StoreNews['evacuations']): object {
+  return evacuations === undefined
+    ? {}
+    : { evacuations: evacuations.map(encodeExactFields) };
+}
+
+/**
+ * Encodes all targets that a watcher knows as JSON can hold them.
+ *
+ * @param snapshot - The targets, and the position of the store.
+ * @returns What {@link snapshotSchema} reads.
+ */
+export function encodeSnapshot({
+  evacuations,
+  ...snapshot
+}: TargetSnapshot): object {
+  return {
+    ...encodeExactFields(snapshot),
+    targets: snapshot.targets.map(encodeExactFields),
+    ...encodeEvacuations(evacuations),
+  };
 }
 
 /** Decodes news; undefined if the bytes are malformed. */
--- a/packages/gateway/src/shareStore/_lib/test.ts
+++ b/packages/gateway/src/shareStore/_lib/test.ts
@@ -3,6 +3,7 @@
 import {
   decodeNews,
   encodeNews,
+  encodeSnapshot,
   snapshotSchema,
   type StoreNews,
 } from './storeNews.ts';
@@ -66,6 +67,51 @@
     ).to.deep.equal([target]);
   });
 
+  // Guards against entries that miss changes because a watcher's revisions are rounded, and
+  // against news that earlier builds cannot read.
+  it('tells positions above 2^53 with all digits', () => {
+    const at = { era: 9007199254740993n, revision: 1152921504606846977n };
+    const target = {
+      ...{ id: 't1', service: 's', address: '10.0.0.1:80', dataCentre: 'a' },
+      ...{ draining: false, slots: 4, bornMs: 1 },
+    };
+    const evacuation = { dataCentre: 'b', isEvacuated: true, ageMs: 3 };
+    const long: StoreNews = {
+      ...{ ...news, ...at, fromRevision: 1152921504606846976n },
+      changes: [{ type: 'put', target: { ...target, revision: at.revision } }],
+      evacuations: [{ ...evacuation, ...at }],
+    };
+    expect(decodeNews(encodeNews(long))).to.deep.equal(long);
+    const sent = decode(encodeNews(long)) as Record<string, unknown>;
+    expect([sent.era, sent.revision]).to.deep.equal([2 ** 53, 2 ** 60]);
+    const snapshot = {
+      ...{ ...at, holdMs: 0, targets: [{ ...target, revision: at.revision }] },
+      evacuations: [{ ...evacuation, ...at }],
+    };
+    const json = JSON.stringify(encodeSnapshot(snapshot));
+    expect(snapshotSchema.parse(JSON.parse(json))).to.deep.equal(snapshot);
+  });
+
+  it('leaves out changes that do not fit, at positions above 2^53 as well', () => {
+    const changes = Array.from({ length: 200 }, (_, index) => ({
+      ...{ type: 'removed' as const, id: `target-${index}` },
+    }));
+    const revision = 1152921504606846977n;
+    const long = { ...news, fromRevision: 2n ** 60n - 9n, revision, changes };
+    expect(decodeNews(encodeNews(long))).to.deep.include({
+      ...{ fromRevision: revision, revision, changes: [] },
+    });
+  });
+
+  it('does not use positions that an earlier build has rounded', () => {
+    const rounded = { ...news, fromRevision: 2 ** 60, revision: 2 ** 60 };
+    expect(decodeNews(encode(rounded))).to.equal(undefined);
+    const version = { ...news, configVersion: 2 ** 60 };
+    expect(decodeNews(encode(version))).to.deep.equal({
+      ...{ ...news, configVersion: 0 },
+    });
+  });
+
   it('drops bytes that are no news', () => {
     expect(decodeNews(encode({ ...news, era: 'x' }))).to.equal(undefined);
     expect(decodeNews(encodeNews(news).subarray(0, 9))).to.equal(undefined);
--- a/packages/gateway/src/shareStore/test.ts
+++ b/packages/gateway/src/shareStore/test.ts
@@ -105,7 +105,7 @@
     },
     write(change: TargetChange) {
       const from = at;
-      at = { ...at, revision: at.revision + 1 };
+      at = { ...at, revision: Number(at.revision) + 1 };
       if (change.type === 'put') targets.set(change.target.id, change.target);
       else targets.delete(change.id);
       watches.forEach((watch) => {
@@ -114,7 +114,7 @@
       });
     },
     restore() {
-      at = { era: at.era + 1, revision: 1 };
+      at = { era: Number(at.era) + 1, revision: 1 };
       watches.forEach((watch) => {
         listAll(watch.handlers);
         watch.from = at;
@@ -137,7 +137,7 @@
     readonly runtime: GatewayRuntime;
     stopped: boolean;
   }[] = [];
-  const restoredEras: number[] = [];
+  const restoredEras: ExactInteger[] = [];
   const newerVersions: ExactInteger[] = [];
 
   let fleetPort = '';
--- a/packages/gateway/src/shareStore/types.ts
+++ b/packages/gateway/src/shareStore/types.ts
@@ -1,4 +1,7 @@
-import type { ListedTarget } from '@endivegate/contracts/forwarding';
+import type {
+  ExactInteger,
+  ListedTarget,
+} from '@endivegate/contracts/forwarding';
 import type { Peer } from '@endivegate/core/forwarding';
 import type { EventLog } from '../createEventLog/index.ts';
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
@@ -46,7 +49,7 @@
   /** Called when a watcher has a newer configuration than this entry. */
   readonly onNewerConfig: (watcher: Peer) => void;
   /** Called when a watcher tells that the store was restored. */
-  readonly onRestored: (era: number) => void;
+  readonly onRestored: (era: ExactInteger) => void;
   /** Monotonic time in ms. */
   readonly now: () => number;
   readonly random?: () => number;
--- a/packages/gateway/src/storePort/index.ts
+++ b/packages/gateway/src/storePort/index.ts
@@ -1,3 +1,4 @@
+import type { ExactInteger } from '@endivegate/contracts/forwarding';
 import type * as TE from 'fp-ts/lib/TaskEither.js';
 
 /** Error of a call to the store. */
@@ -22,7 +23,7 @@
 export interface StoredItem {
   readonly key: string;
   readonly value: Buffer;
-  readonly revision: number;
+  readonly revision: ExactInteger;
 }
 
 /** A change to an item with the watched prefix. */
@@ -32,35 +33,35 @@
       readonly type: 'removed';
       readonly key: string;
       /** Revision of the removal; absent if the store does not tell it. */
-      readonly revision?: number | undefined;
+      readonly revision?: ExactInteger | undefined;
     };
 
 /** A revision of the store, which is unique only within an era. */
 export interface StorePosition {
-  readonly era: number;
-  readonly revision: number;
+  readonly era: ExactInteger;
+  readonly revision: ExactInteger;
 }
 
 /** Listed items, and the revision from which to watch for changes. */
 export interface StoredItems {
   readonly items: readonly StoredItem[];
-  readonly revision: number;
+  readonly revision: ExactInteger;
   /** Era of the store; see {@link StorePort}. */
-  readonly era: number;
+  readonly era: ExactInteger;
 }
 
 /** Changes after a revision, and the revision from which to continue. */
 export interface StoredChanges {
   readonly changes: readonly StoreChange[];
-  readonly revision: number;
+  readonly revision: ExactInteger;
   /** Era of the store; see {@link StorePort}. */
-  readonly era: number;
+  readonly era: ExactInteger;
 }
 
 /** A granted lease. Its id is valid only in the era of its grant. */
 export interface Lease {
   readonly leaseId: string;
-  readonly era: number;
+  readonly era: ExactInteger;
 }
 
 /**
@@ -78,18 +79,20 @@
   /** Resolves as soon as there are changes, or without any after `waitMs`. */
   readonly watch: (query: {
     readonly prefix: string;
-    readonly afterRevision: number;
+    readonly afterRevision: ExactInteger;
     readonly waitMs: number;
   }) => TE.TaskEither<StoreError, StoredChanges>;
   /** Grants a lease; keys attached to it are deleted when it expires. */
   readonly grantLease: (ttlMs: number) => TE.TaskEither<StoreError, Lease>;
   /** Returns the era of the store. */
-  readonly renewLease: (leaseId: string) => TE.TaskEither<StoreError, number>;
+  readonly renewLease: (
+    leaseId: string,
+  ) => TE.TaskEither<StoreError, ExactInteger>;
   /** Writes a key attached to a lease, replacing any existing value. Returns the
    * era of the store. */
   readonly put: (entry: {
     readonly key: string;
     readonly value: Buffer;
     readonly leaseId: string;
-  }) => TE.TaskEither<StoreError, number>;
+  }) => TE.TaskEither<StoreError, ExactInteger>;
 }
