--- a/packages/core/src/forwarding/processLoss/index.ts
+++ b/packages/core/src/forwarding/processLoss/index.ts
@@ -10,10 +10,11 @@
 export type ProcessStanding = 'listed' | 'restarted' | 'unlisted';
 
 /** What shows that a process has ended: a later process has its id, another process
- * answers at its address, or it is unlisted and does not answer. */
-export type LossFact = 'restarted' | 'replaced' | 'unanswered';
+ * answers at its address, or it does not answer, and is unlisted or uses the memory no more
+ * that other processes have set aside for it. */
+export type LossFact = 'restarted' | 'replaced' | 'unlisted' | 'memoryUnused';
 
-/** What is known of a process that may have ended. Times are monotonic. */
+/** What is known of a process that serves requests. Times are monotonic. */
 export interface LossEvidence {
   readonly standing: ProcessStanding;
   /** Since when it has had this standing. */
@@ -93,13 +94,13 @@
 }
 
 /**
- * Updates the evidence on a process with its standing. Evidence on a process that is
- * listed, or listed again, is dropped.
+ * Updates the evidence on a process with its standing. What checks said of a process is
+ * dropped once it is listed again.
  *
- * @param known - The evidence so far.
+ * @param known - The evidence so far; undefined if there is none.
  * @param standing - The current standing.
  * @param nowMs - Current monotonic time.
- * @returns The evidence; undefined if there is none.
+ * @returns The evidence.
  *
  * @example
  * noteStanding(undefined, 'unlisted', performance.now());
@@ -108,9 +109,12 @@
   known: LossEvidence | undefined,
   standing: ProcessStanding,
   nowMs: number,
-): LossEvidence | undefined {
-  if (known?.isReplaced === true || known?.standing === standing) return known;
-  if (standing === 'listed') return undefined;
+): LossEvidence {
+  const isSettled = known?.isReplaced === true || known?.standing === standing;
+  if (known !== undefined && isSettled) return known;
+  if (known !== undefined && standing !== 'listed') {
+    return { ...known, standing, sinceMs: nowMs };
+  }
   return {
     standing,
     sinceMs: nowMs,
@@ -171,23 +175,32 @@
   readonly silenceMs: number;
 }
 
+/** Memory that other processes have set aside for a send: none, or what they say of it. */
+export type MemoryUse = 'none' | 'unknown' | 'used' | 'unused';
+
 /**
  * Whether a process has to be checked: its standing does not tell whether it has ended,
- * and it is silent.
+ * and it is silent. While it is listed, only sends that hold memory elsewhere are worth it.
  *
  * @param evidence - What is known of the process.
- * @param silence - Its silence.
+ * @param silence - Its silence, and whether the send holds memory.
  * @returns Whether a check is due.
  *
  * @example
- * isCheckDue(evidence, { nowMs, silenceMs: 3000 });
+ * isCheckDue(evidence, { nowMs, silenceMs: 3000, holdsMemory: true });
  */
 export function isCheckDue(
   evidence: LossEvidence,
-  { nowMs, silenceMs }: SendSilence,
+  {
+    nowMs,
+    silenceMs,
+    holdsMemory,
+  }: SendSilence & { readonly holdsMemory: boolean },
 ): boolean {
   const { standing, isReplaced, checkDueAtMs } = evidence;
-  if (standing !== 'unlisted' || isReplaced) return false;
+  const isDoubtful =
+    standing === 'unlisted' || (standing === 'listed' && holdsMemory);
+  if (!isDoubtful || isReplaced) return false;
   return silenceMs >= MIN_SILENCE_MS && nowMs >= checkDueAtMs;
 }
 
@@ -195,26 +208,30 @@
  * Decides whether a send to a process is over because the process has ended, though its
  * connection does not say so.
  *
- * Being unlisted is not enough: a process that leaves is taken off the list and goes on
- * serving. It has ended if it also leaves checks unanswered, and has sent
- * nothing since the first of them.
+ * Silence is not enough: a process that reads a long prompt sends nothing for seconds, and
+ * this entry may be cut off from it alone. Neither is being unlisted: a process that
+ * leaves is taken off the list and goes on serving. It has ended if it leaves checks
+ * unanswered, has sent nothing since the first of them, and is unlisted as well, or does not use
+ * its memory at other processes any more.
  *
  * @param evidence - What is known of the process.
- * @param silence - Its silence towards this send.
+ * @param send - Its silence towards this send, and the use of the send's memory.
  * @returns What shows that it has ended; undefined if nothing does.
  *
  * @example
- * lossOf(evidence, { nowMs, silenceMs: 3000 }); // 'unanswered'
+ * lossOf(evidence, { nowMs, silenceMs: 3000, memory: 'unused' }); // 'memoryUnused'
  */
 export function lossOf(
   evidence: LossEvidence,
-  { nowMs, silenceMs }: SendSilence,
+  { nowMs, silenceMs, memory }: SendSilence & { readonly memory: MemoryUse },
 ): LossFact | undefined {
+  const { standing, isReplaced, unanswered, unansweredSinceMs } = evidence;
   if (silenceMs < SETTLE_MS) return undefined;
-  if (evidence.standing === 'restarted') return 'restarted';
-  if (evidence.isReplaced) return 'replaced';
+  if (standing === 'restarted') return 'restarted';
+  if (isReplaced) return 'replaced';
   const isUnanswered =
-    evidence.unanswered >= MIN_UNANSWERED &&
-    silenceMs >= nowMs - evidence.unansweredSinceMs;
-  return isUnanswered ? 'unanswered' : undefined;
+    unanswered >= MIN_UNANSWERED && silenceMs >= nowMs - unansweredSinceMs;
+  if (!isUnanswered) return undefined;
+  if (standing === 'unlisted') return 'unlisted';
+  return memory === 'unused' ? 'memoryUnused' : undefined;
 }
--- a/packages/gateway/src/orderPort/index.ts
+++ b/packages/gateway/src/orderPort/index.ts
@@ -32,6 +32,11 @@
     target: OrderTarget,
     reservation: Reservation,
   ) => TE.TaskEither<OrderError, void>;
+  /** Whether a request uses the memory of a reservation; false if there is none. */
+  readonly isInUse: (
+    target: OrderTarget,
+    reservationId: string,
+  ) => TE.TaskEither<OrderError, boolean>;
   readonly release: (
     target: OrderTarget,
     reservationId: string,
--- a/packages/gateway/src/reserveMemory/test.ts
+++ b/packages/gateway/src/reserveMemory/test.ts
@@ -34,6 +34,7 @@
         failure === undefined ? E.right(undefined) : E.left(failure),
       );
     },
+    isInUse: (target) => () => Promise.resolve(E.right(held.has(target.id))),
     release: (target) => () => {
       held.delete(target.id);
       return Promise.resolve(E.right(undefined));
@@ -109,6 +110,7 @@
             : E.left(lost),
         );
       },
+      isInUse: () => () => Promise.resolve(E.right(true)),
       release: () => () => {
         events.push('release');
         return Promise.resolve(E.right(undefined));
--- a/packages/gateway/src/runSend/index.ts
+++ b/packages/gateway/src/runSend/index.ts
@@ -21,6 +21,7 @@
   type RunningSend,
   sendRequest,
 } from '../sendRequest/index.ts';
+import type { HeldReservation } from '../targetLoss/index.ts';
 import { createEventSplitter, type StreamEvent } from '../splitEvents/index.ts';
 import { answerLimits, bufferAnswer } from './_lib/bufferAnswer.ts';
 import { reportOversized } from './_lib/reportOversized.ts';
@@ -169,6 +170,7 @@
       requestId: call.attemptId,
       plan,
       service: call.service,
+      reservation: heldReservation(),
       silenceMs: () => (isPaused ? 0 : now() - receivedAtMs),
       onLost: guard(onLost, undefined),
     });
@@ -178,6 +180,11 @@
     handlers.onSent();
   }
 
+  function heldReservation(): HeldReservation | undefined {
+    const holders = plan.reservations.map((one) => one.target);
+    return holders.length === 0 ? undefined : { id: flightId, holders };
+  }
+
   /** Ends the send because its process has ended without closing the connection. */
   function onLost(fact: LossFact): void {
     sending?.cancel();
--- a/packages/gateway/src/runSend/test.ts
+++ b/packages/gateway/src/runSend/test.ts
@@ -270,7 +270,11 @@
             noteReceived: () => undefined,
             onCutOff: () => () => undefined,
           },
-          orders: { reserve: order('reserve'), release: order('release') },
+          orders: {
+            reserve: order('reserve'),
+            release: order('release'),
+            isInUse: () => () => Promise.resolve(E.right(true)),
+          },
           dialect: testDialect,
           log,
           metrics: createGatewayMetrics(),
--- a/packages/gateway/src/startGateway/index.ts
+++ b/packages/gateway/src/startGateway/index.ts
@@ -146,7 +146,7 @@
   });
   const { checkTarget } = options;
   const targetLoss = createTargetLoss({
-    ...{ runtime, log, now, probe },
+    ...{ runtime, log, now, probe, orders: options.orders },
     ...(checkTarget === undefined ? {} : { checkTarget }),
   });
   const admission =
--- a/packages/gateway/src/targetLoss/index.ts
+++ b/packages/gateway/src/targetLoss/index.ts
@@ -4,6 +4,7 @@
   type LossEvidence,
   type LossFact,
   lossOf,
+  type MemoryUse,
   noteCheck,
   noteStanding,
   peerStanding,
@@ -13,8 +14,10 @@
   targetStanding,
 } from '@endivegate/core/forwarding';
 import type { ForwardingService } from '@endivegate/contracts/forwarding';
+import * as E from 'fp-ts/lib/Either.js';
 import type { EventLog } from '../createEventLog/index.ts';
 import type { GatewayRuntime } from '../gatewayRuntime/index.ts';
+import type { OrderPort, OrderTarget } from '../orderPort/index.ts';
 import type { SendDestination, SendPlan } from '../planSend/index.ts';
 import { probeAddress } from '../probeAddress/index.ts';
 import { probeOthers } from '../probeOthers/index.ts';
@@ -49,11 +52,19 @@
     });
 }
 
+/** Memory at other targets. */
+export interface HeldReservation {
+  readonly id: string;
+  readonly holders: readonly OrderTarget[];
+}
+
 /** A request that a target, or a peer, may be working on. */
 export interface WatchedSend {
   readonly requestId: string;
   readonly plan: Pick<SendPlan, 'target' | 'isRelay'>;
   readonly service: ForwardingService;
+  /** Memory that is set aside for it; undefined if there is none. */
+  readonly reservation: HeldReservation | undefined;
   /** Time since something was received; 0 while this entry does not read. */
   readonly silenceMs: () => number;
   /** Called once if the process has ended. */
@@ -76,6 +87,7 @@
   readonly now: () => number;
   /** {@link checkByConnecting} by default. */
   readonly checkTarget?: CheckTarget;
+  readonly orders: Pick<OrderPort, 'isInUse'>;
   readonly probe?: typeof probeAddress;
 }
 
@@ -91,11 +103,12 @@
  * const stop = createTargetLoss({ runtime, log, now }).watch(send);
  */
 export function createTargetLoss(options: CreateTargetLossOptions): TargetLoss {
-  const { runtime, log, now, probe = probeAddress } = options;
+  const { runtime, log, now, orders, probe = probeAddress } = options;
   const checkPeer = checkByConnecting(probe);
   const { checkTarget = checkPeer } = options;
   const sends = new Map<string, Set<WatchedSend>>();
   const evidenceOf = new Map<string, LossEvidence>();
+  const memoryOf = new WeakMap<WatchedSend, MemoryUse>();
   const checking = new Set<string>();
   let pending: NodeJS.Immediate | undefined;
 
@@ -124,17 +137,19 @@
       standingOf(first, nowMs),
       nowMs,
     );
-    if (evidence === undefined) {
-      evidenceOf.delete(key);
-      return;
-    }
     evidenceOf.set(key, evidence);
     watched.forEach((send) => {
-      const fact = lossOf(evidence, { nowMs, silenceMs: send.silenceMs() });
+      const silenceMs = send.silenceMs();
+      const memory = memoryOf.get(send) ?? 'unknown';
+      const fact = lossOf(evidence, { nowMs, silenceMs, memory });
       if (fact !== undefined) giveUp(key, send, fact);
     });
-    const silenceMs = Math.max(...watched.map((send) => send.silenceMs()));
-    if (isCheckDue(evidence, { nowMs, silenceMs })) check(key, first);
+    const isDue = watched.some((send) => {
+      const holdsMemory = send.reservation !== undefined;
+      const silenceMs = send.silenceMs();
+      return isCheckDue(evidence, { nowMs, silenceMs, holdsMemory });
+    });
+    if (isDue) check(key, first);
   }
 
   function standingOf({ plan }: WatchedSend, nowMs: number): ProcessStanding {
@@ -156,6 +171,7 @@
       if (known === undefined) return;
       const times = { startedAtMs, endedAtMs: now() };
       evidenceOf.set(key, noteCheck(known, { result, hasPath, ...times }));
+      if (result === 'unanswered' && hasPath) askHolders(key);
       tick();
     };
     void checkProcess(target, send.service).then((result) => {
@@ -170,6 +186,20 @@
     });
   }
 
+  /** Asks where a silent process has memory whether it still uses it. */
+  function askHolders(key: string): void {
+    sends.get(key)?.forEach((send) => {
+      const { reservation } = send;
+      if (reservation === undefined) return;
+      const { id, holders } = reservation;
+      const asked = holders.map((holder) => orders.isInUse(holder, id)());
+      void Promise.all(asked).then((answers) => {
+        memoryOf.set(send, memoryUse(answers));
+        tick();
+      });
+    });
+  }
+
   function reachesTargets(): boolean {
     return runtime.state().targetReach.phase === 'reaching';
   }
@@ -218,3 +248,11 @@
     },
   };
 }
+
+/** What holders say of the memory of a send. One that does not answer has lost power, as
+ * its memory has, or cannot be reached. */
+function memoryUse(answers: readonly E.Either<unknown, boolean>[]): MemoryUse {
+  const known = answers.filter(E.isRight).map(({ right }) => right);
+  if (known.length === 0) return 'unknown';
+  return known.includes(true) ? 'used' : 'unused';
+}
--- a/packages/gateway/src/testGateway/index.ts
+++ b/packages/gateway/src/testGateway/index.ts
@@ -164,6 +164,7 @@
     orders: {
       reserve: () => () => Promise.resolve(E.right(undefined)),
       release: () => () => Promise.resolve(E.right(undefined)),
+      isInUse: () => () => Promise.resolve(E.right(true)),
     },
     log: createEventLog({
       entryId: options.name ?? 'e1',
