Checks of targets: only open sends ask for one, and a failed check ends nothing

Found in reading the change again: a process was checked once more after its last send had been given up, holders were asked for sends to unlisted targets too, where their answer decides nothing, and a check that throws would have been an error that nothing handles. No test fails without this; the tests of lost targets and silent peers pass (16).

--- a/packages/gateway/src/targetLoss/index.ts
+++ b/packages/gateway/src/targetLoss/index.ts
@@ -144,7 +144,7 @@
       const fact = lossOf(evidence, { nowMs, silenceMs, memory });
       if (fact !== undefined) giveUp(key, send, fact);
     });
-    const isDue = watched.some((send) => {
+    const isDue = [...(sends.get(key) ?? [])].some((send) => {
       const holdsMemory = send.reservation !== undefined;
       const silenceMs = send.silenceMs();
       return isCheckDue(evidence, { nowMs, silenceMs, holdsMemory });
@@ -171,10 +171,12 @@
       if (known === undefined) return;
       const times = { startedAtMs, endedAtMs: now() };
       evidenceOf.set(key, noteCheck(known, { result, hasPath, ...times }));
-      if (result === 'unanswered' && hasPath) askHolders(key);
+      const isDoubtful = result === 'unanswered' && hasPath;
+      if (isDoubtful && known.standing === 'listed') askHolders(key);
       tick();
     };
-    void checkProcess(target, send.service).then((result) => {
+    const checked = checkProcess(target, send.service);
+    void checked.catch(assumeAlive).then((result) => {
       if (result !== 'unanswered') end(result, true);
       else if (isRelay) end(result, hearsOtherPeers(target));
       else {
@@ -249,6 +251,11 @@
   };
 }
 
+/** A check that fails on this side says nothing about the process. */
+function assumeAlive(): CheckResult {
+  return 'alive';
+}
+
 /** What holders say of the memory of a send. One that does not answer has lost power, as
  * its memory has, or cannot be reached. */
 function memoryUse(answers: readonly E.Either<unknown, boolean>[]): MemoryUse {
